Links: tasks at a turn's end, a turn hook, new connections after a silent one

Cause: on the users' machines every wake-up and system call is charged, and the client woke its own loop through the cross-thread queue twice for each call. defer() runs on the same turn. A call without an answer in time now retires the address's pooled connections, since something between the ends may have lost track of all of them. Requests that come in carry the host that was addressed.

--- a/Source/Links/EventLoop.cpp
+++ b/Source/Links/EventLoop.cpp
@@ -66,12 +66,25 @@
     runOnce();
 }
 
+void EventLoop::defer(std::function<void()> Task) {
+  Deferred.push_back(std::move(Task));
+}
+
+bool EventLoop::runDeferred() {
+  bool Ran = !Deferred.empty();
+  for (auto &Task : std::exchange(Deferred, {}))
+    Task();
+  return Ran;
+}
+
 void EventLoop::runOnce() {
-  h2o_evloop_run(Loop, waitMillis());
-  // Completions of what timers wrote are queued inside h2o, which looks at them
-  // only after its next poll, so that poll must not wait.
-  if (Timers.advance(bootNow()))
-    h2o_evloop_run(Loop, 0);
+  h2o_evloop_run(Loop, Wrote || !Deferred.empty() ? 0 : waitMillis());
+  // Completions of what timers and tasks wrote are queued inside h2o, which
+  // looks at them only after its next poll, so that poll must not wait.
+  Wrote = Timers.advance(bootNow());
+  Wrote |= runDeferred();
+  if (Turn)
+    Wrote |= Turn();
 }
 
 void EventLoop::stop() {
--- a/Source/Links/EventLoop.h
+++ b/Source/Links/EventLoop.h
@@ -9,6 +9,8 @@
 
 #include <atomic>
 #include <functional>
+#include <utility>
+#include <vector>
 
 namespace mimosashunt {
 
@@ -30,6 +32,14 @@
   /// Runs \p Task on the loop's thread; callable from any thread.
   void post(std::function<void()> Task);
 
+  /// Runs \p Task at the end of this turn; for the owning thread, where it
+  /// saves the wake-up that post() costs.
+  void defer(std::function<void()> Task);
+
+  /// Runs \p Run at the end of each turn, after timers and deferred tasks. It
+  /// returns true if it did anything that may have written to a socket.
+  void onTurn(std::function<bool()> Run) { Turn = std::move(Run); }
+
   /// Serves until stop(); call on the owning thread.
   void run();
 
@@ -44,12 +54,18 @@
   static void onTasks(h2o_multithread_receiver_t *Receiver,
                       h2o_linklist_t *Messages);
   int32_t waitMillis() const;
+  bool runDeferred();
 
   h2o_loop_t *Loop;
   h2o_multithread_queue_t *Queue;
   h2o_multithread_receiver_t Tasks{};
   h2o_multithread_receiver_t Resolver{};
   TimerService Timers;
+  std::vector<std::function<void()>> Deferred;
+  std::function<bool()> Turn;
+  // True if the last turn may have written, so that the next poll must not
+  // wait.
+  bool Wrote = false;
   std::atomic<bool> Stopping{false};
 };
 
--- a/Source/Links/HttpClient.cpp
+++ b/Source/Links/HttpClient.cpp
@@ -37,6 +37,7 @@
 struct HttpClient::Call {
   HttpClient *Owner;
   uint64_t Id;
+  std::string Target;
   std::string Bytes;
   h2o_iovec_t Buffer;
   bool IsHead;
@@ -79,12 +80,23 @@
   return Pool.get();
 }
 
+void HttpClient::retirePool(const std::string &Target) {
+  auto Found = Pools.find(Target);
+  if (Found == Pools.end())
+    return;
+  // Calls under way return their connections to it; what idles there is closed
+  // after the idle timeout.
+  Retired.push_back(std::move(Found->second));
+  Pools.erase(Found);
+}
+
 void HttpClient::send(const SocketAddress &Address, const HttpRequest &Request,
                       Duration Timeout, Callback Done, Guard MayLeave) {
   uint64_t Id = ++LastCall;
   auto Made = std::make_unique<Call>();
   Made->Owner = this;
   Made->Id = Id;
+  Made->Target = Address.text();
   Made->Bytes = wireForm(Address, Request);
   Made->Buffer = h2o_iovec_init(Made->Bytes.data(), Made->Bytes.size());
   Made->IsHead = Request.Method == "HEAD";
@@ -96,7 +108,7 @@
   Entry->Timer = Loop.timers().at(Due, [this, Id] { expire(Id); });
   // Connecting starts on the loop's next turn, so that a pooled connection
   // cannot call back before send() has returned.
-  Loop.post([this, Id, Target = Address] {
+  Loop.defer([this, Id, Target = Address] {
     auto Found = Calls.find(Id);
     if (Found == Calls.end())
       return;
@@ -119,7 +131,7 @@
   Loop.refresh();
   Entry->Done(std::move(Result));
   // h2o may still refer to the request's bytes until this turn has ended.
-  Loop.post([Kept = std::shared_ptr<Call>(std::move(Entry))] {});
+  Loop.defer([Kept = std::shared_ptr<Call>(std::move(Entry))] {});
 }
 
 void HttpClient::expire(uint64_t Id) {
@@ -129,9 +141,12 @@
   Call &Entry = *Found->second;
   if (Entry.Native != nullptr)
     h2o_http1client_cancel(std::exchange(Entry.Native, nullptr));
-  if (Entry.MayHaveLeft)
+  if (Entry.MayHaveLeft) {
+    // Something between the two ends may have lost track of the connections to
+    // this address, so later calls get new ones.
+    retirePool(Entry.Target);
     finish(Id, HttpLost{"no whole answer in time"});
-  else
+  } else
     finish(Id, HttpNotSent{"no connection in time"});
 }
 
--- a/Source/Links/HttpClient.h
+++ b/Source/Links/HttpClient.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace mimosashunt {
 
@@ -73,12 +74,14 @@
   void finish(uint64_t Id, HttpResult Result);
   void expire(uint64_t Id);
   h2o_socketpool_t *pool(const SocketAddress &Address);
+  void retirePool(const std::string &Target);
 
   EventLoop &Loop;
   HttpClientOptions Options;
   h2o_timeout_t IoTimeout{};
   h2o_http1client_ctx_t Context{};
   std::map<std::string, std::unique_ptr<h2o_socketpool_t>> Pools;
+  std::vector<std::unique_ptr<h2o_socketpool_t>> Retired;
   std::map<uint64_t, std::unique_ptr<Call>> Calls;
   uint64_t LastCall = 0;
 };
--- a/Source/Links/HttpServer.cpp
+++ b/Source/Links/HttpServer.cpp
@@ -30,6 +30,7 @@
   Request.Path = Path.substr(0, QueryAt);
   if (QueryAt != std::string::npos)
     Request.Query = Path.substr(QueryAt + 1);
+  Request.Host = toString(Native->input.authority);
   for (size_t I = 0; I < Native->headers.size; ++I) {
     const h2o_header_t &Header = Native->headers.entries[I];
     Request.Headers.push_back({toString(*Header.name), toString(Header.value)});
--- a/Source/Links/HttpTypes.h
+++ b/Source/Links/HttpTypes.h
@@ -27,6 +27,9 @@
   std::string Query;
   std::vector<HttpHeader> Headers;
   std::string Body;
+  /// Whom the caller addressed, of a request that came in; the client names the
+  /// address that it sends to.
+  std::string Host;
   bool operator==(const HttpRequest &) const = default;
 };
 
