--- a/Source/Core/Raft.cpp
+++ b/Source/Core/Raft.cpp
@@ -40,16 +40,22 @@
 }
 
 bool Raft::bootstrap(const Member &Founder) {
-  if (lastIndex() != 0 || State.Current != 0 || Founder.Disk != Self)
+  if (!found({Founder}))
+    return false;
+  startElection(false);
+  return true;
+}
+
+bool Raft::found(const std::vector<Member> &Founders) {
+  if (lastIndex() != 0 || State.Current != 0 || !contains(Founders, Self))
     return false;
   LogEntry Entry;
   Entry.AtTerm = 1;
   Entry.Kind = EntryKind::Membership;
-  Entry.Members.Voters.push_back(Founder);
+  Entry.Members.Voters = Founders;
   State.Current = 1;
   Output.StateChanged = true;
   append(std::move(Entry));
-  startElection(false);
   return true;
 }
 
@@ -461,14 +467,23 @@
 }
 
 ProposeResult Raft::propose(std::string Command, LogIndex &Index) {
+  std::vector<std::string> Commands;
+  Commands.push_back(std::move(Command));
+  return proposeAll(std::move(Commands), Index);
+}
+
+ProposeResult Raft::proposeAll(std::vector<std::string> Commands,
+                               LogIndex &First) {
   if (Role != RaftRole::Leader)
     return ProposeResult::NotLeader;
-  LogEntry Entry;
-  Entry.AtTerm = State.Current;
-  Entry.Kind = EntryKind::Command;
-  Entry.Payload = std::move(Command);
-  append(std::move(Entry));
-  Index = lastIndex();
+  First = lastIndex() + 1;
+  for (std::string &Command : Commands) {
+    LogEntry Entry;
+    Entry.AtTerm = State.Current;
+    Entry.Kind = EntryKind::Command;
+    Entry.Payload = std::move(Command);
+    append(std::move(Entry));
+  }
   broadcast(/*Repeat=*/false);
   return ProposeResult::Accepted;
 }
--- a/Source/Core/Raft.h
+++ b/Source/Core/Raft.h
@@ -45,11 +45,19 @@
   /// Founds a group with this disk as its only voter. Only for an empty disk.
   bool bootstrap(const Member &Self);
 
+  /// Founds a group of \p Founders, this disk among them. Every founder must
+  /// pass the same list in the same order. Only for an empty disk.
+  bool found(const std::vector<Member> &Founders);
+
   void receive(const RaftMessage &Message);
 
   /// Appends a command if this is the leader; \p Index is its place.
   ProposeResult propose(std::string Command, LogIndex &Index);
 
+  /// Appends several commands under one message to each member; \p First is
+  /// the first one's place.
+  ProposeResult proposeAll(std::vector<std::string> Commands, LogIndex &First);
+
   /// Changes one member. Refused while an earlier change is not committed.
   ProposeResult addLearner(const Member &New);
   ProposeResult promote(DiskId Learner);
