--- /dev/null
+++ b/Source/Fleet/Codecs.h
@@ -0,0 +1,127 @@
+// What the daemons of the job path need translated: calls of callers, workers
+// and operators, and the platform's VMs. The daemons see typed values only; a
+// platform's folder implements these.
+
+#ifndef MIMOSASHUNT_FLEET_CODECS_H
+#define MIMOSASHUNT_FLEET_CODECS_H
+
+#include "Jobs/JobCommands.h"
+#include "Jobs/ServiceConfiguration.h"
+#include "Links/HttpTypes.h"
+#include "Scheduling/Dispatcher.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace mimosashunt {
+
+/// Reads configurations; returns the fault, or nothing if it is valid.
+class ConfigurationReader {
+public:
+  virtual ~ConfigurationReader() = default;
+  virtual std::optional<std::string>
+  read(const std::string &Text, ServiceConfiguration &Result) const = 0;
+};
+
+/// A caller asks how many jobs of a queue wait.
+struct QueueQuery {
+  std::string Queue;
+};
+
+/// The call is answered without asking the leader.
+struct CallRefusal {
+  enum class Why : uint8_t { NoQueue, BadKey, BadForm, WrongMethod, NotReady };
+  Why Reason = Why::NotReady;
+  std::string Detail;
+};
+
+using CallerRequest = std::variant<JobCall, QueueQuery, CallRefusal>;
+
+class CallerCodec {
+public:
+  virtual ~CallerCodec() = default;
+  virtual CallerRequest decode(const HttpRequest &Request,
+                               const ServiceConfiguration &In) const = 0;
+  virtual HttpResponse answer(CallKind Kind, const JobAnswer &Answer) const = 0;
+  virtual HttpResponse answer(const CallRefusal &Refusal) const = 0;
+  virtual HttpResponse pending(size_t Count) const = 0;
+  virtual bool isReadinessProbe(const HttpRequest &Request) const = 0;
+  /// How long the caller waits for the answer, if it says so.
+  virtual std::optional<int64_t> waitsMs(const HttpRequest &Request) const = 0;
+};
+
+struct WorkerEnds {
+  std::string Id;
+};
+struct OfferedConfiguration {
+  ServiceConfiguration Content;
+};
+struct ReadConfiguration {};
+struct WaveQuery {
+  uint64_t Wave = 0;
+};
+struct BadControlCall {
+  bool NoSuchPath = false;
+  std::string Detail;
+};
+
+using ControlRequest =
+    std::variant<WorkerReport, WorkerEnds, OfferedConfiguration,
+                 ReadConfiguration, StartWave, WaveQuery, BadControlCall>;
+
+class ControlCodec {
+public:
+  virtual ~ControlCodec() = default;
+  virtual ControlRequest decode(const HttpRequest &Request) const = 0;
+  /// Acknowledges a worker's report and names where the next one should go.
+  virtual HttpResponse reported(const std::string &LeaderAddress) const = 0;
+  virtual HttpResponse acknowledged() const = 0;
+  virtual HttpResponse refused(const BadControlCall &Why) const = 0;
+  virtual HttpResponse unavailable() const = 0;
+  virtual HttpResponse configuration(const std::string &Text) const = 0;
+  virtual HttpResponse wave(bool Completed) const = 0;
+};
+
+enum class VmPhase : uint8_t { Up, Moving, Maintenance, Down };
+
+/// One VM in the platform's list.
+struct VmEntry {
+  std::string Vm;
+  std::string Pool;
+  VmPhase Phase = VmPhase::Down;
+  std::string DataCentre;
+  std::vector<std::string> Labels;
+  Resources Room;
+  std::string WorkerId; // Empty while no worker runs there.
+};
+
+enum class VmOrderOutcome : uint8_t {
+  Done,
+  Fenced,
+  Busy,
+  NotInWave,
+  Invalid,
+  TooMany,
+  Lost
+};
+
+class VmPort {
+public:
+  /// Nothing if the list could not be read whole.
+  using ListDone = std::function<void(std::optional<std::vector<VmEntry>>)>;
+  using OrderDone = std::function<void(VmOrderOutcome)>;
+  virtual ~VmPort() = default;
+  virtual void list(ListDone Done) = 0;
+  virtual void move(const std::string &Vm, const std::string &Pool,
+                    uint64_t Token, OrderDone Done) = 0;
+  virtual void maintain(const std::string &Vm, uint64_t Wave, uint64_t Token,
+                        OrderDone Done) = 0;
+};
+
+} // namespace mimosashunt
+
+#endif
--- /dev/null
+++ b/Source/Fleet/InternalMessages.h
@@ -0,0 +1,55 @@
+// What entry and control VMs of the job path say to each other, beside the
+// consensus messages.
+
+#ifndef MIMOSASHUNT_FLEET_INTERNALMESSAGES_H
+#define MIMOSASHUNT_FLEET_INTERNALMESSAGES_H
+
+#include "Jobs/JobTypes.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace mimosashunt {
+
+/// An entry VM asks for what is new.
+struct SyncRequest {
+  std::string Vm;
+  uint64_t Version = 0; // Of the configuration that it has.
+
+  static void describe(auto &Self, auto Field) {
+    Field("vm", Self.Vm);
+    Field("version", Self.Version);
+  }
+};
+
+struct SyncReply {
+  /// True only from a leader that no other can have replaced.
+  bool Leads = false;
+  std::string Leader;               // Internal address, if known.
+  std::vector<std::string> Members; // Internal addresses of all control VMs.
+  uint64_t Version = 0;
+  std::string Text; // The configuration, if the asker's is older.
+  std::map<std::string, uint64_t> Pending; // Jobs that wait, by queue.
+
+  static void describe(auto &Self, auto Field) {
+    Field("leads", Self.Leads);
+    Field("leader", Self.Leader);
+    Field("members", Self.Members);
+    Field("version", Self.Version);
+    Field("text", Self.Text);
+    Field("pending", Self.Pending);
+  }
+};
+
+namespace internal_path {
+inline constexpr const char *Consensus = "/internal/consensus";
+inline constexpr const char *Offer = "/internal/offer";
+inline constexpr const char *Join = "/internal/join";
+inline constexpr const char *Sync = "/internal/sync";
+inline constexpr const char *Call = "/internal/call";
+} // namespace internal_path
+
+} // namespace mimosashunt
+
+#endif
--- /dev/null
+++ b/Source/Fleet/LeaderLink.cpp
@@ -0,0 +1,160 @@
+#include "Fleet/LeaderLink.h"
+
+#include "Jobs/JobCommands.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mimosashunt {
+
+namespace {
+
+constexpr int Ok = 200;
+constexpr Duration SyncPeriod = milliseconds(250);
+constexpr Duration SyncTimeout = milliseconds(500);
+/// What is older than this may have been changed by a group that this VM does
+/// not reach.
+constexpr Duration SyncValid = milliseconds(1500);
+constexpr int MaxRedirects = 2;
+constexpr int64_t RetrySoonMs = 500;
+
+HttpRequest request(const char *Path, std::string Body) {
+  HttpRequest Result;
+  Result.Method = "POST";
+  Result.Path = Path;
+  Result.Headers.push_back({"content-type", "application/cbor"});
+  Result.Body = std::move(Body);
+  return Result;
+}
+
+} // namespace
+
+LeaderLink::LeaderLink(EventLoop &Loop, std::string Vm,
+                       std::vector<std::string> Seeds,
+                       const ConfigurationReader &Reader, EventLog &Events)
+    : Loop(Loop), Client(Loop, {.IdleTimeout = seconds(20)}), Vm(std::move(Vm)),
+      Seeds(std::move(Seeds)), Reader(Reader), Events(Events) {
+  SyncTimer = Loop.timers().every(SyncPeriod, [this] { sync(); });
+}
+
+LeaderLink::~LeaderLink() { Loop.timers().cancel(SyncTimer); }
+
+bool LeaderLink::inTouch() const {
+  return EverSynced && Loop.timers().now() - SyncedAt < SyncValid &&
+         Configuration.Version > 0;
+}
+
+uint64_t LeaderLink::pendingOf(const std::string &Queue) const {
+  auto Found = Pending.find(Queue);
+  return Found == Pending.end() ? 0 : Found->second;
+}
+
+void LeaderLink::nextCandidate() {
+  std::vector<std::string> All = Members;
+  for (const std::string &Seed : Seeds)
+    if (std::find(All.begin(), All.end(), Seed) == All.end())
+      All.push_back(Seed);
+  Candidate = All[NextSeed++ % All.size()];
+}
+
+void LeaderLink::sync() {
+  if (SyncUnderWay)
+    return;
+  if (Candidate.empty())
+    nextCandidate();
+  SocketAddress Target;
+  if (SocketAddress::parse(Candidate, Target)) {
+    Candidate.clear();
+    return;
+  }
+  SyncUnderWay = true;
+  SyncRequest Asked{Vm, Configuration.Version};
+  Instant SentAt = Loop.timers().now();
+  Client.send(Target, request(internal_path::Sync, toCbor(Asked)), SyncTimeout,
+              [this, Address = Candidate, SentAt](const HttpResult &Result) {
+                SyncUnderWay = false;
+                synced(Address, Result);
+                if (Leader == Address && !Leader.empty())
+                  SyncedAt = std::max(SyncedAt, SentAt);
+              });
+}
+
+void LeaderLink::synced(const std::string &Asked, const HttpResult &Result) {
+  const auto *Response = std::get_if<HttpResponse>(&Result);
+  SyncReply Reply;
+  if (Response == nullptr || Response->Status != Ok ||
+      !fromCbor(Response->Body, Reply)) {
+    if (Leader == Asked) {
+      Events.note("leader_lost", {{"leader", Asked}});
+      Leader.clear();
+    }
+    return nextCandidate();
+  }
+  if (!Reply.Members.empty())
+    Members = Reply.Members;
+  if (!Reply.Leads) {
+    if (Leader == Asked)
+      Leader.clear();
+    bool Hint = !Reply.Leader.empty() && Reply.Leader != Asked;
+    if (!Hint)
+      return nextCandidate();
+    Candidate = Reply.Leader;
+    return sync();
+  }
+  if (Leader != Asked)
+    Events.note("leader_found", {{"leader", Asked}});
+  Leader = Candidate = Asked;
+  Pending = std::move(Reply.Pending);
+  EverSynced = true;
+  if (Reply.Version <= Configuration.Version || Reply.Text.empty())
+    return;
+  ServiceConfiguration Next;
+  if (auto Fault = Reader.read(Reply.Text, Next)) {
+    Events.note("configuration_unreadable",
+                {{"version", Reply.Version}, {"fault", *Fault}});
+    return;
+  }
+  Configuration = std::move(Next);
+  Events.note("configuration_in_force", {{"version", Configuration.Version}});
+}
+
+void LeaderLink::call(const JobCall &Call, Duration Timeout, Answer Done) {
+  if (Leader.empty())
+    return Done({CallOutcome::NotRun, JobState::Queued, RetrySoonMs, {}});
+  callAt(Leader, toCbor(Call), Loop.timers().now() + Timeout, MaxRedirects,
+         std::move(Done));
+}
+
+void LeaderLink::callAt(const std::string &Address, const std::string &Body,
+                        Instant Until, int Redirects, Answer Done) {
+  SocketAddress Target;
+  Duration Left = Until - Loop.timers().now();
+  if (SocketAddress::parse(Address, Target) || Left <= Duration::zero())
+    return Done({CallOutcome::NotRun, JobState::Queued, RetrySoonMs, {}});
+  Client.send(
+      Target, request(internal_path::Call, Body), Left,
+      [this, Address, Body, Until, Redirects,
+       Done = std::move(Done)](const HttpResult &Result) mutable {
+        JobAnswer Back;
+        if (std::holds_alternative<HttpNotSent>(Result)) {
+          if (Leader == Address)
+            Leader.clear();
+          return Done({CallOutcome::NotRun, JobState::Queued, RetrySoonMs, {}});
+        }
+        const auto *Response = std::get_if<HttpResponse>(&Result);
+        if (Response == nullptr || Response->Status != Ok ||
+            !fromCbor(Response->Body, Back))
+          return Done({CallOutcome::Uncertain, JobState::Queued, 0, {}});
+        if (Back.Outcome != CallOutcome::NotLeader)
+          return Done(Back);
+        if (Leader == Address)
+          Leader.clear();
+        bool Other = !Back.Leader.empty() && Back.Leader != Address;
+        if (Other && Redirects > 0)
+          return callAt(Back.Leader, Body, Until, Redirects - 1,
+                        std::move(Done));
+        Done({CallOutcome::NotRun, JobState::Queued, RetrySoonMs, {}});
+      });
+}
+
+} // namespace mimosashunt
--- /dev/null
+++ b/Source/Jobs/JobTypes.cpp
@@ -0,0 +1,52 @@
+#include "Jobs/JobTypes.h"
+
+#include <algorithm>
+
+namespace mimosashunt {
+
+Resources &Resources::operator+=(const Resources &Other) {
+  Cpu += Other.Cpu;
+  MemoryMb += Other.MemoryMb;
+  Accelerators += Other.Accelerators;
+  return *this;
+}
+
+Resources &Resources::operator-=(const Resources &Other) {
+  Cpu -= Other.Cpu;
+  MemoryMb -= Other.MemoryMb;
+  Accelerators -= Other.Accelerators;
+  return *this;
+}
+
+bool Resources::holds(const Resources &Part) const {
+  return Cpu >= Part.Cpu && MemoryMb >= Part.MemoryMb &&
+         Accelerators >= Part.Accelerators;
+}
+
+int64_t JobSpec::longestChainMs() const {
+  std::vector<int64_t> EndsAt(Steps.size(), 0);
+  int64_t Longest = 0;
+  for (size_t I = 0; I < Steps.size(); ++I) {
+    int64_t Begins = 0;
+    for (uint32_t Earlier : Steps[I].After)
+      Begins = std::max(Begins, EndsAt[Earlier]);
+    EndsAt[I] = Begins + Steps[I].EstimateMs;
+    Longest = std::max(Longest, EndsAt[I]);
+  }
+  return Longest;
+}
+
+int64_t JobSpec::workCoreMs() const {
+  constexpr int64_t Thousandths = 1000;
+  int64_t Sum = 0;
+  for (const StepSpec &Step : Steps)
+    Sum += Step.Count * Step.Each.Cpu * Step.EstimateMs / Thousandths;
+  return Sum;
+}
+
+bool JobSpec::isLongRunning() const {
+  return std::any_of(Steps.begin(), Steps.end(),
+                     [](const StepSpec &Step) { return Step.LongRunning; });
+}
+
+} // namespace mimosashunt
--- /dev/null
+++ b/Source/Jobs/ServiceConfiguration.cpp
@@ -0,0 +1,84 @@
+#include "Jobs/ServiceConfiguration.h"
+
+#include <set>
+#include <utility>
+
+namespace mimosashunt {
+
+namespace {
+
+template <class T>
+const T *named(const std::vector<T> &List, std::string_view Name) {
+  for (const T &Item : List)
+    if (Item.Name == Name)
+      return &Item;
+  return nullptr;
+}
+
+} // namespace
+
+const QueueConfiguration *
+ServiceConfiguration::queue(std::string_view Name) const {
+  return named(Queues, Name);
+}
+
+const PoolConfiguration *
+ServiceConfiguration::pool(std::string_view Name) const {
+  return named(Pools, Name);
+}
+
+const OrganisationConfiguration *
+ServiceConfiguration::organisation(std::string_view Name) const {
+  return named(Organisations, Name);
+}
+
+const OrganisationConfiguration *
+ServiceConfiguration::holderOf(std::string_view Key) const {
+  for (const OrganisationConfiguration &Item : Organisations)
+    for (const std::string &Held : Item.Keys)
+      if (Held == Key)
+        return &Item;
+  return nullptr;
+}
+
+const QueueConfiguration *
+ServiceConfiguration::match(std::string_view Host,
+                            std::string_view Path) const {
+  const QueueConfiguration *Best = nullptr;
+  for (const QueueConfiguration &Queue : Queues) {
+    bool Fits = Queue.Host == Host && Path.starts_with(Queue.Prefix);
+    if (Fits && (!Best || Queue.Prefix.size() > Best->Prefix.size()))
+      Best = &Queue;
+  }
+  return Best;
+}
+
+std::string ServiceConfiguration::fault() const {
+  std::set<std::string> PoolNames;
+  for (const PoolConfiguration &Pool : Pools)
+    if (!PoolNames.insert(Pool.Name).second)
+      return "service '" + Pool.Name + "' stands twice; name each once";
+  std::set<std::string> QueueNames;
+  std::set<std::pair<std::string, std::string>> Places;
+  for (const QueueConfiguration &Queue : Queues) {
+    if (!QueueNames.insert(Queue.Name).second)
+      return "route '" + Queue.Name + "' stands twice; name each once";
+    if (!PoolNames.count(Queue.Pool))
+      return "route '" + Queue.Name + "' names the unknown service '" +
+             Queue.Pool + "'; add the service or correct the name";
+    if (!Places.emplace(Queue.Host, Queue.Prefix).second)
+      return "route '" + Queue.Name + "' has another route's host and prefix " +
+             Queue.Host + Queue.Prefix + "; give each its own";
+    if (Queue.TimeoutMs <= 0)
+      return "route '" + Queue.Name + "' has no time; set at least 1 ms";
+  }
+  std::set<std::string> Keys;
+  for (const OrganisationConfiguration &Item : Organisations)
+    for (const std::string &Key : Item.Keys)
+      if (!Keys.insert(Key).second)
+        return "organisation '" + Item.Name +
+               "' holds a key of another place in the list; issue a new key";
+  return {};
+}
+
+} // namespace mimosashunt
--- /dev/null
+++ b/Source/Scheduling/Dispatcher.h
@@ -0,0 +1,220 @@
+// The leader's scheduler: takes in what workers report and what the group has
+// agreed on, decides what starts where, and sends the orders. It lives from the
+// moment this VM leads until it no longer does; a new leader builds its own
+// from the agreed state and the workers' lists.
+
+#ifndef MIMOSASHUNT_SCHEDULING_DISPATCHER_H
+#define MIMOSASHUNT_SCHEDULING_DISPATCHER_H
+
+#include "Core/TimerService.h"
+#include "Jobs/JobStore.h"
+#include "Jobs/ServiceConfiguration.h"
+#include "Scheduling/JobOrder.h"
+#include "Scheduling/JobProgress.h"
+#include "Scheduling/Placement.h"
+#include "Scheduling/WorkerHealth.h"
+#include "Workers/WorkerTable.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mimosashunt {
+
+struct DispatcherOptions {
+  LeaseOptions Lease;
+  HealthOptions Health;
+  OrderPolicy Order = WorthPerWork{};
+  /// How long a look at a worker may wait for an end while something runs.
+  Duration BusyLook = milliseconds(400);
+  Duration IdleLook = milliseconds(1500);
+  /// How long to wait before an unreachable worker is asked again.
+  Duration SilentLook = milliseconds(200);
+  /// Least time between two looks, so that ends which come together are read
+  /// together.
+  Duration LookPause = milliseconds(10);
+  /// A task whose progress stands still for so long is started elsewhere.
+  Duration StandstillLimit = milliseconds(1800);
+  /// Ends that come within this time are agreed on together.
+  Duration NotePause = milliseconds(20);
+  Duration StopRetry = milliseconds(250);
+  /// A worker that neither answers nor reports for so long is forgotten.
+  Duration ForgetAfter = seconds(12);
+  /// Attempts that one leader may have used for a task; the next one numbers
+  /// on from above them.
+  uint32_t AttemptsPerLeadership = 100;
+};
+
+/// What a worker says of itself.
+struct WorkerReport {
+  WorkerEntry Entry;
+  uint64_t Sequence = 0;
+  int64_t ClockMs = 0;
+};
+
+/// What the scheduler needs beyond the workers.
+struct DispatcherHooks {
+  /// Proposes to the group; the callback tells whether it committed.
+  std::function<void(JobCommand, std::function<void(bool)>)> Propose;
+  /// True while this VM may give orders.
+  std::function<bool()> MayOrder;
+  /// A worker has seen a higher fencing token.
+  std::function<void()> Deposed;
+  std::function<WallMillis()> WallNow;
+  /// One event for the structured log.
+  std::function<void(const char *Kind, Json Fields)> Note;
+};
+
+struct DispatchCounters {
+  uint64_t Starts = 0;
+  uint64_t StartsRefused = 0;
+  uint64_t StartsLost = 0;
+  uint64_t Looks = 0;
+  uint64_t Stops = 0;
+  uint64_t EndsDone = 0;
+  uint64_t EndsFailed = 0;
+  uint64_t EndsOther = 0;
+  uint64_t Standstills = 0;
+  uint64_t Lapsed = 0;
+};
+
+class Dispatcher {
+public:
+  Dispatcher(uint64_t Token, const JobStore &Store,
+             const ServiceConfiguration &Configuration, WorkerPort &Port,
+             TimerService &Timers, DispatcherOptions Options,
+             DispatcherHooks Hooks);
+  ~Dispatcher();
+  Dispatcher(const Dispatcher &) = delete;
+  Dispatcher &operator=(const Dispatcher &) = delete;
+
+  /// The store has applied the job's acceptance or cancellation.
+  void accepted(const JobId &Job);
+  void cancelled(const JobId &Job);
+  void configurationChanged();
+
+  /// Takes a worker's report; \p Acknowledge runs once it may be answered.
+  void report(const WorkerReport &Report,
+              std::function<void(bool)> Acknowledge);
+  /// A worker says that it ends.
+  void deregister(const std::string &Id);
+
+  /// Does what has become due; called at the end of each turn.
+  void turn();
+
+  /// State as callers see it, for a job that the store has.
+  JobState stateOf(const JobRecord &Record) const;
+  /// Jobs of the queue that have not begun.
+  size_t pendingOf(const std::string &Queue) const;
+
+  /// Keeps new tasks off the VM's workers, for maintenance or a move.
+  void cordon(const std::string &Vm, bool On);
+  /// Stops a long-running task on the VM if its step can spare it; returns
+  /// true if nothing runs there any more.
+  bool evacuate(const std::string &Vm);
+  /// All that ran on the VM has ended by an order to the platform.
+  void vmEnded(const std::string &Vm);
+
+  const WorkerTable &workers() const { return Table; }
+  uint64_t token() const { return Token; }
+  const DispatchCounters &counters() const { return Counters; }
+  size_t liveJobs() const { return Jobs.size(); }
+  /// True once nothing that an earlier leader may have started is unknown.
+  bool reconciled(const std::string &Pool) const;
+
+private:
+  struct Flush {
+    std::map<WorkerKey, uint64_t> Processed;
+  };
+
+  void adoptStore();
+  void addJob(const JobRecord &Record, bool Inherited);
+  bool mayOrder() const { return Hooks.MayOrder() && !IsDeposed; }
+  void onTick();
+
+  // Looks.
+  void lookAtDue();
+  void look(LiveWorker &Worker);
+  void looked(const WorkerKey &Key, Instant SentAt, const LookAnswer &Answer);
+  void synced(LiveWorker &Worker);
+  void takeRunning(LiveWorker &Worker, const RunningTask &Row, Instant SentAt);
+  void adoptRun(LiveWorker &Worker, const RunningTask &Row);
+  void dropVanished(LiveWorker &Worker, const LookAnswer &Answer,
+                    Instant SentAt);
+  void takeEnd(LiveWorker &Worker, const FinishedRun &End);
+  void silent(LiveWorker &Worker, bool Lost);
+  void lapse(LiveWorker &Worker);
+  void gone(const WorkerKey &Key, const char *Why);
+  void fenced(const WorkerKey &Key);
+
+  // Runs.
+  void startRun(JobProgress &Job, const TaskName &Task, LiveWorker &Worker,
+                uint32_t Attempt);
+  void started(const WorkerKey &Key, const TaskName &Task, uint32_t Attempt,
+               const OrderAnswer &Answer);
+  void stopRun(LiveWorker &Worker, const TaskName &Task);
+  void sendStop(LiveWorker &Worker, const TaskName &Task);
+  void forgetRun(LiveWorker &Worker, const TaskName &Task);
+  void stopAll(JobProgress &Job);
+  void checkStandstill(LiveWorker &Worker);
+  void pace(LiveWorker &Worker);
+
+  // Ends.
+  void noteEnd(const RunEnd &End);
+  void flushEnds();
+  void endJob(JobProgress &Job);
+  void dropIfDone(const JobId &Job);
+
+  // Scheduling.
+  void schedule(const std::string &Pool);
+  std::vector<JobRank> rank(const std::string &Pool,
+                            std::vector<JobProgress *> &List) const;
+  void scheduleJob(JobProgress &Job, std::vector<Candidate> &Candidates);
+  void scheduleStep(JobProgress &Job, uint32_t Occurrence, uint32_t Step,
+                    std::vector<Candidate> &Candidates);
+  void scheduleGang(JobProgress &Job, uint32_t Occurrence, uint32_t Step,
+                    std::vector<Candidate> &Candidates);
+  bool withinQuota(const JobProgress &Job, const Resources &Extra) const;
+  void askAdvice(JobProgress &Job, uint32_t Occurrence, uint32_t Step,
+                 const std::vector<Candidate> &Candidates);
+  Resources unlocated(const std::string &Organisation) const;
+  size_t poolSize(const std::string &Pool) const;
+  double estimateFactor(const JobProgress &Job) const;
+  void dirty(const std::string &Pool) { DirtyPools.insert(Pool); }
+
+  const uint64_t Token;
+  const JobStore &Store;
+  const ServiceConfiguration &Configuration;
+  WorkerPort &Port;
+  TimerService &Timers;
+  const DispatcherOptions Options;
+  const DispatcherHooks Hooks;
+  const uint32_t FirstAttempt;
+  const Instant Began;
+
+  WorkerTable Table;
+  WorkerHealth Health;
+  // Jobs that have not ended, and ended ones whose runs are not known to have
+  // ended.
+  std::map<JobId, std::unique_ptr<JobProgress>> Jobs;
+  std::set<std::string> DirtyPools;
+  // Workers, by pool, that may run what an earlier leader started.
+  std::map<std::string, std::set<WorkerKey>> Unknown;
+  std::vector<RunEnd> PendingEnds;
+  bool FlushUnderWay = false;
+  TimerId FlushTimer = 0;
+  TimerId TickTimer = 0;
+  std::map<std::string, double> EstimateFactors; // By queue.
+  double MeanWork = 0; // Core-milliseconds of a job, a moving mean.
+  DispatchCounters Counters;
+  bool IsDeposed = false;
+  // Callbacks that outlive this hold a copy and check it.
+  std::shared_ptr<bool> Alive;
+};
+
+} // namespace mimosashunt
+
+#endif
--- /dev/null
+++ b/Source/Scheduling/Placement.cpp
@@ -0,0 +1,153 @@
+#include "Scheduling/Placement.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace mimosashunt {
+
+namespace {
+
+bool hasLabel(const WorkerEntry &Entry, const std::string &Label) {
+  return std::find(Entry.Labels.begin(), Entry.Labels.end(), Label) !=
+         Entry.Labels.end();
+}
+
+bool holdsTicket(const PlacementRequest &Request, const Candidate &Option) {
+  if (!Request.NeedsTicket)
+    return true;
+  const auto &Tickets = Request.Step->Advice.ByWorker;
+  auto Found = Tickets.find(Option.Worker->key().Id);
+  return Found != Tickets.end() && !Found->second.Text.empty() &&
+         Request.Now < Found->second.ValidUntil;
+}
+
+uint32_t runsOfStep(const PlacementRequest &Request, const Candidate &Option,
+                    const std::map<WorkerKey, uint32_t> &Extra) {
+  auto Placed = Request.Step->PerWorker.find(Option.Worker->key());
+  auto Added = Extra.find(Option.Worker->key());
+  return (Placed == Request.Step->PerWorker.end() ? 0 : Placed->second) +
+         (Added == Extra.end() ? 0 : Added->second);
+}
+
+bool allowed(const PlacementRequest &Request, const Candidate &Option,
+             const std::map<WorkerKey, uint32_t> &Extra) {
+  const StepSpec &Spec = *Request.Spec;
+  if (!Option.Free.holds(Spec.room()))
+    return false;
+  if (Option.Probation && Option.Runs > 0)
+    return false;
+  if (!Spec.Requirement.empty() &&
+      !hasLabel(Option.Worker->Entry, Spec.Requirement))
+    return false;
+  if (Spec.MaxPerWorker > 0 &&
+      runsOfStep(Request, Option, Extra) >= Spec.MaxPerWorker)
+    return false;
+  // The same worker must not run two copies of one task.
+  const std::vector<WorkerKey> &At = Request.Slot->At;
+  if (std::find(At.begin(), At.end(), Option.Worker->key()) != At.end())
+    return false;
+  return holdsTicket(Request, Option);
+}
+
+/// Smaller is better.
+using Preference = std::tuple<bool, bool, uint32_t, int64_t>;
+
+Preference preferenceOf(const PlacementRequest &Request,
+                        const Candidate &Option,
+                        const std::map<WorkerKey, uint32_t> &Extra) {
+  const StepSpec &Spec = *Request.Spec;
+  bool FailedThere = Request.Slot->Avoid.count(Option.Worker->key().Id) > 0;
+  bool FarFromData =
+      !Spec.DataRack.empty() && Option.Worker->Entry.rack() != Spec.DataRack;
+  // Long-running steps are spread, so that a lost worker costs few of them.
+  uint32_t Together = Spec.LongRunning ? runsOfStep(Request, Option, Extra) : 0;
+  return {FailedThere, FarFromData, Together, -Option.Free.Cpu};
+}
+
+Candidate *best(std::vector<Candidate> &Candidates,
+                const PlacementRequest &Request,
+                const std::map<WorkerKey, uint32_t> &Extra,
+                const std::string &OnlyRack) {
+  Candidate *Best = nullptr;
+  Preference BestKey;
+  for (Candidate &Option : Candidates) {
+    if (!OnlyRack.empty() && Option.Worker->Entry.rack() != OnlyRack)
+      continue;
+    if (!allowed(Request, Option, Extra))
+      continue;
+    Preference Key = preferenceOf(Request, Option, Extra);
+    if (Best != nullptr && !(Key < BestKey))
+      continue;
+    Best = &Option;
+    BestKey = Key;
+  }
+  return Best;
+}
+
+void take(Candidate &Option, const StepSpec &Spec) {
+  Option.Free -= Spec.room();
+  ++Option.Runs;
+}
+
+std::optional<std::vector<Candidate *>>
+gangOn(std::vector<Candidate> &Candidates, const PlacementRequest &Request,
+       size_t Count, const std::string &Rack) {
+  std::vector<Candidate> Before = Candidates;
+  std::vector<Candidate *> Places;
+  std::map<WorkerKey, uint32_t> Extra;
+  for (size_t I = 0; I < Count; ++I) {
+    Candidate *Found = best(Candidates, Request, Extra, Rack);
+    if (Found == nullptr) {
+      Candidates = Before;
+      return std::nullopt;
+    }
+    take(*Found, *Request.Spec);
+    ++Extra[Found->Worker->key()];
+    Places.push_back(Found);
+  }
+  return Places;
+}
+
+} // namespace
+
+std::vector<Candidate> candidatesOf(WorkerTable &Table, const std::string &Pool,
+                                    const WorkerHealth &Health, Instant Now) {
+  std::vector<Candidate> Result;
+  for (auto &[Key, Worker] : Table.all()) {
+    bool Usable = Worker.Entry.Pool == Pool && Worker.Agreed && Worker.Synced &&
+                  Worker.InTouch && !Worker.Entry.Leaving && !Worker.Cordoned;
+    if (!Usable || Health.ejected(Key, Now))
+      continue;
+    Result.push_back({&Worker, Worker.freeRoom(), Worker.Runs.size(),
+                      Health.onProbation(Key, Now)});
+  }
+  return Result;
+}
+
+Candidate *place(std::vector<Candidate> &Candidates,
+                 const PlacementRequest &Request) {
+  Candidate *Found = best(Candidates, Request, {}, {});
+  if (Found != nullptr)
+    take(*Found, *Request.Spec);
+  return Found;
+}
+
+std::optional<std::vector<Candidate *>>
+placeGang(std::vector<Candidate> &Candidates, const PlacementRequest &Request,
+          size_t Count) {
+  if (Request.Spec->RackLocal) {
+    std::map<std::string, int64_t> FreeByRack;
+    for (const Candidate &Option : Candidates)
+      FreeByRack[Option.Worker->Entry.rack()] += Option.Free.Cpu;
+    std::vector<std::pair<int64_t, std::string>> Racks;
+    for (const auto &[Rack, Free] : FreeByRack)
+      Racks.emplace_back(-Free, Rack);
+    std::sort(Racks.begin(), Racks.end());
+    for (const auto &[Free, Rack] : Racks)
+      if (auto Places = gangOn(Candidates, Request, Count, Rack))
+        return Places;
+  }
+  return gangOn(Candidates, Request, Count, {});
+}
+
+} // namespace mimosashunt
--- /dev/null
+++ b/Source/Scheduling/Placement.h
@@ -0,0 +1,50 @@
+// Picks the worker for one task, and the workers for a gang, from the book of
+// free room. Load pattern: many jobs whose data lies on one rack, steps that
+// may not share a worker, and gangs that need all their room at once.
+
+#ifndef MIMOSASHUNT_SCHEDULING_PLACEMENT_H
+#define MIMOSASHUNT_SCHEDULING_PLACEMENT_H
+
+#include "Scheduling/JobProgress.h"
+#include "Scheduling/WorkerHealth.h"
+#include "Workers/WorkerTable.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace mimosashunt {
+
+/// A worker that may take tasks now, with what is left of it in this pass.
+struct Candidate {
+  LiveWorker *Worker = nullptr;
+  Resources Free;
+  size_t Runs = 0;
+  bool Probation = false;
+};
+
+/// The pool's workers that may take new tasks.
+std::vector<Candidate> candidatesOf(WorkerTable &Table, const std::string &Pool,
+                                    const WorkerHealth &Health, Instant Now);
+
+/// What one task of a step asks for, beyond room.
+struct PlacementRequest {
+  const StepSpec *Spec = nullptr;
+  const StepProgress *Step = nullptr;
+  const TaskSlot *Slot = nullptr;
+  bool NeedsTicket = false;
+  Instant Now;
+};
+
+/// The best candidate, or none. Takes the room from it.
+Candidate *place(std::vector<Candidate> &Candidates,
+                 const PlacementRequest &Request);
+
+/// A place for each task of a gang, or nothing if not all fit at once.
+std::optional<std::vector<Candidate *>>
+placeGang(std::vector<Candidate> &Candidates, const PlacementRequest &Request,
+          size_t Count);
+
+} // namespace mimosashunt
+
+#endif
