--- a/Source/Fleet/Codecs.h
+++ b/Source/Fleet/Codecs.h
@@ -1,5 +1,5 @@
 // What the daemons of the job path need translated: calls of callers, workers
-// and operators, and the platform's VMs. The daemons see typed values only; a
+// and operators. The daemons see typed values only; a
 // platform's folder implements these.
 
 #ifndef MIMOSASHUNT_FLEET_CODECS_H
@@ -8,6 +8,7 @@
 #include "Jobs/JobCommands.h"
 #include "Jobs/ServiceConfiguration.h"
 #include "Links/HttpTypes.h"
+#include "Pools/VmTypes.h"
 #include "Scheduling/Dispatcher.h"
 
 #include <cstdint>
@@ -86,42 +87,6 @@
   virtual HttpResponse wave(bool Completed) const = 0;
 };
 
-enum class VmPhase : uint8_t { Up, Moving, Maintenance, Down };
-
-/// One VM in the platform's list.
-struct VmEntry {
-  std::string Vm;
-  std::string Pool;
-  VmPhase Phase = VmPhase::Down;
-  std::string DataCentre;
-  std::vector<std::string> Labels;
-  Resources Room;
-  std::string WorkerId; // Empty while no worker runs there.
-};
-
-enum class VmOrderOutcome : uint8_t {
-  Done,
-  Fenced,
-  Busy,
-  NotInWave,
-  Invalid,
-  TooMany,
-  Lost
-};
-
-class VmPort {
-public:
-  /// Nothing if the list could not be read whole.
-  using ListDone = std::function<void(std::optional<std::vector<VmEntry>>)>;
-  using OrderDone = std::function<void(VmOrderOutcome)>;
-  virtual ~VmPort() = default;
-  virtual void list(ListDone Done) = 0;
-  virtual void move(const std::string &Vm, const std::string &Pool,
-                    uint64_t Token, OrderDone Done) = 0;
-  virtual void maintain(const std::string &Vm, uint64_t Wave, uint64_t Token,
-                        OrderDone Done) = 0;
-};
-
 } // namespace mimosashunt
 
 #endif
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -250,9 +250,14 @@
       Events.note(Kind, std::move(Fields));
     };
     DispatcherOptions Options;
-    Scheduler = std::make_unique<Dispatcher>(
-        State.leaderships(), State, Configuration, Ports.Workers, Loop.timers(),
-        Options, std::move(Hooks));
+    MaintenanceOptions WaveOptions;
+    WaveOptions.OrderPause = Settings.OrderPause + milliseconds(100);
+    WaveOptions.MaintenanceTime = Settings.MaintenanceTime;
+    Scheduler = std::make_unique<Dispatcher>(State.leaderships(), State,
+                                             Configuration, Ports.Workers,
+                                             Loop.timers(), Options, Hooks);
+    Waves = std::make_unique<Maintenance>(State, *Scheduler, Ports.Vms,
+                                          Loop.timers(), WaveOptions, Hooks);
     Events.note("leads", {{"token", State.leaderships()},
                           {"term", Asked},
                           {"jobs", Scheduler->liveJobs()}});
@@ -262,6 +267,7 @@
 void SchedulerDaemon::endLeadership(const char *Why) {
   if (!Scheduler)
     return;
+  Waves.reset();
   Scheduler.reset();
   Events.note("leads_no_more", {{"why", Why}});
 }
--- a/Source/Fleet/SchedulerDaemon.h
+++ b/Source/Fleet/SchedulerDaemon.h
@@ -13,6 +13,7 @@
 #include "Fleet/InternalMessages.h"
 #include "Links/EventLoop.h"
 #include "Links/HttpServer.h"
+#include "Pools/Maintenance.h"
 #include "Scheduling/Dispatcher.h"
 #include "Storage/DataFolder.h"
 #include "Storage/DiskLog.h"
@@ -99,6 +100,7 @@
   ServiceConfiguration Configuration; // Parsed from State's text.
   // Alive exactly while this VM leads and its leadership is agreed on.
   std::unique_ptr<Dispatcher> Scheduler;
+  std::unique_ptr<Maintenance> Waves;
   bool LeadershipAsked = false;
   bool Stopping = false;
   Instant StopBegan;
--- a/Source/Links/HttpTypes.h
+++ b/Source/Links/HttpTypes.h
@@ -29,7 +29,7 @@
   std::string Body;
   /// Whom the caller addressed, of a request that came in; the client names the
   /// address that it sends to.
-  std::string Host;
+  std::string Host{};
   bool operator==(const HttpRequest &) const = default;
 };
 
--- /dev/null
+++ b/Source/Pools/VmTypes.h
@@ -0,0 +1,58 @@
+// VMs as the platform lists them, and the orders that it takes.
+
+#ifndef MIMOSASHUNT_POOLS_VMTYPES_H
+#define MIMOSASHUNT_POOLS_VMTYPES_H
+
+#include "Jobs/JobTypes.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mimosashunt {
+
+enum class VmPhase : uint8_t { Up, Moving, Maintenance, Down };
+
+/// One VM in the platform's list.
+struct VmEntry {
+  std::string Vm;
+  std::string Pool;
+  VmPhase Phase = VmPhase::Down;
+  std::string DataCentre;
+  std::vector<std::string> Labels;
+  Resources Room;
+  std::string WorkerId; // Empty while no worker runs there.
+};
+
+enum class VmOrderOutcome : uint8_t {
+  Done,
+  Fenced,    // A higher fencing token was used for this VM.
+  Busy,      // It is not up, or it leaves.
+  NotInWave, // The platform does not know it under that wave.
+  Invalid,
+  TooMany, // The platform takes no more orders now.
+  Lost,    // No answer: it may be carried out, also later.
+};
+
+const char *nameOf(VmOrderOutcome Outcome);
+
+class VmPort {
+public:
+  /// Nothing if the list could not be read whole.
+  using ListDone = std::function<void(std::optional<std::vector<VmEntry>>)>;
+  using OrderDone = std::function<void(VmOrderOutcome)>;
+  virtual ~VmPort() = default;
+
+  /// Each runs its callback once, never before it has returned.
+  virtual void list(ListDone Done) = 0;
+  virtual void move(const std::string &Vm, const std::string &Pool,
+                    uint64_t Token, OrderDone Done) = 0;
+  virtual void maintain(const std::string &Vm, uint64_t Wave, uint64_t Token,
+                        OrderDone Done) = 0;
+};
+
+} // namespace mimosashunt
+
+#endif
--- a/Source/Scheduling/JobProgress.cpp
+++ b/Source/Scheduling/JobProgress.cpp
@@ -70,9 +70,10 @@
     if (!Slot.At.empty())
       --Step.Placed;
   }
-  Ended = !LongRunning &&
-          std::all_of(Occurrences.begin(), Occurrences.end(),
-                      [](const OccurrenceProgress &O) { return O.done(); });
+  // A job that failed stays ended, whatever of it is done after that.
+  Ended |= !LongRunning &&
+           std::all_of(Occurrences.begin(), Occurrences.end(),
+                       [](const OccurrenceProgress &O) { return O.done(); });
 }
 
 size_t JobProgress::noteFailed(const TaskName &Task, uint32_t Attempt) {
