Pools: VMs move to where the demand is, and stand by where there is none

A planner follows each pool's demand (work over the longest chain, for jobs that can still be in time, and its slope over one move's time) and moves empty VMs; what no pool needs goes to the standby pool. Long-running tasks share few VMs so that the others are free to move. One lost look is repeated at once instead of taking the worker out of use (applied_late). Ruled out as the cause: the order of waiting jobs; all of it waits for room.

--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -258,6 +258,11 @@
                                              Loop.timers(), Options, Hooks);
     Waves = std::make_unique<Maintenance>(State, *Scheduler, Ports.Vms,
                                           Loop.timers(), WaveOptions, Hooks);
+    PoolMoverOptions MoveOptions;
+    MoveOptions.OrderPause = WaveOptions.OrderPause;
+    Mover = std::make_unique<PoolMover>(
+        Configuration, *Scheduler, Ports.Vms, Loop.timers(), MoveOptions, Hooks,
+        [this](const std::string &Vm) { return Waves->reserves(Vm); });
     Events.note("leads", {{"token", State.leaderships()},
                           {"term", Asked},
                           {"jobs", Scheduler->liveJobs()}});
@@ -267,6 +272,7 @@
 void SchedulerDaemon::endLeadership(const char *Why) {
   if (!Scheduler)
     return;
+  Mover.reset();
   Waves.reset();
   Scheduler.reset();
   Events.note("leads_no_more", {{"why", Why}});
--- a/Source/Fleet/SchedulerDaemon.h
+++ b/Source/Fleet/SchedulerDaemon.h
@@ -14,6 +14,7 @@
 #include "Links/EventLoop.h"
 #include "Links/HttpServer.h"
 #include "Pools/Maintenance.h"
+#include "Pools/PoolMover.h"
 #include "Scheduling/Dispatcher.h"
 #include "Storage/DataFolder.h"
 #include "Storage/DiskLog.h"
@@ -101,6 +102,7 @@
   // Alive exactly while this VM leads and its leadership is agreed on.
   std::unique_ptr<Dispatcher> Scheduler;
   std::unique_ptr<Maintenance> Waves;
+  std::unique_ptr<PoolMover> Mover;
   bool LeadershipAsked = false;
   bool Stopping = false;
   Instant StopBegan;
--- a/Source/Pools/Maintenance.h
+++ b/Source/Pools/Maintenance.h
@@ -46,6 +46,8 @@
   Maintenance &operator=(const Maintenance &) = delete;
 
   size_t down() const;
+  /// True while the VM's maintenance is prepared or under way.
+  bool reserves(const std::string &Vm) const { return Works.count(Vm) > 0; }
 
 private:
   enum class Stage : uint8_t {
--- /dev/null
+++ b/Source/Pools/PoolMover.cpp
@@ -0,0 +1,160 @@
+#include "Pools/PoolMover.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mimosashunt {
+
+namespace {
+
+constexpr double ThousandthsPerCore = 1000;
+
+std::string kindOf(const std::vector<std::string> &Labels) {
+  return Labels.empty() ? std::string() : Labels.front();
+}
+
+} // namespace
+
+PoolMover::PoolMover(const ServiceConfiguration &Configuration,
+                     Dispatcher &Scheduler, VmPort &Port, TimerService &Timers,
+                     PoolMoverOptions Options, DispatcherHooks Hooks,
+                     std::function<bool(const std::string &)> Reserved)
+    : Configuration(Configuration), Scheduler(Scheduler), Port(Port),
+      Timers(Timers), Options(Options), Hooks(std::move(Hooks)),
+      Reserved(std::move(Reserved)), Began(Timers.now()),
+      Planner(Options.Planner), Alive(std::make_shared<bool>(true)) {
+  TickTimer = Timers.every(Options.TickPeriod, [this] { onTick(); });
+}
+
+PoolMover::~PoolMover() {
+  *Alive = false;
+  Timers.cancel(TickTimer);
+}
+
+void PoolMover::refreshList() {
+  ListUnderWay = true;
+  ListAskedAt = Timers.now();
+  std::shared_ptr<bool> Kept = Alive;
+  Port.list([this, Kept](std::optional<std::vector<VmEntry>> List) {
+    if (!*Kept)
+      return;
+    ListUnderWay = false;
+    if (!List)
+      return;
+    ListRead = true;
+    Vms.clear();
+    for (const VmEntry &Entry : *List)
+      Vms[Entry.Vm] = Entry;
+    // Only a list that was asked for after the order tells that it is over.
+    std::erase_if(UnderWay, [&](const auto &Item) {
+      auto Found = Vms.find(Item.first);
+      bool Over = Found == Vms.end() || Found->second.Phase != VmPhase::Moving;
+      return Item.second.Taken && Item.second.Since < ListAskedAt && Over;
+    });
+  });
+}
+
+std::map<std::string, PoolDemand> PoolMover::demands() const {
+  std::map<std::string, PoolDemand> Result;
+  for (const PoolConfiguration &Pool : Configuration.Pools) {
+    PoolDemand Demand = Scheduler.demandOf(Pool.Name);
+    Demand.Standby = Pool.Standby;
+    Result[Pool.Name] = Demand;
+  }
+  return Result;
+}
+
+std::vector<PoolVm> PoolMover::movable() {
+  std::map<std::string, const LiveWorker *> ByVm;
+  for (const auto &[Key, Worker] : Scheduler.workers().all())
+    if (!Worker.Entry.Vm.empty())
+      ByVm[Worker.Entry.Vm] = &Worker;
+  std::vector<PoolVm> Result;
+  for (const auto &[Name, Entry] : Vms) {
+    if (UnderWay.count(Name) || Entry.Phase != VmPhase::Up)
+      continue;
+    PoolVm Vm{Name,
+              Entry.Pool,
+              kindOf(Entry.Labels),
+              static_cast<double>(Entry.Room.Cpu) / ThousandthsPerCore,
+              true,
+              !Reserved(Name)};
+    auto Found = ByVm.find(Name);
+    const PoolConfiguration *Pool = Configuration.pool(Entry.Pool);
+    bool Off = Pool != nullptr && Pool->Standby;
+    if (Found != ByVm.end()) {
+      const LiveWorker &Worker = *Found->second;
+      Vm.Empty = Worker.Runs.empty();
+      Vm.Movable &= Worker.InTouch && !Worker.Entry.Leaving &&
+                    !Worker.Cordoned && Worker.Entry.Pool == Entry.Pool;
+    } else {
+      Vm.Movable &= Off;
+    }
+    Result.push_back(Vm);
+  }
+  return Result;
+}
+
+void PoolMover::onTick() {
+  if (!Hooks.MayOrder())
+    return;
+  if (!ListUnderWay && Timers.now() - ListAskedAt >= Options.ListPeriod)
+    refreshList();
+  if (!ListRead || Timers.now() - Began < Options.OrderPause)
+    return;
+  std::erase_if(UnderWay, [&](const auto &Item) {
+    return Timers.now() - Item.second.Since > Options.MoveLimit;
+  });
+  std::map<std::string, size_t> Arriving;
+  for (const auto &[Vm, Item] : UnderWay)
+    ++Arriving[Item.To];
+  for (const VmMove &Chosen :
+       Planner.plan(Timers.now(), demands(), movable(), Arriving)) {
+    if (UnderWay.size() >= Options.MostUnderWay)
+      return;
+    order(Chosen);
+  }
+}
+
+void PoolMover::order(const VmMove &Chosen) {
+  UnderWay[Chosen.Vm] = {Chosen.To, Timers.now(), false};
+  Scheduler.cordon(Chosen.Vm, true);
+  Hooks.Note("vm_move", {{"vm", Chosen.Vm},
+                         {"from", Chosen.From},
+                         {"to", Chosen.To},
+                         {"wanted", Planner.wanted(Chosen.To)}});
+  std::shared_ptr<bool> Kept = Alive;
+  Port.move(Chosen.Vm, Chosen.To, Scheduler.token(),
+            [this, Kept, Chosen](VmOrderOutcome Outcome) {
+              if (*Kept)
+                ordered(Chosen, Outcome);
+            });
+}
+
+void PoolMover::ordered(const VmMove &Chosen, VmOrderOutcome Outcome) {
+  if (Outcome != VmOrderOutcome::Done)
+    Hooks.Note("vm_move_not_taken",
+               {{"vm", Chosen.Vm}, {"outcome", nameOf(Outcome)}});
+  if (Outcome == VmOrderOutcome::Fenced)
+    return Hooks.Deposed();
+  auto Found = UnderWay.find(Chosen.Vm);
+  if (Outcome == VmOrderOutcome::Done) {
+    Scheduler.vmEnded(Chosen.Vm);
+    Vms[Chosen.Vm].Pool = Chosen.To;
+    Vms[Chosen.Vm].Phase = VmPhase::Moving;
+    if (Found != UnderWay.end()) {
+      Found->second.Since = Timers.now();
+      Found->second.Taken = true;
+    }
+    return;
+  }
+  // A lost order may be carried out late; its VM gets no work until the limit
+  // for moves has passed and a list tells where it is.
+  if (Outcome == VmOrderOutcome::Lost)
+    return;
+  Scheduler.cordon(Chosen.Vm, false);
+  if (Found != UnderWay.end())
+    UnderWay.erase(Found);
+}
+
+} // namespace mimosashunt
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -456,6 +456,12 @@
 }
 
 void Dispatcher::silent(LiveWorker &Worker, bool Lost) {
+  // One answer may be lost on its way; the look is repeated at once.
+  if (Lost && Worker.InTouch && Worker.SilentLooks == 0) {
+    ++Worker.SilentLooks;
+    Worker.LookAt = Timers.now();
+    return;
+  }
   if (Worker.InTouch)
     Hooks.Note("worker_silent", {{"worker", Worker.key().Id},
                                  {"lost", Lost},
@@ -1057,6 +1063,36 @@
   return Count;
 }
 
+PoolDemand Dispatcher::demandOf(const std::string &Pool) const {
+  PoolDemand Demand;
+  constexpr double ThousandthsPerCore = 1000;
+  constexpr double ShortestChainMs = 300;
+  for (const auto &[Id, Job] : Jobs) {
+    if (Job->Ended || Job->Pool != Pool)
+      continue;
+    if (Job->longRunning()) {
+      for (const StepSpec &Step : Job->spec().Steps) {
+        Demand.LastingCores += static_cast<double>(Step.Count) *
+                               static_cast<double>(Step.room().Cpu) /
+                               ThousandthsPerCore;
+        if (Step.MaxPerWorker > 0)
+          Demand.FewestVms = std::max<size_t>(
+              Demand.FewestVms,
+              (Step.Count + Step.MaxPerWorker - 1) / Step.MaxPerWorker);
+      }
+      continue;
+    }
+    double Factor = estimateFactor(*Job);
+    double Chain = Job->remainingChainMs(Factor);
+    Duration Left = milliseconds(static_cast<int64_t>(Chain));
+    if (Timers.now() + Left > Job->Objective)
+      continue;
+    Demand.PassingCores +=
+        Job->remainingWork(Factor) / std::max(Chain, ShortestChainMs);
+  }
+  return Demand;
+}
+
 void Dispatcher::cordon(const std::string &Vm, bool On) {
   for (auto &[Key, Worker] : Table.all())
     if (Worker.Entry.Vm == Vm)
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -68,6 +68,15 @@
   std::function<void(const char *Kind, Json Fields)> Note;
 };
 
+/// What one pool asks for now.
+struct PoolDemand {
+  double PassingCores = 0; // To run all that came and can still be in time.
+  double LastingCores = 0; // Of long-running tasks.
+  /// Fewest VMs on which the long-running tasks fit as spread as they ask.
+  size_t FewestVms = 0;
+  bool Standby = false;
+};
+
 struct DispatchCounters {
   uint64_t Starts = 0;
   uint64_t StartsRefused = 0;
@@ -118,6 +127,9 @@
   /// All that ran on the VM has ended by an order to the platform.
   void vmEnded(const std::string &Vm);
 
+  /// What the pool's jobs would use now if nothing held them up.
+  PoolDemand demandOf(const std::string &Pool) const;
+
   const WorkerTable &workers() const { return Table; }
   uint64_t token() const { return Token; }
   const DispatchCounters &counters() const { return Counters; }
--- a/Source/Scheduling/Placement.cpp
+++ b/Source/Scheduling/Placement.cpp
@@ -59,9 +59,14 @@
   bool FailedThere = Request.Slot->Avoid.count(Option.Worker->key().Id) > 0;
   bool FarFromData =
       !Spec.DataRack.empty() && Option.Worker->Entry.rack() != Spec.DataRack;
-  // Long-running steps are spread, so that a lost worker costs few of them.
+  // A long-running step is spread, so that a lost worker costs few of its
+  // tasks, over workers that serve others already: the rest stay free to move
+  // to other pools.
   uint32_t Together = Spec.LongRunning ? runsOfStep(Request, Option, Extra) : 0;
-  return {FailedThere, FarFromData, Together, -Option.Free.Cpu};
+  int64_t Last = -Option.Free.Cpu;
+  if (Spec.LongRunning)
+    Last = -static_cast<int64_t>(Option.LongRuns);
+  return {FailedThere, FarFromData, Together, Last};
 }
 
 Candidate *best(std::vector<Candidate> &Candidates,
@@ -87,6 +92,7 @@
 void take(Candidate &Option, const StepSpec &Spec) {
   Option.Free -= Spec.room();
   ++Option.Runs;
+  Option.LongRuns += Spec.LongRunning ? 1 : 0;
 }
 
 std::optional<std::vector<Candidate *>>
@@ -118,7 +124,10 @@
                   Worker.InTouch && !Worker.Entry.Leaving && !Worker.Cordoned;
     if (!Usable || Health.ejected(Key, Now))
       continue;
-    Result.push_back({&Worker, Worker.freeRoom(), Worker.Runs.size(),
+    size_t LongRuns = 0;
+    for (const auto &[Task, Known] : Worker.Runs)
+      LongRuns += Known.LongRunning ? 1 : 0;
+    Result.push_back({&Worker, Worker.freeRoom(), Worker.Runs.size(), LongRuns,
                       Health.onProbation(Key, Now)});
   }
   return Result;
--- a/Source/Scheduling/Placement.h
+++ b/Source/Scheduling/Placement.h
@@ -20,6 +20,7 @@
   LiveWorker *Worker = nullptr;
   Resources Free;
   size_t Runs = 0;
+  size_t LongRuns = 0; // Long-running ones among them.
   bool Probation = false;
 };
 
