Pools: bursts borrow below what pools keep, and idle pools get some back

Now a demand borrows down to the long-running tasks' need, and an idle pool gets back 70% of an equal share; at most a quarter of all VMs stand by.

--- a/Source/Pools/PoolPlanner.cpp
+++ b/Source/Pools/PoolPlanner.cpp
@@ -6,7 +6,7 @@
 namespace mimosashunt {
 
 void PoolPlanner::follow(Instant Now, const PoolDemand &Demand, double VmCores,
-                         History &Known) const {
+                         size_t EqualShare, History &Known) const {
   constexpr double MicrosPerSecond = 1e6;
   double Elapsed =
       static_cast<double>((Now - Known.At).count()) / MicrosPerSecond;
@@ -22,6 +22,36 @@
   double Cores = Ahead * Options.Headroom + Demand.LastingCores;
   auto Needed = static_cast<size_t>(std::ceil(Cores / std::max(VmCores, 1.0)));
   Known.Wanted = std::max(Needed, Demand.FewestVms + Options.ReserveVms);
+  Known.Kept =
+      std::max(Known.Wanted, EqualShare * Options.KeptSharePercent / 100);
+}
+
+/// A plan in the making.
+struct PoolPlanner::Draft {
+  Instant Now;
+  std::string Standby;
+  std::vector<const PoolVm *> Free;    // What may still be moved.
+  std::map<std::string, size_t> Spare; // VMs that each pool can give.
+  std::vector<VmMove> Moves;
+};
+
+void PoolPlanner::fill(const std::string &To, size_t Missing, bool OnlySettled,
+                       Draft &Plan) const {
+  for (auto It = Plan.Free.begin(); Missing > 0 && It != Plan.Free.end();) {
+    const PoolVm &Vm = **It;
+    auto Giver = Pools.find(Vm.Pool);
+    bool Settled = Giver == Pools.end() ||
+                   Plan.Now - Giver->second.EnoughSince >= Options.SpareTime;
+    if (Vm.Pool == To || Plan.Spare[Vm.Pool] == 0 ||
+        (OnlySettled && !Settled)) {
+      ++It;
+      continue;
+    }
+    --Plan.Spare[Vm.Pool];
+    --Missing;
+    Plan.Moves.push_back({Vm.Vm, Vm.Pool, To});
+    It = Plan.Free.erase(It);
+  }
 }
 
 std::vector<VmMove>
@@ -37,60 +67,70 @@
   double AnyCores = 1;
   for (const auto &[Pool, Size] : Cores)
     AnyCores = std::max(AnyCores, Size);
-  std::string Standby;
-  std::vector<std::pair<size_t, std::string>> Short;
-  std::map<std::string, size_t> Spare;
+  size_t Served = 0;
+  for (const auto &[Pool, Demand] : Demands)
+    Served += Demand.Standby ? 0 : 1;
+  size_t EqualShare = Vms.size() / std::max<size_t>(Served, 1);
+  Draft Plan;
+  Plan.Now = Now;
   for (const auto &[Pool, Demand] : Demands) {
     if (Demand.Standby) {
-      Standby = Pool;
-      Spare[Pool] = Have[Pool];
+      Plan.Standby = Pool;
       continue;
     }
     History &Known = Pools[Pool];
-    follow(Now, Demand, Cores.count(Pool) ? Cores[Pool] : AnyCores, Known);
-    bool HasSpare = Have[Pool] > Known.Wanted;
+    follow(Now, Demand, Cores.count(Pool) ? Cores[Pool] : AnyCores, EqualShare,
+           Known);
+    bool HasSpare = Have[Pool] > Known.Kept;
     if (HasSpare && !Known.HasSpare)
       Known.EnoughSince = Now;
     Known.HasSpare = HasSpare;
-    if (HasSpare)
-      Spare[Pool] = Have[Pool] - Known.Wanted;
-    else if (Have[Pool] < Known.Wanted)
-      Short.emplace_back(Known.Wanted - Have[Pool], Pool);
   }
-  std::sort(Short.rbegin(), Short.rend());
-  std::vector<VmMove> Moves;
-  std::vector<const PoolVm *> Free;
   for (const PoolVm &Vm : Vms)
     if (Vm.Movable && Vm.Empty)
-      Free.push_back(&Vm);
-  // VMs that stand by cost nothing where they are, so they go first.
-  std::stable_sort(Free.begin(), Free.end(),
+      Plan.Free.push_back(&Vm);
+  // VMs that stand by cost nothing where they are, so they go first; then those
+  // of pools that have most beyond what they keep.
+  auto beyond = [&](const PoolVm *Vm) {
+    auto Known = Pools.find(Vm->Pool);
+    return Known == Pools.end() ? 0
+                                : static_cast<int64_t>(Have[Vm->Pool]) -
+                                      static_cast<int64_t>(Known->second.Kept);
+  };
+  std::stable_sort(Plan.Free.begin(), Plan.Free.end(),
                    [&](const PoolVm *A, const PoolVm *B) {
-                     return (A->Pool == Standby) > (B->Pool == Standby);
+                     bool First = A->Pool == Plan.Standby;
+                     bool Second = B->Pool == Plan.Standby;
+                     return First != Second ? First : beyond(A) > beyond(B);
                    });
-  auto take = [&](const std::string &To, bool OnlySettled) -> bool {
-    for (auto It = Free.begin(); It != Free.end(); ++It) {
-      const PoolVm &Vm = **It;
-      bool Settled = Pools.count(Vm.Pool) == 0 ||
-                     Now - Pools[Vm.Pool].EnoughSince >= Options.SpareTime;
-      if (Vm.Pool == To || Spare[Vm.Pool] == 0 || (OnlySettled && !Settled))
-        continue;
-      --Spare[Vm.Pool];
-      Moves.push_back({Vm.Vm, Vm.Pool, To});
-      Free.erase(It);
-      return true;
-    }
-    return false;
-  };
-  for (auto &[Missing, Pool] : Short)
-    while (Missing > 0 && take(Pool, /*OnlySettled=*/false))
-      --Missing;
-  if (Standby.empty())
-    return Moves;
-  Spare[Standby] = 0;
-  while (take(Standby, /*OnlySettled=*/true)) {
+  // First what a demand asks for, then what pools keep, then the standby pool.
+  if (!Plan.Standby.empty())
+    Plan.Spare[Plan.Standby] = Have[Plan.Standby];
+  for (const auto &[Pool, Known] : Pools)
+    Plan.Spare[Pool] = Have[Pool] - std::min(Have[Pool], Known.Wanted);
+  std::vector<std::pair<size_t, std::string>> Short;
+  for (const auto &[Pool, Known] : Pools)
+    if (Have[Pool] < Known.Wanted)
+      Short.emplace_back(Known.Wanted - Have[Pool], Pool);
+  std::sort(Short.rbegin(), Short.rend());
+  for (const auto &[Missing, Pool] : Short)
+    fill(Pool, Missing, /*OnlySettled=*/false, Plan);
+  for (const VmMove &Chosen : Plan.Moves) {
+    ++Have[Chosen.To];
+    --Have[Chosen.From];
   }
-  return Moves;
+  for (const auto &[Pool, Known] : Pools)
+    Plan.Spare[Pool] = Have[Pool] - std::min(Have[Pool], Known.Kept);
+  for (const auto &[Pool, Known] : Pools)
+    if (Have[Pool] < Known.Kept)
+      fill(Pool, Known.Kept - Have[Pool], /*OnlySettled=*/true, Plan);
+  if (Plan.Standby.empty())
+    return Plan.Moves;
+  Plan.Spare[Plan.Standby] = 0;
+  size_t Most = Vms.size() * Options.MostStandbyPercent / 100;
+  if (Have[Plan.Standby] < Most)
+    fill(Plan.Standby, Most - Have[Plan.Standby], /*OnlySettled=*/true, Plan);
+  return Plan.Moves;
 }
 
 size_t PoolPlanner::wanted(const std::string &Pool) const {
--- a/Source/Pools/PoolPlanner.h
+++ b/Source/Pools/PoolPlanner.h
@@ -40,9 +40,14 @@
   Duration LeadTime = milliseconds(1700);
   /// A pool must have had VMs to spare for so long before it gives one away to
   /// the standby pool; twice the price of a move is earned back in that time.
-  Duration SpareTime = milliseconds(2500);
+  Duration SpareTime = milliseconds(4000);
   /// VMs that a pool keeps beyond its long-running tasks' fewest.
   size_t ReserveVms = 1;
+  /// Part of an equal share of all VMs that a pool gets back after it lent
+  /// some, in percent: its burst may come while the platform cannot be reached.
+  size_t KeptSharePercent = 70;
+  /// Most of all VMs that stand by, in percent.
+  size_t MostStandbyPercent = 25;
 };
 
 class PoolPlanner {
@@ -62,14 +67,21 @@
   struct History {
     Instant At;
     double Cores = 0;
-    double Slope = 0; // Cores a second, smoothed.
-    size_t Wanted = 0;
+    double Slope = 0;    // Cores a second, smoothed.
+    size_t Wanted = 0;   // For its demand.
+    size_t Kept = 0;     // When others need nothing; at least Wanted.
     Instant EnoughSince; // Since when it has had VMs to spare.
     bool HasSpare = false;
   };
 
   void follow(Instant Now, const PoolDemand &Demand, double VmCores,
-              History &Known) const;
+              size_t EqualShare, History &Known) const;
+
+  /// Moves free VMs to \p To while \p Missing and givers with VMs to spare
+  /// last.
+  struct Draft;
+  void fill(const std::string &To, size_t Missing, bool OnlySettled,
+            Draft &Plan) const;
 
   const PoolPlannerOptions Options;
   std::map<std::string, History> Pools;
