Tests: the scheduler, leader changes, faults, bursts, pools and waves in virtual time

They found, each seen failing first: a VM whose maintenance order was under way took new tasks (cordon lifted while ordering); long-running tasks whose progress was not known yet were all stopped at once (Maintenance.NeverTakesMoreOfALongRunningStep...: 4 away, 1 allowed); all VMs of a pool could be emptied at once, so that nothing had a place to go; what fills was hardly ever paced, since its own progress reset the time of the last pace.

--- a/Source/Pools/Maintenance.cpp
+++ b/Source/Pools/Maintenance.cpp
@@ -140,6 +140,20 @@
   return Passing * 100 > Room * Options.BusyPercent;
 }
 
+bool Maintenance::poolCanSpare(const std::string &Vm) const {
+  const std::string &Pool = Vms.at(Vm).Pool;
+  size_t Up = 0;
+  size_t Taken = 0;
+  for (const auto &[Name, Entry] : Vms) {
+    if (Entry.Pool != Pool)
+      continue;
+    Up += Entry.Phase == VmPhase::Up ? 1 : 0;
+    Taken += Works.count(Name);
+  }
+  // What long-running tasks leave must find a place, and so must new work.
+  return Taken == 0 || (Taken + 1) * 2 <= Up;
+}
+
 double Maintenance::costOf(const std::string &Vm) const {
   double Cost = 0;
   for (const auto &[Key, Worker] : Scheduler.workers().all()) {
@@ -175,7 +189,7 @@
   for (const auto &[Cost, Vm] : Waiting) {
     if (downIn(Number) >= MaxDown)
       return;
-    if (!Hurry && poolBusy(Vm))
+    if ((!Hurry && poolBusy(Vm)) || !poolCanSpare(Vm))
       continue;
     Works[Vm] = {Number, Stage::Emptying, Timers.now(), Timers.now(), false};
     Scheduler.cordon(Vm, true);
@@ -187,7 +201,7 @@
 
 void Maintenance::drive(const std::string &Vm, Work &Item) {
   // A worker that started there meanwhile must not get work either.
-  Scheduler.cordon(Vm, Item.At == Stage::Emptying);
+  Scheduler.cordon(Vm, Item.At != Stage::Away);
   if (Item.At == Stage::Emptying) {
     auto Listed = Vms.find(Vm);
     bool Lost = Listed == Vms.end() || Listed->second.Phase != VmPhase::Up;
--- a/Source/Pools/Maintenance.h
+++ b/Source/Pools/Maintenance.h
@@ -76,6 +76,8 @@
   /// What taking the VM away would cost now; less is better.
   double costOf(const std::string &Vm) const;
   bool poolBusy(const std::string &Vm) const;
+  /// True if the VM's pool keeps at least half of its VMs without it.
+  bool poolCanSpare(const std::string &Vm) const;
 
   const JobStore &Store;
   Dispatcher &Scheduler;
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -742,7 +742,7 @@
   constexpr Duration Settle = milliseconds(600);
   for (auto &[Task, Known] : Worker.Runs) {
     if (!Known.Fills || Known.State != RunState::Running ||
-        Timers.now() - Known.PercentAt < Settle)
+        Timers.now() - Known.PacedAt < Settle)
       continue;
     uint32_t Wanted = Known.Pace;
     if (Worst > SlowDownAt)
@@ -752,7 +752,7 @@
     if (Wanted == Known.Pace)
       continue;
     Known.Pace = Wanted;
-    Known.PercentAt = Timers.now();
+    Known.PacedAt = Timers.now();
     Hooks.Note("run_paced", [&, Task = Task, Attempt = Known.Attempt] {
       Json Fields = taskFields(Task, Attempt);
       Fields["worker"] = Worker.key().Id;
@@ -1131,8 +1131,8 @@
                      Found->second.Percent >= AtWork;
         Away += Works ? 0 : 1;
       }
-      bool Spared = Spec.MayMiss == 0 || Away < Spec.MayMiss ||
-                    Known.Percent < AtWork || Worker.Entry.Leaving;
+      bool Spared =
+          Spec.MayMiss == 0 || Away < Spec.MayMiss || Worker.Entry.Leaving;
       if (Spared)
         stopRun(Worker, Task);
     }
--- a/Source/Workers/WorkerTable.h
+++ b/Source/Workers/WorkerTable.h
@@ -38,7 +38,8 @@
   int32_t Percent = -1;
   Instant PercentAt; // When Percent last changed.
   int64_t Gauge = 0;
-  uint32_t Pace = 100;
+  uint32_t Pace = 100; // Percent.
+  Instant PacedAt;     // When Pace was last changed.
   bool Fills = false;
   bool LongRunning = false;
   int64_t TailTargetMs = 0;
--- /dev/null
+++ b/Tests/Jobs/BurstReplayTest.cpp
@@ -0,0 +1,151 @@
+// Replays of the loads that the scheduler is built for: a burst beyond the
+// pool, wrong estimates, cancellations in waves, jobs that can never run, a
+// black-hole worker and a lost rack within a burst, and many jobs for one rack.
+
+#include "Support/SchedulerFrame.h"
+
+#include <gtest/gtest.h>
+#include <random>
+
+using namespace mimosashunt;
+using namespace mimosashunt::test;
+
+namespace {
+
+struct Arrival {
+  int64_t AtMs;
+  JobSpec Spec;
+};
+
+/// A queue that asks about five times its mean for 4.5 s, then a twentieth.
+std::vector<Arrival> burst(uint32_t Seed) {
+  std::mt19937 Random(Seed);
+  std::vector<Arrival> Result;
+  std::uniform_int_distribution<uint32_t> Width(2, 12);
+  std::uniform_int_distribution<uint32_t> Steps(1, 2);
+  std::uniform_int_distribution<int64_t> Cpu(800, 3000);
+  std::exponential_distribution<double> Gap(1);
+  constexpr double BurstGapMs = 24;
+  for (double At = 0; At < 4500; At += Gap(Random) * BurstGapMs)
+    Result.push_back({static_cast<int64_t>(At),
+                      chain(Steps(Random), Width(Random), Cpu(Random), 640)});
+  return Result;
+}
+
+/// Worth of the jobs that were done by their objective, by the users' measure:
+/// 0.3 plus 0.7 of the work against the mean, at most four times the mean's.
+double worthInTime(const SchedulerFrame &Frame) {
+  double MeanWork = 0;
+  for (const auto &[Id, Record] : Frame.Store.jobs())
+    MeanWork += static_cast<double>(Record.Job.Spec.workCoreMs()) /
+                static_cast<double>(Frame.Store.jobs().size());
+  double Sum = 0;
+  for (const auto &[Id, Record] : Frame.Store.jobs()) {
+    int64_t Took = Frame.tookMs(Id);
+    auto Objective = static_cast<int64_t>(
+        1.6 * static_cast<double>(Record.Job.Spec.longestChainMs()) + 600);
+    double Work = static_cast<double>(Record.Job.Spec.workCoreMs());
+    double Worth = std::min(4.0, 0.3 + 0.7 * Work / MeanWork);
+    if (Took >= 0 && Took <= Objective)
+      Sum += Worth;
+  }
+  return Sum;
+}
+
+double play(OrderPolicy Order, uint32_t Seed) {
+  DispatcherOptions Options;
+  Options.Order = Order;
+  SchedulerFrame Frame(
+      [](const TaskName &, const StepSpec &Spec) { return Spec.EstimateMs; },
+      Options);
+  Frame.addPool("p", 9, 32);
+  Frame.lead();
+  Frame.run(milliseconds(200));
+  int Number = 0;
+  for (const Arrival &Next : burst(Seed)) {
+    Duration Gap = milliseconds(Next.AtMs + 200) -
+                   (Frame.Timers.now() - Instant(seconds(1000)));
+    if (Gap > Duration::zero())
+      Frame.run(Gap);
+    Frame.submit("j" + std::to_string(Number++), "p", Next.Spec);
+  }
+  Frame.run(seconds(12));
+  EXPECT_EQ(Frame.Workers.Broken, std::vector<std::string>());
+  EXPECT_EQ(Frame.countIn(JobState::Completed), Frame.Store.jobs().size());
+  return worthInTime(Frame);
+}
+
+TEST(BurstReplay, WorthForWorkServesHalfAsMuchAgainAsFirstComeAndFairShares) {
+  for (uint32_t Seed : {1U, 2U, 3U}) {
+    double Chosen = play(WorthPerWork{}, Seed);
+    EXPECT_GE(Chosen, 1.5 * play(FirstCome{}, Seed)) << "seed " << Seed;
+    EXPECT_GE(Chosen, 1.5 * play(WeightedFair{}, Seed)) << "seed " << Seed;
+  }
+}
+
+TEST(BurstReplay, CancellationsInWavesLeaveNothingBehind) {
+  SchedulerFrame Frame;
+  Frame.addPool("p", 6, 16);
+  Frame.lead();
+  int Number = 0;
+  for (int Wave = 0; Wave < 5; ++Wave) {
+    for (int I = 0; I < 12; ++I)
+      Frame.submit("j" + std::to_string(Number++), "p", chain(2, 5, 2000, 500));
+    Frame.run(milliseconds(250));
+    for (int I = Number - 12; I < Number; I += 2)
+      Frame.cancel("j" + std::to_string(I));
+    Frame.run(milliseconds(250));
+  }
+  Frame.run(seconds(8));
+  EXPECT_EQ(Frame.countIn(JobState::Cancelled), 30U);
+  EXPECT_EQ(Frame.countIn(JobState::Completed), 30U);
+  EXPECT_EQ(Frame.Workers.Broken, std::vector<std::string>());
+  EXPECT_EQ(Frame.Leader->liveJobs(), 0U);
+}
+
+TEST(BurstReplay, JobsThatCanNeverRunDoNotHoldUpTheOthers) {
+  SchedulerFrame Frame;
+  Frame.addPool("p", 4, 8);
+  Frame.lead();
+  for (int I = 0; I < 10; ++I)
+    Frame.submit("never" + std::to_string(I), "p", chain(1, 1, 90000, 100));
+  for (int I = 0; I < 10; ++I)
+    Frame.submit("j" + std::to_string(I), "p", chain(1, 2, 1000, 100));
+  Frame.run(seconds(1));
+  EXPECT_EQ(Frame.countIn(JobState::Completed), 10U);
+}
+
+TEST(BurstReplay, ARackLostInABurstDelaysItsTasksByOneLease) {
+  SchedulerFrame Frame;
+  Frame.addPool("p", 8, 16);
+  Frame.lead();
+  for (int I = 0; I < 20; ++I)
+    Frame.submit("j" + std::to_string(I), "p", chain(1, 6, 1000, 700));
+  Frame.run(milliseconds(400));
+  for (const char *Id : {"p-0", "p-1", "p-2", "p-3"})
+    Frame.Workers.at(Id).Faults.Silent = true;
+  Frame.run(seconds(9));
+  EXPECT_EQ(Frame.countIn(JobState::Completed), 20U);
+  EXPECT_EQ(Frame.Workers.Broken, std::vector<std::string>());
+}
+
+TEST(BurstReplay, WorkGoesToTheRackOfItsDataWhileThereIsRoom) {
+  SchedulerFrame Frame;
+  Frame.addPool("p", 8, 16);
+  Frame.lead();
+  JobSpec Spec = chain(1, 8, 1000, 300);
+  Spec.Steps[0].DataRack = "r1";
+  Frame.submit("a", "p", Spec);
+  Frame.run(milliseconds(100));
+  for (const auto &[Id, Worker] : Frame.Workers.all())
+    if (Worker.Entry.rack() != "r1") {
+      EXPECT_TRUE(Worker.Runs.empty()) << Id;
+    }
+  // With that rack full the rest goes elsewhere instead of waiting.
+  Spec.Steps[0].Count = 90;
+  Frame.submit("b", "p", Spec);
+  Frame.run(milliseconds(150));
+  EXPECT_EQ(Frame.Leader->counters().Starts, 98U);
+}
+
+} // namespace
--- /dev/null
+++ b/Tests/Jobs/JobStoreTest.cpp
@@ -0,0 +1,152 @@
+// The replicated state of the job path: each command, repeats of it, and what a
+// snapshot keeps.
+
+#include "Jobs/JobStore.h"
+#include "Support/SchedulerFrame.h"
+
+#include <gtest/gtest.h>
+
+using namespace mimosashunt;
+using mimosashunt::test::chain;
+
+namespace {
+
+AcceptJob job(const JobId &Id, JobSpec Spec, uint32_t MaxAttempts = 2) {
+  AcceptJob Command;
+  Command.Job = Id;
+  Command.Queue = "q";
+  Command.MaxAttempts = MaxAttempts;
+  Command.Spec = std::move(Spec);
+  return Command;
+}
+
+TEST(JobStore, AnIdIsOneJobHoweverOftenItComes) {
+  JobStore Store;
+  EXPECT_TRUE(Store.apply(job("a", chain(1, 2, 1, 1))));
+  EXPECT_FALSE(Store.apply(job("a", chain(3, 3, 1, 1))));
+  EXPECT_EQ(Store.job("a")->Job.Spec.Steps.size(), 1U);
+}
+
+TEST(JobStore, AnEndCountsOnceHoweverOftenItIsTold) {
+  JobStore Store;
+  Store.apply(job("a", chain(1, 2, 1, 1)));
+  RunEnd Failed{{"a", 0, 0, 0}, 1, false};
+  Store.apply(NoteEnds{{Failed, Failed}});
+  Store.apply(NoteEnds{{Failed}});
+  EXPECT_EQ(Store.job("a")->State, JobState::Running);
+  Store.apply(NoteEnds{{{{"a", 0, 0, 0}, 2, false}}});
+  EXPECT_EQ(Store.job("a")->State, JobState::Failed);
+}
+
+TEST(JobStore, AJobIsCompletedOnceAllItsTasksAreDone) {
+  JobStore Store;
+  Store.apply(job("a", chain(2, 1, 1, 1)));
+  Store.apply(NoteEnds{{{{"a", 0, 0, 0}, 1, true}}});
+  EXPECT_EQ(Store.job("a")->State, JobState::Running);
+  Store.apply(NoteEnds{{{{"a", 0, 1, 0}, 1, true}}});
+  EXPECT_EQ(Store.job("a")->State, JobState::Completed);
+}
+
+TEST(JobStore, AFailureAfterTheEndChangesNothing) {
+  JobStore Store;
+  Store.apply(job("a", chain(1, 1, 1, 1), 1));
+  Store.apply(NoteEnds{{{{"a", 0, 0, 0}, 1, true}}});
+  Store.apply(NoteEnds{{{{"a", 0, 0, 0}, 2, false}}});
+  EXPECT_EQ(Store.job("a")->State, JobState::Completed);
+  Store.apply(CancelJob{"a"});
+  EXPECT_EQ(Store.job("a")->State, JobState::Completed);
+}
+
+TEST(JobStore, AGangsFailuresCountByAttemptAndOneEndIsAllOfThem) {
+  JobStore Store;
+  JobSpec Spec = chain(1, 3, 1, 1);
+  Spec.Steps[0].Gang = true;
+  Store.apply(job("a", Spec));
+  Store.apply(
+      NoteEnds{{{{"a", 0, 0, 0}, 1, false}, {{"a", 0, 0, 1}, 1, false}}});
+  EXPECT_EQ(Store.job("a")->State, JobState::Running);
+  Store.apply(NoteEnds{{{{"a", 0, 0, 2}, 2, true}}});
+  EXPECT_EQ(Store.job("a")->State, JobState::Completed);
+}
+
+TEST(JobStore, EndsThatFitNoTaskAreIgnored) {
+  JobStore Store;
+  Store.apply(job("a", chain(1, 1, 1, 1)));
+  Store.apply(NoteEnds{{{{"a", 1, 0, 0}, 1, true},
+                        {{"a", 0, 7, 0}, 1, true},
+                        {{"a", 0, 0, 9}, 1, true},
+                        {{"b", 0, 0, 0}, 1, true}}});
+  EXPECT_EQ(Store.job("a")->State, JobState::Queued);
+}
+
+TEST(JobStore, TheHighestVersionStaysInForce) {
+  JobStore Store;
+  EXPECT_TRUE(Store.apply(PutConfiguration{7, "seven"}));
+  EXPECT_FALSE(Store.apply(PutConfiguration{7, "other seven"}));
+  EXPECT_FALSE(Store.apply(PutConfiguration{5, "five"}));
+  EXPECT_EQ(Store.configurationText(), "seven");
+}
+
+TEST(JobStore, ALeavingWorkerNeverComesBack) {
+  JobStore Store;
+  WorkerEntry Entry;
+  Entry.Key = {"w", 1};
+  Entry.Leaving = true;
+  Store.apply(NoteWorkers{{Entry}, {}});
+  Entry.Leaving = false;
+  Store.apply(NoteWorkers{{Entry}, {}});
+  EXPECT_TRUE(Store.workers().at({"w", 1}).Leaving);
+}
+
+TEST(JobStore, AWaveIsCompletedOnceAllItsVmsAreDone) {
+  JobStore Store;
+  Store.apply(StartWave{1, {"a", "b"}, 1000, 1, 0});
+  Store.apply(FinishMaintenance{1, {"a", "stranger"}});
+  EXPECT_FALSE(Store.waves().at(1).completed());
+  Store.apply(FinishMaintenance{1, {"b"}});
+  EXPECT_TRUE(Store.waves().at(1).completed());
+}
+
+TEST(JobStore, ASnapshotKeepsEverything) {
+  JobStore Store;
+  Store.apply(job("a", chain(2, 3, 1, 1)));
+  Store.apply(job("b", chain(1, 1, 1, 1)));
+  Store.apply(
+      NoteEnds{{{{"a", 0, 0, 1}, 1, true}, {{"a", 0, 0, 2}, 1, false}}});
+  Store.apply(CancelJob{"b"});
+  Store.apply(PutConfiguration{3, "text"});
+  WorkerEntry Entry;
+  Entry.Key = {"w", 1};
+  Entry.Labels = {"a", "r1"};
+  Store.apply(NoteWorkers{{Entry}, {}});
+  Store.apply(StartWave{1, {"m"}, 1000, 1, 5});
+  Store.apply(BeginLeadership{"vm"});
+  JobStore Copy;
+  Copy.restore(Store.snapshot());
+  EXPECT_EQ(Copy.jobs(), Store.jobs());
+  EXPECT_EQ(Copy.version(), 3U);
+  EXPECT_EQ(Copy.configurationText(), "text");
+  EXPECT_EQ(Copy.workers(), Store.workers());
+  EXPECT_EQ(Copy.waves().at(1), Store.waves().at(1));
+  EXPECT_EQ(Copy.leaderships(), 1U);
+}
+
+TEST(JobStore, EachCommandSurvivesItsEncoding) {
+  std::vector<JobCommand> All = {job("a", chain(2, 3, 1, 1)),
+                                 CancelJob{"a"},
+                                 NoteEnds{{{{"a", 1, 2, 3}, 4, true}}},
+                                 PutConfiguration{3, "text"},
+                                 NoteWorkers{{WorkerEntry{}}, {{"w", 2}}},
+                                 StartWave{1, {"m"}, 1000, 2, 5},
+                                 FinishMaintenance{1, {"m"}},
+                                 BeginLeadership{"vm"}};
+  for (const JobCommand &Command : All) {
+    JobCommand Back;
+    ASSERT_TRUE(decodeJobCommand(encodeJobCommand(Command), Back));
+    EXPECT_TRUE(Back == Command) << Command.index();
+  }
+  JobCommand Ignored;
+  EXPECT_FALSE(decodeJobCommand("no command", Ignored));
+}
+
+} // namespace
--- /dev/null
+++ b/Tests/Jobs/PoolsTest.cpp
@@ -0,0 +1,247 @@
+// Moves between pools, and maintenance waves, over a virtual platform.
+
+#include "Pools/Maintenance.h"
+#include "Pools/PoolPlanner.h"
+#include "Support/SchedulerFrame.h"
+
+#include <gtest/gtest.h>
+
+using namespace mimosashunt;
+using namespace mimosashunt::test;
+
+namespace {
+
+std::vector<PoolVm> vms(const std::string &Pool, size_t Count) {
+  std::vector<PoolVm> Result;
+  for (size_t I = 0; I < Count; ++I)
+    Result.push_back({Pool + std::to_string(I), Pool, "a", 32, true, true});
+  return Result;
+}
+
+std::vector<PoolVm> together(std::vector<PoolVm> A,
+                             const std::vector<PoolVm> &B) {
+  A.insert(A.end(), B.begin(), B.end());
+  return A;
+}
+
+size_t movesTo(const std::vector<VmMove> &Moves, const std::string &Pool) {
+  size_t Count = 0;
+  for (const VmMove &Move : Moves)
+    Count += Move.To == Pool ? 1 : 0;
+  return Count;
+}
+
+TEST(PoolPlanner, ABurstDrawsVmsThatStandByFirst) {
+  PoolPlanner Planner({});
+  std::vector<PoolVm> All =
+      together(together(vms("busy", 8), vms("idle", 8)), vms("spare", 8));
+  std::map<std::string, PoolDemand> Demands;
+  Demands["busy"].PassingCores = 400;
+  Demands["idle"];
+  Demands["spare"].Standby = true;
+  std::vector<VmMove> Moves =
+      Planner.plan(Instant(seconds(1)), Demands, All, {});
+  ASSERT_EQ(movesTo(Moves, "busy"), Planner.wanted("busy") - 8);
+  for (const VmMove &Move : Moves)
+    EXPECT_EQ(Move.From, "spare");
+}
+
+TEST(PoolPlanner, VmsOnTheirWayAreNotAskedForAgain) {
+  PoolPlanner Planner({});
+  std::map<std::string, PoolDemand> Demands;
+  Demands["busy"].PassingCores = 300;
+  Demands["spare"].Standby = true;
+  std::vector<PoolVm> All = together(vms("busy", 4), vms("spare", 20));
+  size_t First = Planner.plan(Instant(seconds(1)), Demands, All, {}).size();
+  ASSERT_GT(First, 0U);
+  EXPECT_EQ(movesTo(Planner.plan(Instant(seconds(1) + milliseconds(200)),
+                                 Demands, All, {{"busy", First}}),
+                    "busy"),
+            0U);
+}
+
+TEST(PoolPlanner, APoolKeepsWhatItsLongRunningTasksNeed) {
+  PoolPlanner Planner({});
+  std::map<std::string, PoolDemand> Demands;
+  Demands["busy"].PassingCores = 5000;
+  Demands["other"].FewestVms = 5;
+  std::vector<PoolVm> All = together(vms("busy", 4), vms("other", 9));
+  EXPECT_EQ(Planner.plan(Instant(seconds(1)), Demands, All, {}).size(), 3U);
+}
+
+TEST(PoolPlanner, OnlyEmptyVmsMove) {
+  PoolPlanner Planner({});
+  std::map<std::string, PoolDemand> Demands;
+  Demands["busy"].PassingCores = 5000;
+  Demands["other"];
+  std::vector<PoolVm> All = together(vms("busy", 1), vms("other", 9));
+  for (PoolVm &Vm : All)
+    Vm.Empty = Vm.Vm == "other3";
+  std::vector<VmMove> Moves =
+      Planner.plan(Instant(seconds(1)), Demands, All, {});
+  ASSERT_EQ(Moves.size(), 1U);
+  EXPECT_EQ(Moves.front(), (VmMove{"other3", "other", "busy"}));
+}
+
+TEST(PoolPlanner, AnIdlePoolGivesUpVmsOnlyAfterAWhileAndNeverAll) {
+  PoolPlanner Planner({});
+  std::map<std::string, PoolDemand> Demands;
+  Demands["idle"];
+  Demands["spare"].Standby = true;
+  std::vector<PoolVm> All = vms("idle", 12);
+  EXPECT_TRUE(Planner.plan(Instant(seconds(1)), Demands, All, {}).empty());
+  EXPECT_TRUE(Planner.plan(Instant(seconds(3)), Demands, All, {}).empty());
+  std::vector<VmMove> Moves =
+      Planner.plan(Instant(seconds(6)), Demands, All, {});
+  EXPECT_EQ(movesTo(Moves, "spare"), 3U);
+}
+
+/// VMs whose maintenance takes two seconds.
+class VirtualPlatform : public VmPort {
+public:
+  VirtualPlatform(SchedulerFrame &Frame) : Frame(Frame) {}
+
+  void list(ListDone Done) override {
+    std::vector<VmEntry> List;
+    for (const auto &[Id, Worker] : Frame.Workers.all()) {
+      VmPhase Phase = DownUntil.count(Worker.Entry.Vm) &&
+                              Frame.Timers.now() < DownUntil[Worker.Entry.Vm]
+                          ? VmPhase::Maintenance
+                          : VmPhase::Up;
+      if (!Left.count(Worker.Entry.Vm))
+        List.push_back({Worker.Entry.Vm, Worker.Entry.Pool, Phase, "dc",
+                        Worker.Entry.Labels, Worker.Entry.Room, Id});
+    }
+    Frame.Timers.at(Frame.Timers.now() + milliseconds(2),
+                    [Done, List] { Done(List); });
+  }
+  void move(const std::string &, const std::string &, uint64_t,
+            OrderDone Done) override {
+    Frame.Timers.at(Frame.Timers.now() + milliseconds(2),
+                    [Done] { Done(VmOrderOutcome::Done); });
+  }
+  void maintain(const std::string &Vm, uint64_t, uint64_t,
+                OrderDone Done) override {
+    bool Lost = LoseAnswers > 0;
+    LoseAnswers -= Lost ? 1 : 0;
+    if (!DownUntil.count(Vm)) {
+      Orders.emplace_back(Frame.Timers.now(), Vm);
+      DownUntil[Vm] = Frame.Timers.now() + seconds(2);
+      size_t Down = 0;
+      for (const auto &[Other, Until] : DownUntil)
+        Down += Until > Frame.Timers.now() ? 1 : 0;
+      MostDown = std::max(MostDown, Down);
+      for (const auto &[Id, Worker] : Frame.Workers.all())
+        if (Worker.Entry.Vm == Vm) {
+          RunsAtOrder += Worker.Runs.size();
+          Frame.Workers.restart(Id);
+          break;
+        }
+    }
+    Frame.Timers.at(Frame.Timers.now() + milliseconds(2), [Done, Lost] {
+      Done(Lost ? VmOrderOutcome::Lost : VmOrderOutcome::Done);
+    });
+  }
+
+  SchedulerFrame &Frame;
+  std::map<std::string, Instant> DownUntil;
+  std::set<std::string> Left;
+  std::vector<std::pair<Instant, std::string>> Orders;
+  size_t MostDown = 0;
+  size_t RunsAtOrder = 0;
+  int LoseAnswers = 0;
+};
+
+struct WaveFrame {
+  WaveFrame(size_t Workers, uint32_t MaxDown) : Platform(Frame) {
+    Frame.addPool("p", Workers, 16);
+    Frame.lead();
+    StartWave Wave{1, {}, 30000, MaxDown, 1800000000000 + 1000000};
+    for (const auto &[Id, Worker] : Frame.Workers.all())
+      Wave.Vms.push_back(Worker.Entry.Vm);
+    Frame.Store.apply(Wave);
+    DispatcherHooks Hooks;
+    Hooks.Propose = [this](const JobCommand &Command,
+                           std::function<void(bool)> Done) {
+      Frame.Store.apply(Command);
+      Done(true);
+    };
+    Hooks.MayOrder = [] { return true; };
+    Hooks.Deposed = [] {};
+    Hooks.WallNow = [this] {
+      return 1800000000000 + toMillis(Frame.Timers.now().time_since_epoch());
+    };
+    Hooks.Note = [](const char *, Json) {};
+    Driver = std::make_unique<Maintenance>(Frame.Store, *Frame.Leader, Platform,
+                                           Frame.Timers, MaintenanceOptions{},
+                                           Hooks);
+  }
+
+  SchedulerFrame Frame;
+  VirtualPlatform Platform;
+  std::unique_ptr<Maintenance> Driver;
+};
+
+TEST(Maintenance, CompletesAWaveWithinItsBoundOnVmsThatAreDown) {
+  WaveFrame Wave(8, 3);
+  Wave.Frame.run(seconds(25));
+  EXPECT_TRUE(Wave.Frame.Store.waves().at(1).completed());
+  EXPECT_EQ(Wave.Platform.Orders.size(), 8U);
+  EXPECT_LE(Wave.Platform.MostDown, 3U);
+}
+
+TEST(Maintenance, GivesNoOrderWhileTheLeaderBeforeMayHaveGivenOne) {
+  WaveFrame Wave(4, 4);
+  Wave.Frame.run(seconds(3));
+  EXPECT_TRUE(Wave.Platform.Orders.empty());
+}
+
+TEST(Maintenance, WorkThatRunsEndsBeforeTheOrder) {
+  WaveFrame Wave(4, 1);
+  for (int I = 0; I < 60; ++I) {
+    Wave.Frame.submit("j" + std::to_string(I), "p", chain(1, 2, 1000, 600));
+    Wave.Frame.run(milliseconds(250));
+  }
+  Wave.Frame.run(seconds(8));
+  EXPECT_TRUE(Wave.Frame.Store.waves().at(1).completed());
+  EXPECT_EQ(Wave.Platform.RunsAtOrder, 0U);
+  EXPECT_EQ(Wave.Frame.countIn(JobState::Completed), 60U);
+}
+
+TEST(Maintenance, NeverTakesMoreOfALongRunningStepThanItCanSpare) {
+  WaveFrame Wave(6, 6);
+  JobSpec Spec = chain(1, 4, 1000, 600000);
+  Spec.Steps[0].LongRunning = true;
+  Spec.Steps[0].MayMiss = 1;
+  Spec.Steps[0].MaxPerWorker = 1;
+  Wave.Frame.submit("serves", "p", Spec);
+  Wave.Frame.run(seconds(1));
+  size_t MostAway = 0;
+  for (int I = 0; I < 2500; ++I) {
+    Wave.Frame.run(milliseconds(10));
+    size_t AtWork = 0;
+    for (const auto &[Id, Worker] : Wave.Frame.Workers.all())
+      AtWork += Worker.Runs.size();
+    MostAway = std::max(MostAway, 4 - AtWork);
+  }
+  EXPECT_LE(MostAway, 1U);
+  EXPECT_TRUE(Wave.Frame.Store.waves().at(1).completed());
+}
+
+TEST(Maintenance, AnOrderWithoutAnAnswerIsGivenAgain) {
+  WaveFrame Wave(3, 1);
+  Wave.Platform.LoseAnswers = 2;
+  Wave.Frame.run(seconds(25));
+  EXPECT_TRUE(Wave.Frame.Store.waves().at(1).completed());
+  EXPECT_LE(Wave.Platform.MostDown, 1U);
+}
+
+TEST(Maintenance, AVmThatHasLeftOwesNone) {
+  WaveFrame Wave(3, 1);
+  Wave.Platform.Left.insert("vm-p-1");
+  Wave.Frame.run(seconds(20));
+  EXPECT_TRUE(Wave.Frame.Store.waves().at(1).completed());
+  EXPECT_EQ(Wave.Platform.Orders.size(), 2U);
+}
+
+} // namespace
--- /dev/null
+++ b/Tests/Support/SchedulerFrame.cpp
@@ -0,0 +1,149 @@
+#include "Support/SchedulerFrame.h"
+
+#include <utility>
+
+namespace mimosashunt::test {
+
+namespace {
+constexpr Duration CommitTime = milliseconds(20);
+constexpr int64_t MemoryMb = 65536;
+constexpr WallMillis WallStart = 1800000000000;
+} // namespace
+
+JobSpec chain(uint32_t Steps, uint32_t Width, int64_t Cpu, int64_t Ms) {
+  JobSpec Spec;
+  Spec.Payload = "work";
+  for (uint32_t I = 0; I < Steps; ++I) {
+    StepSpec Step;
+    Step.Count = Width;
+    Step.Each = {Cpu, 100, 0};
+    Step.EstimateMs = Ms;
+    if (I > 0)
+      Step.After = {I - 1};
+    Spec.Steps.push_back(Step);
+  }
+  return Spec;
+}
+
+SchedulerFrame::SchedulerFrame(VirtualWorkers::RealMs Real,
+                               DispatcherOptions Options)
+    : Workers(Timers, Store, std::move(Real)), Options(std::move(Options)) {
+  Configuration.Version = 1;
+  Configuration.Organisations.push_back({"org", {"key"}, 1, 0, {}});
+}
+
+SchedulerFrame::~SchedulerFrame() { Leader.reset(); }
+
+void SchedulerFrame::addPool(const std::string &Name, size_t Count,
+                             int64_t Cores, uint32_t MaxAttempts) {
+  constexpr int64_t TargetMs = 600;
+  QueueConfiguration Queue;
+  Queue.Name = Queue.Pool = Name;
+  Queue.TimeoutMs = 3000;
+  Queue.TargetMs = TargetMs;
+  Queue.MaxAttempts = MaxAttempts;
+  Queue.Stretch = 1.6;
+  Configuration.Queues.push_back(Queue);
+  Configuration.Pools.push_back({Name, true, false, 64});
+  constexpr size_t PerRack = 4;
+  for (size_t I = 0; I < Count; ++I)
+    Workers.add(Name + "-" + std::to_string(I), Name,
+                "r" + std::to_string(I / PerRack), {Cores * 1000, MemoryMb, 0});
+}
+
+WallMillis SchedulerFrame::wallNow() const {
+  return WallStart + toMillis(Timers.now().time_since_epoch());
+}
+
+void SchedulerFrame::commit(const JobCommand &Command) {
+  Store.apply(Command);
+  for (const auto &[Id, Record] : Store.jobs())
+    if (Record.State == JobState::Completed)
+      DoneAt.try_emplace(Id, Timers.now());
+  if (Leader == nullptr)
+    return;
+  if (const auto *Accepted = std::get_if<AcceptJob>(&Command))
+    Leader->accepted(Accepted->Job);
+  if (const auto *Cancelled = std::get_if<CancelJob>(&Command))
+    Leader->cancelled(Cancelled->Job);
+}
+
+void SchedulerFrame::lead() {
+  Leader.reset();
+  Store.apply(BeginLeadership{"vm"});
+  MayOrder = true;
+  DispatcherHooks Hooks;
+  Hooks.Propose = [this](const JobCommand &Command,
+                         std::function<void(bool)> Done) {
+    Timers.at(Timers.now() + CommitTime, [this, Command, Done] {
+      commit(Command);
+      Done(true);
+    });
+  };
+  Hooks.MayOrder = [this] { return MayOrder; };
+  Hooks.Deposed = [this] { Deposed = true; };
+  Hooks.WallNow = [this] { return wallNow(); };
+  Hooks.Note = [this](const char *Kind, Json Fields) {
+    Notes.emplace_back(Kind, std::move(Fields));
+  };
+  Leader =
+      std::make_unique<Dispatcher>(Store.leaderships(), Store, Configuration,
+                                   Workers, Timers, Options, Hooks);
+  heartbeats();
+}
+
+void SchedulerFrame::heartbeats() {
+  ++Sequence;
+  for (const auto &[Id, Worker] : Workers.all())
+    if (!Worker.Faults.Silent)
+      Leader->report(
+          {Worker.Entry, Sequence, toMillis(Timers.now() - Worker.Born)},
+          [](bool) {});
+}
+
+void SchedulerFrame::submit(const JobId &Job, const std::string &Queue,
+                            JobSpec Spec, const std::string &Organisation) {
+  AcceptJob Command;
+  Command.Job = Job;
+  Command.Queue = Queue;
+  Command.Organisation = Organisation;
+  Command.MaxAttempts = Configuration.queue(Queue)->MaxAttempts;
+  Command.At = wallNow();
+  Command.Spec = std::move(Spec);
+  AcceptedAt[Job] = Timers.now();
+  commit(Command);
+}
+
+void SchedulerFrame::cancel(const JobId &Job) { commit(CancelJob{Job}); }
+
+void SchedulerFrame::run(Duration For) {
+  Instant Until = Timers.now() + For;
+  constexpr int64_t BeatMs = 1500;
+  while (Timers.now() < Until) {
+    Timers.advance(Timers.now() + milliseconds(1));
+    if (Leader == nullptr)
+      continue;
+    if (toMillis(Timers.now().time_since_epoch()) % BeatMs == 0)
+      heartbeats();
+    Leader->turn();
+  }
+}
+
+JobState SchedulerFrame::stateOf(const JobId &Job) const {
+  return Store.job(Job)->State;
+}
+
+size_t SchedulerFrame::countIn(JobState State) const {
+  size_t Count = 0;
+  for (const auto &[Id, Record] : Store.jobs())
+    Count += Record.State == State ? 1 : 0;
+  return Count;
+}
+
+int64_t SchedulerFrame::tookMs(const JobId &Job) const {
+  auto Found = DoneAt.find(Job);
+  return Found == DoneAt.end() ? -1
+                               : toMillis(Found->second - AcceptedAt.at(Job));
+}
+
+} // namespace mimosashunt::test
