Fleet: settings reloaded on SIGHUP or when the file changes; more tests

It is taken by the signal thread now, and the file is compared each second, since it may change without a signal; seeds are taken over, a file that does not conform is left aside and logged.

--- a/Source/Agreement/Replica.cpp
+++ b/Source/Agreement/Replica.cpp
@@ -160,7 +160,10 @@
 
 void Replica::askToJoin() {
   const Membership &Members = Log.membership();
-  if (Members.isVoter(Self.Disk) || Members.isLearner(Self.Disk))
+  bool Member = Members.isVoter(Self.Disk) || Members.isLearner(Self.Disk);
+  // A member that was replaced while it was away is not told so by anybody;
+  // whoever leads ignores those that are members still.
+  if (Member && Log.leader() != NoDisk)
     return;
   Transport.join(Self, {});
 }
--- a/Source/Agreement/Replica.h
+++ b/Source/Agreement/Replica.h
@@ -114,7 +114,6 @@
   LogIndex LastApplied = 0;
   size_t BytesSinceSnapshot = 0;
   std::map<std::string, Member> JoinRequests; // By address.
-  std::map<DiskId, Instant> HeardFrom; // While leading; since the start of it.
   RaftRole LastRole = RaftRole::Follower;
   std::error_code StoreError;
   bool Pumping = false;
--- a/Source/Daemon/Signals.h
+++ b/Source/Daemon/Signals.h
@@ -5,13 +5,19 @@
 
 namespace mimosashunt {
 
-/// Blocks SIGTERM and SIGINT for this and later threads and ignores SIGPIPE.
+/// Blocks SIGTERM, SIGINT and SIGHUP for this and later threads and ignores
+/// SIGPIPE.
 /// Call before any thread starts.
 void blockStopSignals();
 
 /// Waits until SIGTERM or SIGINT arrives.
 void waitForStopSignal();
 
+enum class DaemonSignal { Stop, Reload };
+
+/// Waits until SIGTERM or SIGINT (stop) or SIGHUP (reload) arrives.
+DaemonSignal waitForSignal();
+
 } // namespace mimosashunt
 
 #endif
--- a/Source/Fleet/AgreementLinks.cpp
+++ b/Source/Fleet/AgreementLinks.cpp
@@ -136,6 +136,10 @@
   Members = std::move(Addresses);
 }
 
+void AgreementLinks::seeds(std::vector<std::string> Addresses) {
+  Seeds = std::move(Addresses);
+}
+
 void AgreementLinks::join(const Member &Self, const std::string &) {
   std::string Body = encodeMembers({Self});
   for (const std::string &Address : others()) {
--- a/Source/Fleet/AgreementLinks.h
+++ b/Source/Fleet/AgreementLinks.h
@@ -39,6 +39,8 @@
   void offer(const FoundingOffer &Own, const ReceiveOffer &Take);
   /// Addresses besides the seeds where the group may be found.
   void knownMembers(std::vector<std::string> Addresses);
+  /// The settings name other seeds now.
+  void seeds(std::vector<std::string> Addresses);
 
 private:
   struct Lane {
@@ -50,7 +52,7 @@
   std::vector<std::string> others() const;
 
   HttpClient Client;
-  const std::vector<std::string> Seeds;
+  std::vector<std::string> Seeds;
   const std::string SelfAddress;
   const Receive Take;
   std::vector<std::string> Members;
--- a/Source/Fleet/FleetMain.h
+++ b/Source/Fleet/FleetMain.h
@@ -42,7 +42,8 @@
     return BadSettingsStatus;
   }
   std::thread([&Served] {
-    waitForStopSignal();
+    while (waitForSignal() == DaemonSignal::Reload)
+      Served.reload();
     Served.stop();
   }).detach();
   return Run() ? EXIT_SUCCESS : EXIT_FAILURE;
--- a/Source/Fleet/GatewayDaemon.cpp
+++ b/Source/Fleet/GatewayDaemon.cpp
@@ -19,11 +19,11 @@
 
 } // namespace
 
-GatewayDaemon::GatewayDaemon(FleetSettings Given, EventLoop &Loop,
-                             const ConfigurationReader &Reader,
+GatewayDaemon::GatewayDaemon(FleetSettings Given, std::string File,
+                             EventLoop &Loop, const ConfigurationReader &Reader,
                              const CallerCodec &Codec)
-    : Settings(std::move(Given)), Loop(Loop), Codec(Codec),
-      Events(Settings.Vm, "entry", Settings.LogLevel),
+    : Settings(std::move(Given)), File(std::move(File)), Loop(Loop),
+      Codec(Codec), Events(Settings.Vm, "entry", Settings.LogLevel),
       Link(Loop, Settings.Vm, Settings.seedsInternal(), Reader, Events),
       Callers(Loop, [this](ExchangePtr Exchange) { onCaller(Exchange); },
               {.MaxBodyBytes = 1 << 20, .ReadTimeout = seconds(30)}),
@@ -44,6 +44,15 @@
   if (Settings.MetricsListen)
     if (std::error_code Error = MetricsServer.listen(*Settings.MetricsListen))
       return Error;
+  Watch = std::make_unique<SettingsWatch>(
+      Loop, File,
+      [this](const FleetSettings &Now) {
+        Events.note("settings_reloaded", {{"seeds", Now.seedsInternal()}});
+        Link.seeds(Now.seedsInternal());
+      },
+      [this](const std::string &Diagnostic) {
+        Events.note("settings_refused", {{"diagnostic", Diagnostic}});
+      });
   Loop.onTurn([this] {
     Events.flush();
     return false;
@@ -58,6 +67,10 @@
   Events.flush();
 }
 
+void GatewayDaemon::reload() {
+  Loop.post([this] { Watch->reload(); });
+}
+
 void GatewayDaemon::stop() {
   Loop.post([this] { beginStop(); });
 }
--- a/Source/Fleet/GatewayDaemon.h
+++ b/Source/Fleet/GatewayDaemon.h
@@ -10,6 +10,7 @@
 #include "Fleet/EventLog.h"
 #include "Fleet/FleetSettings.h"
 #include "Fleet/LeaderLink.h"
+#include "Fleet/SettingsWatch.h"
 #include "Links/EventLoop.h"
 #include "Links/HttpServer.h"
 
@@ -20,7 +21,7 @@
 
 class GatewayDaemon {
 public:
-  GatewayDaemon(FleetSettings Settings, EventLoop &Loop,
+  GatewayDaemon(FleetSettings Settings, std::string File, EventLoop &Loop,
                 const ConfigurationReader &Reader, const CallerCodec &Codec);
 
   /// Opens the sockets; \p Key names the setting at fault.
@@ -28,6 +29,8 @@
   void run();
   /// Begins a graceful stop; callable from any thread.
   void stop();
+  /// Reads the settings file again; callable from any thread.
+  void reload();
 
 private:
   using ExchangePtr = std::shared_ptr<HttpExchange>;
@@ -39,6 +42,7 @@
   void checkStopped();
 
   const FleetSettings Settings;
+  const std::string File; // Of the settings.
   EventLoop &Loop;
   const CallerCodec &Codec;
   EventLog Events;
@@ -47,6 +51,7 @@
   HttpServer Callers;
   HttpServer Ready;
   HttpServer MetricsServer;
+  std::unique_ptr<SettingsWatch> Watch;
   bool Stopping = false;
   bool Closing = false;
   Instant StopBegan;
--- a/Source/Fleet/GatewayMain.cpp
+++ b/Source/Fleet/GatewayMain.cpp
@@ -16,7 +16,7 @@
   EventLoop Loop;
   platform::ConfigurationCodec Configurations;
   platform::CallerCalls Codec;
-  GatewayDaemon Daemon(Settings, Loop, Configurations, Codec);
+  GatewayDaemon Daemon(Settings, File, Loop, Configurations, Codec);
   return runFleetDaemon(Daemon, File, [&] {
     Daemon.run();
     return true;
--- a/Source/Fleet/LeaderLink.cpp
+++ b/Source/Fleet/LeaderLink.cpp
@@ -49,6 +49,10 @@
   return Found == Pending.end() ? 0 : Found->second;
 }
 
+void LeaderLink::seeds(std::vector<std::string> Addresses) {
+  Seeds = std::move(Addresses);
+}
+
 void LeaderLink::nextCandidate() {
   std::vector<std::string> All = Members;
   for (const std::string &Seed : Seeds)
--- a/Source/Fleet/LeaderLink.h
+++ b/Source/Fleet/LeaderLink.h
@@ -34,6 +34,8 @@
   /// Carries a call to the leader. \p Done runs once: with the answer, with
   /// NotRun if nothing was sent, or with Uncertain.
   void call(const JobCall &Call, Duration Timeout, Answer Done);
+  /// The settings name other seeds now.
+  void seeds(std::vector<std::string> Addresses);
 
 private:
   void sync();
@@ -46,7 +48,7 @@
   EventLoop &Loop;
   HttpClient Client;
   const std::string Vm;
-  const std::vector<std::string> Seeds;
+  std::vector<std::string> Seeds;
   const ConfigurationReader &Reader;
   EventLog &Events;
 
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -44,10 +44,10 @@
 
 } // namespace
 
-SchedulerDaemon::SchedulerDaemon(FleetSettings Given, EventLoop &Loop,
-                                 SchedulerPorts Ports)
-    : Settings(std::move(Given)), Loop(Loop), Ports(Ports),
-      Events(Settings.Vm, "control", Settings.LogLevel),
+SchedulerDaemon::SchedulerDaemon(FleetSettings Given, std::string File,
+                                 EventLoop &Loop, SchedulerPorts Ports)
+    : Settings(std::move(Given)), File(std::move(File)), Loop(Loop),
+      Ports(Ports), Events(Settings.Vm, "control", Settings.LogLevel),
       Links(Loop, Settings.seedsInternal(), Settings.Internal.text(),
             [this](const RaftMessage &Message) { Group->receive(Message); }),
       Forwarding(Loop),
@@ -94,6 +94,15 @@
     if (std::error_code Error = MetricsServer.listen(*Settings.MetricsListen))
       return Error;
   FoundingTimer = Loop.timers().every(OfferPeriod, [this] { onFounding(); });
+  Watch = std::make_unique<SettingsWatch>(
+      Loop, File,
+      [this](const FleetSettings &Now) {
+        Events.note("settings_reloaded", {{"seeds", Now.seedsInternal()}});
+        Links.seeds(Now.seedsInternal());
+      },
+      [this](const std::string &Diagnostic) {
+        Events.note("settings_refused", {{"diagnostic", Diagnostic}});
+      });
   Loop.onTurn([this] { return turn(); });
   return {};
 }
@@ -105,6 +114,10 @@
   return !Group->storeError();
 }
 
+void SchedulerDaemon::reload() {
+  Loop.post([this] { Watch->reload(); });
+}
+
 void SchedulerDaemon::stop() {
   Loop.post([this] { beginStop(); });
 }
@@ -216,6 +229,7 @@
 }
 
 void SchedulerDaemon::onRoleChange() {
+  Links.knownMembers(memberAddresses());
   bool Leads = Group->log().role() == RaftRole::Leader;
   Events.note("role", {{"leader", Leads}, {"term", Group->log().term()}});
   LeadershipAsked = false;
--- a/Source/Fleet/SchedulerDaemon.h
+++ b/Source/Fleet/SchedulerDaemon.h
@@ -11,6 +11,7 @@
 #include "Fleet/EventLog.h"
 #include "Fleet/FleetSettings.h"
 #include "Fleet/InternalMessages.h"
+#include "Fleet/SettingsWatch.h"
 #include "Links/EventLoop.h"
 #include "Links/HttpServer.h"
 #include "Pools/Maintenance.h"
@@ -35,7 +36,7 @@
 
 class SchedulerDaemon : public ReplicatedState {
 public:
-  SchedulerDaemon(FleetSettings Settings, EventLoop &Loop,
+  SchedulerDaemon(FleetSettings Settings, std::string File, EventLoop &Loop,
                   SchedulerPorts Ports);
   ~SchedulerDaemon() override;
 
@@ -45,6 +46,8 @@
   bool run();
   /// Begins a graceful stop; callable from any thread.
   void stop();
+  /// Reads the settings file again; callable from any thread.
+  void reload();
 
 private:
   using ExchangePtr = std::shared_ptr<HttpExchange>;
@@ -83,6 +86,7 @@
   std::string metricsText();
 
   const FleetSettings Settings;
+  const std::string File; // Of the settings.
   EventLoop &Loop;
   const SchedulerPorts Ports;
   EventLog Events;
@@ -104,6 +108,7 @@
   std::unique_ptr<Maintenance> Waves;
   std::unique_ptr<PoolMover> Mover;
   bool LeadershipAsked = false;
+  std::unique_ptr<SettingsWatch> Watch;
   bool Stopping = false;
   Instant StopBegan;
   TimerId FoundingTimer = 0;
--- a/Source/Fleet/SchedulerMain.cpp
+++ b/Source/Fleet/SchedulerMain.cpp
@@ -22,7 +22,7 @@
   platform::ControlCalls Control(Configurations);
   platform::WorkerClient Workers(Loop, Settings.Advice);
   platform::VmClient Vms(Loop, Settings.Vm, Settings.Platform);
-  SchedulerDaemon Daemon(Settings, Loop,
+  SchedulerDaemon Daemon(Settings, File, Loop,
                          {Configurations, Control, Workers, Vms});
   return runFleetDaemon(Daemon, File, [&] { return Daemon.run(); });
 }
--- /dev/null
+++ b/Tests/Platform/CallCodecTest.cpp
@@ -0,0 +1,221 @@
+// Translation of the platform's messages, with the examples of its pages and
+// bytes that nobody should send.
+
+#include "platform/CallCodecs.h"
+#include "platform/Fields.h"
+
+#include <gtest/gtest.h>
+
+using namespace mimosashunt;
+using namespace mimosashunt::platform;
+
+namespace {
+
+const char *const Manifest = R"({"version":7,"routes":[
+ {"name":"r-1","host":"h.example","path-prefix":"/q/","type":"unsafe","timeout-ms":3000,
+  "target-latency-ms":600,"priority":1,"service":"s1","max-attempts":2,"stretch":1.6,"public":false},
+ {"name":"r-2","host":"h.example","path-prefix":"/q/deep/","type":"unsafe","timeout-ms":3000,
+  "service":"s1","public":true,"advice":{"decide-ms":5,"each-ms":1,"valid-ms":3000}}],
+ "services":[{"name":"s1","health-path":"/health","max-connections":64,"protocol":"h1","tls":false,
+  "rejects-overload":true,"standby":false}],
+ "limits":{"max-body-bytes":262144},
+ "tenants":[{"name":"t1","api-keys":["k1","k2"],"priority":1,"weight":66,
+  "maximum":{"cpu":1000,"mem-mb":2000,"gpu":0}}]})";
+
+ServiceConfiguration configuration() {
+  ServiceConfiguration Result;
+  EXPECT_EQ(ConfigurationCodec().read(Manifest, Result), std::nullopt);
+  return Result;
+}
+
+std::string replaced(const std::string &From, const std::string &To) {
+  std::string Text = Manifest;
+  size_t At = Text.find(From);
+  EXPECT_NE(At, std::string::npos) << From;
+  return Text.replace(At, From.size(), To);
+}
+
+HttpRequest call(const std::string &Method, const std::string &Path,
+                 const std::string &Body = {}, const std::string &Key = {}) {
+  HttpRequest Request;
+  Request.Method = Method;
+  Request.Path = Path;
+  Request.Body = Body;
+  Request.Host = "h.example:8340";
+  if (!Key.empty())
+    Request.Headers.push_back({"authorization", "Bearer " + Key});
+  return Request;
+}
+
+const std::string Job = R"({"spec":"text","steps":[
+ {"count":4,"cpu":500,"mem-mb":256,"estimate-ms":900,"affinity":"r1-3"},
+ {"count":20,"cpu":2000,"mem-mb":1024,"estimate-ms":7000,"after":[0],"checkpointing":true}]})";
+const std::string Id = "5c0e7a21d94b36f8";
+
+TEST(ConfigurationCodec, ReadsAWholeConfiguration) {
+  ServiceConfiguration Read = configuration();
+  EXPECT_EQ(Read.Version, 7U);
+  EXPECT_EQ(Read.Text, Manifest);
+  ASSERT_EQ(Read.Queues.size(), 2U);
+  EXPECT_EQ(Read.Queues[0].MaxAttempts, 2U);
+  EXPECT_FALSE(Read.Queues[0].Open);
+  EXPECT_TRUE(Read.Queues[1].Advice.has_value());
+  EXPECT_TRUE(Read.Pools[0].GuardsRoom);
+  EXPECT_EQ(Read.holderOf("k2")->Name, "t1");
+  EXPECT_EQ(Read.holderOf(""), nullptr);
+  EXPECT_EQ(Read.Organisations[0].Maximum, (Resources{1000, 2000, 0}));
+}
+
+TEST(ConfigurationCodec, TheLongestPrefixChoosesTheQueue) {
+  ServiceConfiguration Read = configuration();
+  EXPECT_EQ(Read.match("h.example", "/q/deep/1")->Name, "r-2");
+  EXPECT_EQ(Read.match("h.example", "/q/other")->Name, "r-1");
+  EXPECT_EQ(Read.match("other.example", "/q/1"), nullptr);
+}
+
+TEST(ConfigurationCodec, RefusesWhatIsInvalidAndSaysWhy) {
+  struct Case {
+    std::string Text;
+    std::string Says;
+  };
+  std::vector<Case> Cases = {
+      {std::string(Manifest).substr(0, 300), "whole"},
+      {replaced(R"("service":"s1","max-attempts")",
+                R"("service":"s9","max-attempts")"),
+       "s9"},
+      {replaced("/q/deep/", "/q/"), "host and prefix"},
+      {replaced(R"("timeout-ms":3000)", R"("timeout-ms":0)"), "time"},
+      {replaced(R"("timeout-ms":3000)", R"("timeout-ms":"3000")"),
+       "timeout-ms"},
+      {replaced(R"(["k1","k2"])", R"(["k1","k1"])"), "key"},
+      {replaced(R"("version":7)", R"("version":null)"), "version"},
+      {replaced(R"("routes":[)", R"("paths":[)"), "routes"}};
+  for (const Case &Item : Cases) {
+    ServiceConfiguration Ignored;
+    auto Fault = ConfigurationCodec().read(Item.Text, Ignored);
+    ASSERT_TRUE(Fault.has_value()) << Item.Says;
+    EXPECT_NE(Fault->find(Item.Says), std::string::npos) << *Fault;
+  }
+}
+
+TEST(CallerCalls, ReadsASubmission) {
+  CallerRequest Read = CallerCalls().decode(call("POST", "/q/" + Id, Job, "k1"),
+                                            configuration());
+  const auto *Call = std::get_if<JobCall>(&Read);
+  ASSERT_NE(Call, nullptr);
+  EXPECT_EQ(Call->Kind, CallKind::Submit);
+  EXPECT_EQ(Call->Queue, "r-1");
+  EXPECT_EQ(Call->Job, Id);
+  EXPECT_EQ(Call->Organisation, "t1");
+  ASSERT_EQ(Call->Spec.Steps.size(), 2U);
+  EXPECT_EQ(Call->Spec.Steps[0].DataRack, "r1-3");
+  EXPECT_EQ(Call->Spec.Steps[1].After, std::vector<uint32_t>{0});
+  EXPECT_TRUE(Call->Spec.Steps[1].Checkpointing);
+}
+
+TEST(CallerCalls, RefusesByQueueKeyAndForm) {
+  ServiceConfiguration In = configuration();
+  auto reasonOf = [&](const HttpRequest &Request) {
+    CallerRequest Read = CallerCalls().decode(Request, In);
+    const auto *Refusal = std::get_if<CallRefusal>(&Read);
+    return Refusal == nullptr ? -1 : static_cast<int>(Refusal->Reason);
+  };
+  auto is = [](CallRefusal::Why Why) { return static_cast<int>(Why); };
+  EXPECT_EQ(reasonOf(call("GET", "/none/" + Id, {}, "k1")),
+            is(CallRefusal::Why::NoQueue));
+  EXPECT_EQ(reasonOf(call("GET", "/q/" + Id)), is(CallRefusal::Why::BadKey));
+  EXPECT_EQ(reasonOf(call("GET", "/q/" + Id, {}, "k9")),
+            is(CallRefusal::Why::BadKey));
+  EXPECT_EQ(reasonOf(call("GET", "/q/xyz", {}, "k1")),
+            is(CallRefusal::Why::NoQueue));
+  EXPECT_EQ(reasonOf(call("PUT", "/q/" + Id, {}, "k1")),
+            is(CallRefusal::Why::WrongMethod));
+  EXPECT_EQ(reasonOf(call("GET", "/q/deep/" + Id)), -1);
+  for (const std::string &Body :
+       {std::string("{"), std::string("[]"), std::string(R"({"steps":[]})"),
+        std::string(R"({"steps":[{"count":0}]})"),
+        std::string(R"({"steps":[{"count":1,"cpu":"much"}]})"),
+        std::string(R"({"steps":[{"count":1,"after":[0]}]})"),
+        std::string(R"({"steps":[{"count":1,"cpu":-5}]})")})
+    EXPECT_EQ(reasonOf(call("POST", "/q/" + Id, Body, "k1")),
+              is(CallRefusal::Why::BadForm))
+        << Body;
+}
+
+TEST(CallerCalls, AnswersTellTheTruthAboutWhatRan) {
+  CallerCalls Codec;
+  EXPECT_EQ(
+      Codec.answer(CallKind::Submit, {CallOutcome::Done, {}, 0, {}}).Status,
+      200);
+  EXPECT_EQ(Codec.answer(CallKind::Submit, {CallOutcome::Uncertain, {}, 0, {}})
+                .Status,
+            504);
+  EXPECT_EQ(
+      Codec.answer(CallKind::Cancel, {CallOutcome::Unknown, {}, 0, {}}).Status,
+      410);
+  HttpResponse Later = Codec.answer(
+      CallKind::Submit, {CallOutcome::NotRun, JobState::Queued, 1200, {}});
+  EXPECT_EQ(Later.Status, 503);
+  EXPECT_EQ(headerValue(Later.Headers, "retry-after"), "2");
+  HttpResponse State = Codec.answer(
+      CallKind::Status, {CallOutcome::Done, JobState::Completed, 0, {}});
+  EXPECT_EQ(State.Body, R"({"state":"completed"})");
+}
+
+TEST(ControlCalls, ReadsAWorkersReport) {
+  ConfigurationCodec Reader;
+  ControlRequest Read = ControlCalls(Reader).decode(call(
+      "POST", "/mimosashunt/instances/i-7f/heartbeat",
+      R"({"service":"s1","address":"10.0.0.9:8080","zone":"z","state":"draining",
+           "capacity-free":{"cpu":16000,"mem-mb":32768,"gpu":0},"labels":["a","r1-3"],
+           "clock-ms":482113,"sequence":4,"born":1700000000000,"machine":"m-1"})"));
+  const auto *Report = std::get_if<WorkerReport>(&Read);
+  ASSERT_NE(Report, nullptr);
+  EXPECT_EQ(Report->Entry.Key, (WorkerKey{"i-7f", 1700000000000}));
+  EXPECT_EQ(Report->Entry.Vm, "m-1");
+  EXPECT_EQ(Report->Entry.rack(), "r1-3");
+  EXPECT_TRUE(Report->Entry.Leaving);
+  EXPECT_EQ(Report->Sequence, 4U);
+}
+
+TEST(ControlCalls, AReportFromAnotherWriterNamesNoWorker) {
+  ConfigurationCodec Reader;
+  ControlCalls Codec(Reader);
+  for (const std::string &Body :
+       {std::string("\xff\xfe"), std::string("{}"),
+        std::string(R"({"service":1,"address":"a","state":"ready"})"),
+        std::string(R"({"service":"s1","address":"a","state":"dancing"})"),
+        std::string(
+            R"({"service":"s1","address":"a","state":"ready","labels":3})")})
+    EXPECT_TRUE(std::holds_alternative<BadControlCall>(Codec.decode(
+        call("POST", "/mimosashunt/instances/i-7f/heartbeat", Body))))
+        << Body;
+}
+
+TEST(ControlCalls, ReadsWavesAndQuestions) {
+  ConfigurationCodec Reader;
+  ControlCalls Codec(Reader);
+  ControlRequest Read = Codec.decode(call(
+      "POST", "/mimosashunt/wave-start",
+      R"({"wave":3,"machines":["m-1","m-2"],"duration-s":20.5,"maximum":2})"));
+  const auto *Wave = std::get_if<StartWave>(&Read);
+  ASSERT_NE(Wave, nullptr);
+  EXPECT_EQ(Wave->Wave, 3U);
+  EXPECT_EQ(Wave->DurationMs, 20500);
+  EXPECT_EQ(Wave->MaxDown, 2U);
+  ControlRequest Query = Codec.decode(call("GET", "/mimosashunt/wave-get/3"));
+  ASSERT_NE(std::get_if<WaveQuery>(&Query), nullptr);
+  EXPECT_EQ(std::get<WaveQuery>(Query).Wave, 3U);
+  EXPECT_TRUE(std::holds_alternative<BadControlCall>(
+      Codec.decode(call("GET", "/mimosashunt/nothing"))));
+}
+
+TEST(Fields, ATasksNameSurvivesTheWire) {
+  TaskName Task{Id, 2, 1, 17};
+  EXPECT_EQ(wireName(Task), Id + ".2.1.17");
+  EXPECT_EQ(taskNameOf(wireName(Task)), Task);
+  for (const char *Bad : {"", "x", "x.1", "x.1.2", "x.1.2.y", "x.1.2.3.4"})
+    EXPECT_THROW(taskNameOf(Bad), FieldFault) << Bad;
+}
+
+} // namespace
