Logs: explain an id by its log lines; metrics of both daemons

Outcomes stand by name, not number. Metrics: leader, term, version, counts of starts, ends, looks, lapses, workers by condition, jobs that wait by queue; calls by outcome and refusals by reason on entry VMs.

--- a/Source/Agreement/Replica.cpp
+++ b/Source/Agreement/Replica.cpp
@@ -5,6 +5,18 @@
 
 namespace mimosashunt {
 
+const char *nameOf(ProposalOutcome Outcome) {
+  switch (Outcome) {
+  case ProposalOutcome::Committed:
+    return "committed";
+  case ProposalOutcome::NotLeader:
+    return "not_leader";
+  case ProposalOutcome::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
 Replica::Replica(const Member &Self, const DurableLog &Durable,
                  ReplicaOptions Options, TimerService &Timers, uint64_t Seed,
                  LogStore &Store, RaftTransport &Transport,
--- a/Source/Agreement/Replica.h
+++ b/Source/Agreement/Replica.h
@@ -32,6 +32,8 @@
   Unknown,   // It may or may not commit.
 };
 
+const char *nameOf(ProposalOutcome Outcome);
+
 struct ReplicaOptions {
   RaftOptions Raft;
   /// A voter that has not answered for this long may be replaced by a learner
--- a/Source/Ctl/CtlCommands.cpp
+++ b/Source/Ctl/CtlCommands.cpp
@@ -57,6 +57,8 @@
 
   bootstrap OPERATOR            found a group on the first control VM and print
                                 the first operator's key
+  explain ID [LOG-FILE...]      history of a job, worker or VM by its logs, from
+                                files or standard input; needs no control VM
   apply FILE                    create or change a team's document
   show documents|document TEAM|keys|waves|fleet|in-force
   remove document TEAM
--- a/Source/Ctl/CtlMain.cpp
+++ b/Source/Ctl/CtlMain.cpp
@@ -1,6 +1,7 @@
 // The operators' command line.
 
 #include "Ctl/CtlCommands.h"
+#include "Ctl/ExplainCommand.h"
 
 #include <cstdlib>
 #include <fstream>
@@ -45,6 +46,32 @@
   return Value == nullptr ? std::string() : std::string(Value);
 }
 
+/// Reads log files, or standard input where none is named. Needs no control VM.
+int runExplain(const std::vector<std::string> &Words) {
+  if (Words.size() < 2) {
+    std::cerr << "mimosashuntctl: explain: no id; expected: explain ID "
+                 "[LOG-FILE...]\n";
+    return static_cast<int>(CtlStatus::Usage);
+  }
+  std::vector<std::ifstream> Files;
+  std::vector<std::istream *> Inputs;
+  Files.reserve(Words.size());
+  for (size_t I = 2; I < Words.size(); ++I) {
+    Files.emplace_back(Words[I]);
+    if (!Files.back()) {
+      std::cerr << "mimosashuntctl: " << Words[I]
+                << ": cannot be read; expected: a file of log lines\n";
+      return static_cast<int>(CtlStatus::Usage);
+    }
+    Inputs.push_back(&Files.back());
+  }
+  if (Inputs.empty())
+    Inputs.push_back(&std::cin);
+  return explain(Words[1], Inputs, std::cout)
+             ? static_cast<int>(CtlStatus::Done)
+             : static_cast<int>(CtlStatus::NotFound);
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -56,6 +83,8 @@
     std::cout << CtlCommands::help();
     return static_cast<int>(Words.empty() ? CtlStatus::Usage : CtlStatus::Done);
   }
+  if (Words.front() == "explain")
+    return runExplain(Words);
   std::vector<SocketAddress> Control;
   if (!readControl(Control)) {
     std::cerr << "mimosashuntctl: --control: missing or malformed; expected: "
--- a/Source/Fleet/Codecs.h
+++ b/Source/Fleet/Codecs.h
@@ -40,6 +40,22 @@
   std::string Detail;
 };
 
+inline const char *nameOf(CallRefusal::Why Reason) {
+  switch (Reason) {
+  case CallRefusal::Why::NoQueue:
+    return "no_queue";
+  case CallRefusal::Why::BadKey:
+    return "bad_key";
+  case CallRefusal::Why::BadForm:
+    return "bad_form";
+  case CallRefusal::Why::WrongMethod:
+    return "wrong_method";
+  case CallRefusal::Why::NotReady:
+    return "not_ready";
+  }
+  return "unknown";
+}
+
 using CallerRequest = std::variant<JobCall, QueueQuery, CallRefusal>;
 
 class CallerCodec {
--- a/Source/Fleet/GatewayDaemon.cpp
+++ b/Source/Fleet/GatewayDaemon.cpp
@@ -29,10 +29,14 @@
               {.MaxBodyBytes = 1 << 20, .ReadTimeout = seconds(30)}),
       Ready(Loop,
             [this](const ExchangePtr &Exchange) { onReadiness(Exchange); }),
-      MetricsServer(Loop, [this](const ExchangePtr &Exchange) {
-        Exchange->respond(
-            {Ok, {{"content-type", "text/plain"}}, Measured.text()});
-      }) {}
+      MetricsServer(Loop,
+                    [this](const ExchangePtr &Exchange) {
+                      Exchange->respond({Ok,
+                                         {{"content-type", "text/plain"}},
+                                         Measured.text()});
+                    }),
+      CallSeconds(Measured.summary("mimosashunt_call_seconds",
+                                   "Time of a call to the leader")) {}
 
 std::error_code GatewayDaemon::open(std::string &Key) {
   Key = "callersListen";
@@ -106,8 +110,13 @@
   CallerRequest Request =
       Codec.decode(Exchange->request(), Link.configuration());
   if (const auto *Refusal = std::get_if<CallRefusal>(&Request)) {
+    Measured
+        .counter("mimosashunt_calls_refused_total",
+                 "Calls refused by this VM, by reason",
+                 {{"reason", nameOf(Refusal->Reason)}})
+        .Increment();
     Events.note("call_refused", {{"path", Exchange->request().Path},
-                                 {"why", static_cast<int>(Refusal->Reason)},
+                                 {"why", nameOf(Refusal->Reason)},
                                  {"detail", Refusal->Detail},
                                  {"version", Link.configuration().Version}});
     return Exchange->respond(Codec.answer(*Refusal));
@@ -122,14 +131,24 @@
   if (auto Waits = Codec.waitsMs(Exchange->request()))
     Timeout = std::min<Duration>(Timeout, milliseconds(*Waits));
   Timeout = std::max<Duration>(Timeout - AnswerMargin, AnswerMargin);
+  Instant Began = Loop.timers().now();
   Link.call(Call, Timeout,
-            [this, Exchange, Kind = Call.Kind,
+            [this, Exchange, Began, Kind = Call.Kind,
              Job = Call.Job](const JobAnswer &Answer) {
+              constexpr double MicrosPerSecond = 1e6;
+              Duration Took = Loop.timers().now() - Began;
+              CallSeconds.Observe(static_cast<double>(Took.count()) /
+                                  MicrosPerSecond);
+              Measured
+                  .counter("mimosashunt_calls_total",
+                           "Calls carried to the leader, by outcome",
+                           {{"outcome", nameOf(Answer.Outcome)}})
+                  .Increment();
               if (Answer.Outcome != CallOutcome::Done)
                 Events.note("call_not_done",
                             {{"job", Job},
-                             {"call", static_cast<int>(Kind)},
-                             {"outcome", static_cast<int>(Answer.Outcome)}});
+                             {"call", nameOf(Kind)},
+                             {"outcome", nameOf(Answer.Outcome)}});
               Exchange->respond(Codec.answer(Kind, Answer));
             });
 }
--- a/Source/Fleet/GatewayDaemon.h
+++ b/Source/Fleet/GatewayDaemon.h
@@ -55,6 +55,7 @@
   bool Stopping = false;
   bool Closing = false;
   Instant StopBegan;
+  prometheus::Summary &CallSeconds;
 };
 
 } // namespace mimosashunt
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -505,9 +505,8 @@
       Result.Outcome = CallOutcome::NotRun;
       Result.RetryAfterMs = RetrySoonMs;
     }
-    Events.note("job_submitted", {{"job", Job},
-                                  {"queue", Queue},
-                                  {"outcome", static_cast<int>(Outcome)}});
+    Events.note("job_submitted",
+                {{"job", Job}, {"queue", Queue}, {"outcome", nameOf(Outcome)}});
     Answer(Result);
   });
 }
@@ -518,18 +517,77 @@
     return Answer({CallOutcome::Unknown, JobState::Queued, 0, {}});
   if (Record->ended())
     return Answer({CallOutcome::Done, Record->State, 0, {}});
-  propose(CancelJob{Call.Job},
-          [this, Answer, Job = Call.Job](ProposalOutcome Outcome) {
-            JobAnswer Result;
-            Result.State = JobState::Cancelled;
-            if (Outcome == ProposalOutcome::Committed)
-              Result.Outcome = CallOutcome::Done;
-            Events.note("job_cancelled",
-                        {{"job", Job}, {"outcome", static_cast<int>(Outcome)}});
-            Answer(Result);
-          });
-}
-
-std::string SchedulerDaemon::metricsText() { return Measured.text(); }
+  propose(CancelJob{Call.Job}, [this, Answer,
+                                Job = Call.Job](ProposalOutcome Outcome) {
+    JobAnswer Result;
+    Result.State = JobState::Cancelled;
+    if (Outcome == ProposalOutcome::Committed)
+      Result.Outcome = CallOutcome::Done;
+    Events.note("job_cancelled", {{"job", Job}, {"outcome", nameOf(Outcome)}});
+    Answer(Result);
+  });
+}
+
+std::string SchedulerDaemon::metricsText() {
+  Measured.gauge("mimosashunt_leads", "1 while this VM leads").Set(leads());
+  Measured.gauge("mimosashunt_term", "Term of the log")
+      .Set(static_cast<double>(Group->log().term()));
+  Measured.gauge("mimosashunt_applied_index", "Log index that is applied")
+      .Set(static_cast<double>(Group->applied()));
+  Measured.gauge("mimosashunt_voters", "Voters of the group")
+      .Set(static_cast<double>(Group->membership().Voters.size()));
+  Measured
+      .gauge("mimosashunt_configuration_version", "Version that is in force")
+      .Set(static_cast<double>(State.version()));
+  Measured
+      .gauge("mimosashunt_log_lines_left_out", "Log lines that were left out")
+      .Set(static_cast<double>(Events.dropped()));
+  if (Scheduler)
+    measureScheduler();
+  return Measured.text();
+}
+
+void SchedulerDaemon::measureScheduler() {
+  const DispatchCounters &Seen = Scheduler->counters();
+  auto Show = [this](const char *Name, const char *Help, uint64_t Value) {
+    Measured.gauge(Name, Help).Set(static_cast<double>(Value));
+  };
+  // Counted since this leadership began; a scraper adds them up by token.
+  Show("mimosashunt_fencing_token", "Token of this leadership",
+       Scheduler->token());
+  Show("mimosashunt_starts", "Starts that were ordered", Seen.Starts);
+  Show("mimosashunt_starts_refused", "Starts that were not taken",
+       Seen.StartsRefused);
+  Show("mimosashunt_starts_lost", "Starts without an answer", Seen.StartsLost);
+  Show("mimosashunt_looks", "Looks at workers", Seen.Looks);
+  Show("mimosashunt_stops", "Stops that were ordered", Seen.Stops);
+  Show("mimosashunt_ends_done", "Runs that ended done", Seen.EndsDone);
+  Show("mimosashunt_ends_failed", "Runs that ended failed", Seen.EndsFailed);
+  Show("mimosashunt_ends_other", "Runs that ended otherwise", Seen.EndsOther);
+  Show("mimosashunt_standstills", "Runs without progress", Seen.Standstills);
+  Show("mimosashunt_runs_lapsed", "Runs given up with their worker's lease",
+       Seen.Lapsed);
+  Show("mimosashunt_jobs_live", "Jobs that have not ended",
+       Scheduler->liveJobs());
+  Show("mimosashunt_vms_down", "VMs under maintenance", Waves->down());
+  Show("mimosashunt_vms_moving", "VMs on their way to another pool",
+       Mover->underWay());
+  std::map<std::string, size_t> Workers = {
+      {"in_touch", 0}, {"silent", 0}, {"leaving", 0}};
+  for (const auto &[Key, Worker] : Scheduler->workers().all())
+    ++Workers[Worker.Entry.Leaving ? "leaving"
+              : Worker.InTouch     ? "in_touch"
+                                   : "silent"];
+  for (const auto &[Condition, Count] : Workers)
+    Measured
+        .gauge("mimosashunt_workers", "Workers by condition",
+               {{"condition", Condition}})
+        .Set(static_cast<double>(Count));
+  for (const QueueConfiguration &Queue : Configuration.Queues)
+    Measured
+        .gauge("mimosashunt_jobs_waiting", "Jobs that have not begun",
+               {{"queue", Queue.Name}})
+        .Set(static_cast<double>(Scheduler->pendingOf(Queue.Name)));
+}
 
 } // namespace mimosashunt
--- a/Source/Fleet/SchedulerDaemon.h
+++ b/Source/Fleet/SchedulerDaemon.h
@@ -84,6 +84,7 @@
   void refreshConfiguration();
   void beginStop();
   std::string metricsText();
+  void measureScheduler();
 
   const FleetSettings Settings;
   const std::string File; // Of the settings.
--- a/Source/Jobs/JobTypes.cpp
+++ b/Source/Jobs/JobTypes.cpp
@@ -23,6 +23,34 @@
          Accelerators >= Part.Accelerators;
 }
 
+const char *nameOf(CallKind Kind) {
+  switch (Kind) {
+  case CallKind::Submit:
+    return "submit";
+  case CallKind::Status:
+    return "status";
+  case CallKind::Cancel:
+    return "cancel";
+  }
+  return "unknown";
+}
+
+const char *nameOf(CallOutcome Outcome) {
+  switch (Outcome) {
+  case CallOutcome::Done:
+    return "done";
+  case CallOutcome::Unknown:
+    return "no_such_job";
+  case CallOutcome::NotRun:
+    return "not_run";
+  case CallOutcome::Uncertain:
+    return "uncertain";
+  case CallOutcome::NotLeader:
+    return "not_leader";
+  }
+  return "unknown";
+}
+
 int64_t JobSpec::longestChainMs() const {
   std::vector<int64_t> EndsAt(Steps.size(), 0);
   int64_t Longest = 0;
--- a/Source/Jobs/JobTypes.h
+++ b/Source/Jobs/JobTypes.h
@@ -180,6 +180,9 @@
   NotLeader, // Ask the control VM named in the answer.
 };
 
+const char *nameOf(CallKind Kind);
+const char *nameOf(CallOutcome Outcome);
+
 struct JobAnswer {
   CallOutcome Outcome = CallOutcome::Uncertain;
   JobState State = JobState::Queued;
