--- a/Source/Fleet/FleetSettings.cpp
+++ b/Source/Fleet/FleetSettings.cpp
@@ -19,12 +19,22 @@
   return Address;
 }
 
-Duration millisAt(const Json &In, const char *Key, Duration Default) {
+/// A duration that stands in the settings as a number of units.
+Duration durationAt(const Json &In, const char *Key, double UnitMicros,
+                    Duration Default) {
   if (!In.contains(Key))
     return Default;
-  constexpr double MicrosPerMilli = 1000;
-  return Duration(
-      static_cast<int64_t>(In.at(Key).get<double>() * MicrosPerMilli));
+  return Duration(static_cast<int64_t>(In.at(Key).get<double>() * UnitMicros));
+}
+
+Duration millisAt(const Json &In, const char *Key, Duration Default) {
+  constexpr double MicrosPerMilli = 1e3;
+  return durationAt(In, Key, MicrosPerMilli, Default);
+}
+
+Duration secondsAt(const Json &In, const char *Key, Duration Default) {
+  constexpr double MicrosPerSecond = 1e6;
+  return durationAt(In, Key, MicrosPerSecond, Default);
 }
 
 std::string portOf(const std::string &Address) {
@@ -48,7 +58,7 @@
       {"metricsListen", addressSchema("IP:port for GET /metrics")},
       {"logLevel", choiceSchema("debug, info, warn or error",
                                 {"debug", "info", "warn", "error"})},
-      {"graceMs", numberOf("milliseconds from the stop signal to the kill")},
+      {"graceSeconds", numberOf("seconds from the stop signal to the kill")},
       {"callersListen", addressSchema("IP:port for callers")},
       {"readyListen", addressSchema("IP:port for the balancer's probe")},
       {"controlListen", addressSchema("IP:port for operators and workers")},
@@ -59,14 +69,13 @@
                         "time, with empty disks"}}},
       {"platform", addressSchema("IP:port of the platform's interface")},
       {"advice", addressSchema("IP:port of the advice service")},
-      {"platformReadsPerSecond", numberOf("most readings of the VM list")},
       {"platformOrdersPerSecond", numberOf("most orders to the platform")},
       {"longestLeaseMs", numberOf("longest lease that workers grant")},
       {"orderPauseMs",
        numberOf("milliseconds between two leaders' orders for one VM")},
       {"noticeMs", numberOf("milliseconds that a long-running task may be away "
                             "before it counts as missed")},
-      {"maintenanceMs", numberOf("milliseconds that a maintenance takes")}};
+      {"maintenanceSeconds", numberOf("seconds that a maintenance takes")}};
   return objectSchema("settings of the job path's daemons",
                       {"vm", "dataCentre", "internalListen", "seeds"},
                       Properties);
@@ -84,7 +93,7 @@
   }
   Result.MetricsListen = addressAt(In, "metricsListen");
   Result.LogLevel = In.value("logLevel", Result.LogLevel);
-  Result.Grace = millisAt(In, "graceMs", Result.Grace);
+  Result.Grace = secondsAt(In, "graceSeconds", Result.Grace);
   Result.CallersListen = addressAt(In, "callersListen");
   Result.ReadyListen = addressAt(In, "readyListen");
   Result.ControlListen = addressAt(In, "controlListen");
@@ -92,15 +101,12 @@
   Result.FirstStart = In.value("firstStart", false);
   Result.Platform = addressAt(In, "platform");
   Result.Advice = addressAt(In, "advice");
-  Result.PlatformReadsPerSecond =
-      In.value("platformReadsPerSecond", Result.PlatformReadsPerSecond);
   Result.PlatformOrdersPerSecond =
       In.value("platformOrdersPerSecond", Result.PlatformOrdersPerSecond);
   Result.LongestLease = millisAt(In, "longestLeaseMs", Result.LongestLease);
   Result.OrderPause = millisAt(In, "orderPauseMs", Result.OrderPause);
-  Result.Notice = millisAt(In, "noticeMs", Result.Notice);
   Result.MaintenanceTime =
-      millisAt(In, "maintenanceMs", Result.MaintenanceTime);
+      secondsAt(In, "maintenanceSeconds", Result.MaintenanceTime);
   bool IsControl = Result.ControlListen.has_value();
   if (IsControl && Result.DataFolder.empty()) {
     Diagnostic = "key 'dataFolder': missing; expected: a folder on this control"
--- a/Source/Fleet/FleetSettings.h
+++ b/Source/Fleet/FleetSettings.h
@@ -36,14 +36,12 @@
   bool FirstStart = false; // The whole system starts for the first time.
   std::optional<SocketAddress> Platform;
   std::optional<SocketAddress> Advice;
-  double PlatformReadsPerSecond = 4;
+  /// Most orders that the platform takes from all daemons together.
   double PlatformOrdersPerSecond = 4;
   /// Longest lease that workers grant.
   Duration LongestLease = seconds(6);
   /// Two leaders do not order the same VM within this time.
   Duration OrderPause = seconds(3);
-  /// How long a long-running task may be away before it counts as missed.
-  Duration Notice = milliseconds(4500);
   Duration MaintenanceTime = seconds(2);
 
   /// Addresses where the seeds' own processes listen.
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -266,6 +266,7 @@
       Events.note(Kind, std::move(Fields));
     };
     DispatcherOptions Options;
+    Options.Lease.Lease = std::min(Options.Lease.Lease, Settings.LongestLease);
     MaintenanceOptions WaveOptions;
     WaveOptions.OrderPause = Settings.OrderPause + milliseconds(100);
     WaveOptions.MaintenanceTime = Settings.MaintenanceTime;
@@ -276,6 +277,7 @@
                                           Loop.timers(), WaveOptions, Hooks);
     PoolMoverOptions MoveOptions;
     MoveOptions.OrderPause = WaveOptions.OrderPause;
+    MoveOptions.OrdersPerSecond = Settings.PlatformOrdersPerSecond;
     Mover = std::make_unique<PoolMover>(
         Configuration, *Scheduler, Ports.Vms, Loop.timers(), MoveOptions, Hooks,
         [this](const std::string &Vm) { return Waves->reserves(Vm); });
--- a/Source/Pools/PoolMover.cpp
+++ b/Source/Pools/PoolMover.cpp
@@ -112,9 +112,14 @@
   std::map<std::string, size_t> Arriving;
   for (const auto &[Vm, Item] : UnderWay)
     ++Arriving[Item.To];
+  constexpr double MicrosPerSecond = 1e6;
+  double TickSeconds =
+      static_cast<double>(Options.TickPeriod.count()) / MicrosPerSecond;
+  double Allowed = Options.OrdersPerSecond * Options.OwnPart * TickSeconds;
+  size_t Left = std::max<size_t>(1, static_cast<size_t>(Allowed));
   for (const VmMove &Chosen :
        Planner.plan(Timers.now(), demands(), movable(), Arriving)) {
-    if (UnderWay.size() >= Options.MostUnderWay)
+    if (UnderWay.size() >= Options.MostUnderWay || Left-- == 0)
       return;
     order(Chosen);
   }
--- a/Source/Pools/PoolMover.h
+++ b/Source/Pools/PoolMover.h
@@ -28,6 +28,10 @@
   /// A VM that was moved is expected back by then; otherwise the list tells.
   Duration MoveLimit = seconds(6);
   size_t MostUnderWay = 16;
+  /// Orders that the platform takes from everybody; a part of it is left for
+  /// maintenance.
+  double OrdersPerSecond = 4;
+  double OwnPart = 0.75;
   PoolPlannerOptions Planner;
 };
 
--- /dev/null
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -0,0 +1,231 @@
+// The part of the scheduler that decides what starts where: the order of jobs,
+// limits, gangs, copies and advice, over the book of free room.
+
+#include "Scheduling/Dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mimosashunt {
+
+// Scheduling.
+
+size_t Dispatcher::poolSize(const std::string &Pool) const {
+  size_t Count = 0;
+  for (const auto &[Key, Worker] : Table.all())
+    Count += Worker.Entry.Pool == Pool ? 1 : 0;
+  return Count;
+}
+
+double Dispatcher::estimateFactor(const JobProgress &Job) const {
+  auto Found = EstimateFactors.find(Job.job().Queue);
+  return Found == EstimateFactors.end() ? 1.0 : Found->second;
+}
+
+std::vector<JobRank> Dispatcher::rank(const std::string &Pool,
+                                      std::vector<JobProgress *> &List) const {
+  std::vector<JobRank> Ranks;
+  for (const auto &[Id, Job] : Jobs) {
+    if (Job->Ended || Job->Pool != Pool)
+      continue;
+    JobRank Rank;
+    Rank.Index = List.size();
+    List.push_back(Job.get());
+    Rank.Priority = Job->Priority;
+    Rank.LongRunning = Job->longRunning();
+    Rank.Begun = Job->Begun;
+    Rank.AcceptedAt = Job->AcceptedAt;
+    Rank.Objective = Job->Objective;
+    double Factor = estimateFactor(*Job);
+    Rank.ChainMs = Job->remainingChainMs(Factor);
+    Rank.RemainingWork = Job->remainingWork(Factor);
+    Rank.TotalWork = static_cast<double>(Job->spec().workCoreMs()) * Factor;
+    const OrganisationConfiguration *Owner =
+        Configuration.organisation(Job->job().Organisation);
+    Rank.OrganisationWeight =
+        Owner == nullptr ? 1 : std::max(Owner->Weight, 1e-3);
+    Rank.OrganisationLoad =
+        static_cast<double>(Table.usedBy(Job->job().Organisation).Cpu) /
+        Rank.OrganisationWeight;
+    Ranks.push_back(Rank);
+  }
+  return Ranks;
+}
+
+void Dispatcher::schedule(const std::string &Pool) {
+  if (Pool.empty())
+    return;
+  std::vector<Candidate> Candidates =
+      candidatesOf(Table, Pool, Health, Timers.now());
+  if (Candidates.empty())
+    return;
+  std::vector<JobProgress *> List;
+  std::vector<JobRank> Ranks = rank(Pool, List);
+  orderJobs(Options.Order, Timers.now(), MeanWork, Ranks);
+  for (const JobRank &Rank : Ranks)
+    scheduleJob(*List[Rank.Index], Candidates);
+}
+
+void Dispatcher::scheduleJob(JobProgress &Job,
+                             std::vector<Candidate> &Candidates) {
+  WallMillis Now = Hooks.WallNow();
+  for (uint32_t K = 0; K < Job.Occurrences.size(); ++K) {
+    if (Job.spec().Times.dueAt(K) > Now)
+      continue;
+    for (uint32_t S = 0; S < Job.Occurrences[K].Steps.size(); ++S) {
+      const StepProgress &Step = Job.Occurrences[K].Steps[S];
+      bool MayCopy = Job.step(S).Speculative && !Step.done();
+      if ((Step.allPlaced() && !MayCopy) || !Job.ready(K, S))
+        continue;
+      bool MayBeElsewhere =
+          Job.Inherited && !reconciled(Job.Pool) && !Job.step(S).Speculative;
+      if (MayBeElsewhere)
+        continue;
+      if (Job.step(S).Gang)
+        scheduleGang(Job, K, S, Candidates);
+      else
+        scheduleStep(Job, K, S, Candidates);
+    }
+  }
+}
+
+Resources Dispatcher::unlocated(const std::string &Organisation) const {
+  Resources Sum;
+  for (const auto &[Id, Job] : Jobs) {
+    if (!Job->Inherited || Job->Ended ||
+        Job->job().Organisation != Organisation || reconciled(Job->Pool))
+      continue;
+    for (uint32_t K = 0; K < Job->Occurrences.size(); ++K)
+      for (uint32_t S = 0; S < Job->Occurrences[K].Steps.size(); ++S) {
+        const StepProgress &Step = Job->Occurrences[K].Steps[S];
+        if (Job->ready(K, S))
+          Sum += Job->step(S).Each *
+                 static_cast<int64_t>(Step.Tasks.size() - Step.DoneCount -
+                                      Step.Placed);
+      }
+  }
+  return Sum;
+}
+
+bool Dispatcher::withinQuota(const JobProgress &Job,
+                             const Resources &Extra) const {
+  const OrganisationConfiguration *Owner =
+      Configuration.organisation(Job.job().Organisation);
+  if (Owner == nullptr || Owner->Maximum == Resources{})
+    return true;
+  Resources Used = Table.usedBy(Owner->Name);
+  Used += unlocated(Owner->Name);
+  Used += Extra;
+  const Resources &Most = Owner->Maximum;
+  return (Most.Cpu == 0 || Used.Cpu <= Most.Cpu) &&
+         (Most.MemoryMb == 0 || Used.MemoryMb <= Most.MemoryMb) &&
+         (Most.Accelerators == 0 || Used.Accelerators <= Most.Accelerators);
+}
+
+bool Dispatcher::allSilent(const TaskSlot &Slot) const {
+  return std::none_of(Slot.At.begin(), Slot.At.end(),
+                      [this](const WorkerKey &Key) {
+                        const LiveWorker *Worker = Table.find(Key);
+                        return Worker != nullptr && Worker->InTouch;
+                      });
+}
+
+void Dispatcher::scheduleStep(JobProgress &Job, uint32_t Occurrence,
+                              uint32_t Step,
+                              std::vector<Candidate> &Candidates) {
+  const StepSpec &Spec = Job.step(Step);
+  const QueueConfiguration *Queue = Configuration.queue(Job.job().Queue);
+  bool Advised = Queue != nullptr && Queue->Advice.has_value();
+  StepProgress &Progress = Job.Occurrences[Occurrence].Steps[Step];
+  for (uint32_t I = 0; I < Spec.Count; ++I) {
+    TaskSlot &Slot = Progress.Tasks[I];
+    if (Slot.Done || Slot.NotBefore > Timers.now())
+      continue;
+    // A copy beside a run on a worker that does not answer, where copies may
+    // run, saves the wait for its lease.
+    if (!Slot.At.empty() && !(Spec.Speculative && allSilent(Slot)))
+      continue;
+    if (!withinQuota(Job, Spec.Each))
+      return;
+    Candidate *Found =
+        place(Candidates, {&Spec, &Progress, &Slot, Advised, Timers.now()});
+    if (Found == nullptr) {
+      if (Advised)
+        askAdvice(Job, Occurrence, Step, Candidates);
+      return;
+    }
+    TaskName Task{Job.id(), Occurrence, Step, I};
+    startRun(Job, Task, *Found->Worker, Job.nextAttempt(Task));
+  }
+}
+
+void Dispatcher::scheduleGang(JobProgress &Job, uint32_t Occurrence,
+                              uint32_t Step,
+                              std::vector<Candidate> &Candidates) {
+  const StepSpec &Spec = Job.step(Step);
+  StepProgress &Progress = Job.Occurrences[Occurrence].Steps[Step];
+  // A gang starts whole, once nothing of an earlier attempt is left.
+  if (!Progress.PerWorker.empty() || Progress.DoneCount > 0 ||
+      !withinQuota(Job, Spec.Each * Spec.Count))
+    return;
+  const QueueConfiguration *Queue = Configuration.queue(Job.job().Queue);
+  bool Advised = Queue != nullptr && Queue->Advice.has_value();
+  auto Places = placeGang(
+      Candidates,
+      {&Spec, &Progress, &Progress.Tasks.front(), Advised, Timers.now()},
+      Spec.Count);
+  if (!Places) {
+    if (Advised)
+      askAdvice(Job, Occurrence, Step, Candidates);
+    return;
+  }
+  uint32_t Attempt = Job.nextAttempt({Job.id(), Occurrence, Step, 0});
+  for (uint32_t I = 0; I < Spec.Count; ++I)
+    startRun(Job, {Job.id(), Occurrence, Step, I}, *(*Places)[I]->Worker,
+             Attempt);
+}
+
+void Dispatcher::askAdvice(JobProgress &Job, uint32_t Occurrence, uint32_t Step,
+                           const std::vector<Candidate> &Candidates) {
+  StepProgress &Progress = Job.Occurrences[Occurrence].Steps[Step];
+  if (Progress.Advice.UnderWay)
+    return;
+  constexpr size_t MostAsked = 12;
+  std::vector<std::string> Asked;
+  for (const Candidate &Option : Candidates) {
+    auto Known = Progress.Advice.ByWorker.find(Option.Worker->key().Id);
+    bool Refused =
+        Known != Progress.Advice.ByWorker.end() && Known->second.Text.empty();
+    bool Valid = Known != Progress.Advice.ByWorker.end() && !Refused &&
+                 Timers.now() < Known->second.ValidUntil;
+    if (!Refused && !Valid && Asked.size() < MostAsked)
+      Asked.push_back(Option.Worker->key().Id);
+  }
+  if (Asked.empty())
+    return;
+  Progress.Advice.UnderWay = true;
+  TaskName Name{Job.id(), Occurrence, Step, 0};
+  std::shared_ptr<bool> Kept = Alive;
+  Port.advise(
+      Name, Asked, [this, Kept, Name, Asked](const AdviceAnswer &Answer) {
+        if (!*Kept)
+          return;
+        auto Found = Jobs.find(Name.Job);
+        StepProgress *Progress =
+            Found == Jobs.end() ? nullptr : Found->second->stepOf(Name);
+        if (Progress == nullptr)
+          return;
+        Progress->Advice.UnderWay = false;
+        if (!Answer.Given)
+          return;
+        Instant Until = Timers.now() + milliseconds(Answer.ValidMs * 9 / 10);
+        for (const std::string &Worker : Asked) {
+          auto Ticket = Answer.Tickets.find(Worker);
+          Progress->Advice.ByWorker[Worker] = {
+              Ticket == Answer.Tickets.end() ? "" : Ticket->second, Until};
+        }
+        dirty(Found->second->Pool);
+      });
+}
+
+} // namespace mimosashunt
--- a/Tests/Jobs/PoolsTest.cpp
+++ b/Tests/Jobs/PoolsTest.cpp
@@ -176,7 +176,7 @@
     Hooks.WallNow = [this] {
       return 1800000000000 + toMillis(Frame.Timers.now().time_since_epoch());
     };
-    Hooks.Note = [](const char *, Json) {};
+    Hooks.Note = [](const char *, const Json &) {};
     Driver = std::make_unique<Maintenance>(Frame.Store, *Frame.Leader, Platform,
                                            Frame.Timers, MaintenanceOptions{},
                                            Hooks);
