--- a/Source/Scheduling/JobProgress.h
+++ b/Source/Scheduling/JobProgress.h
@@ -61,8 +61,7 @@
 
 class JobProgress {
 public:
-  /// \p Record must outlive this. \p FirstAttempt is what attempts of this
-  /// leader are higher than.
+  /// \p FirstAttempt is what attempts of this leader are higher than.
   JobProgress(const JobRecord &Record, const QueueConfiguration &Queue,
               uint32_t FirstAttempt, Instant AcceptedAt);
 
@@ -102,7 +101,8 @@
   bool Ended = false; // All is done or failed, also if not agreed on yet.
 
 private:
-  const AcceptJob &Job;
+  // A copy: the store may be replaced while this still stands.
+  const AcceptJob Job;
   uint32_t FirstAttempt;
   bool LongRunning;
 };
--- a/Tests/Jobs/LeaderChangeTest.cpp
+++ b/Tests/Jobs/LeaderChangeTest.cpp
@@ -94,6 +94,20 @@
   }
 }
 
+TEST(LeaderChange, AStoreThatIsReplacedLeavesNothingDangling) {
+  // A leader that lost touch may be sent a snapshot before it hears that it no
+  // longer leads.
+  SchedulerFrame Frame;
+  Frame.addPool("p", 2, 8);
+  Frame.lead();
+  Frame.submit("a", "p", chain(2, 4, 1000, 300));
+  Frame.run(milliseconds(100));
+  Frame.Store.restore(Frame.Store.snapshot());
+  Frame.Leader->configurationChanged();
+  Frame.run(seconds(2));
+  EXPECT_EQ(Frame.stateOf("a"), JobState::Completed);
+}
+
 TEST(LeaderChange, TasksOfACancelledJobThatStillRunAreStopped) {
   SchedulerFrame Frame;
   Frame.addPool("p", 2, 8);
