Fleet: one way to make an internal request; leftovers removed

Cause, found on a second reading: the same request was built in two files and the same delay stood in two more; Maintenance kept when it first saw a wave and never used it; WorkerHealth had an option and a count that nothing reads.

--- a/Source/Fleet/AgreementLinks.cpp
+++ b/Source/Fleet/AgreementLinks.cpp
@@ -19,15 +19,6 @@
 /// answer; the log sends them again when it does.
 constexpr size_t MaxWaiting = 64;
 
-HttpRequest request(const char *Path, std::string Body) {
-  HttpRequest Result;
-  Result.Method = "POST";
-  Result.Path = Path;
-  Result.Headers.push_back({"content-type", "application/cbor"});
-  Result.Body = std::move(Body);
-  return Result;
-}
-
 bool isVote(const RaftMessage &Message) {
   return std::holds_alternative<VoteRequest>(Message.Body) ||
          std::holds_alternative<VoteReply>(Message.Body);
@@ -98,17 +89,18 @@
         return std::holds_alternative<SnapshotRequest>(Message.Body);
       });
   To.UnderWay = true;
-  Client.send(Target,
-              request(internal_path::Consensus, encodeRaftMessages(Batch)),
-              HasSnapshot ? SnapshotTimeout : MessageTimeout,
-              [this, &To](const HttpResult &Result) {
-                To.UnderWay = false;
-                std::vector<RaftMessage> Back;
-                const std::string *Body = bodyOf(Result);
-                if (Body != nullptr && decodeRaftMessages(*Body, Back))
-                  for (const RaftMessage &Message : Back)
-                    Take(Message);
-              });
+  Client.send(
+      Target,
+      internalRequest(internal_path::Consensus, encodeRaftMessages(Batch)),
+      HasSnapshot ? SnapshotTimeout : MessageTimeout,
+      [this, &To](const HttpResult &Result) {
+        To.UnderWay = false;
+        std::vector<RaftMessage> Back;
+        const std::string *Body = bodyOf(Result);
+        if (Body != nullptr && decodeRaftMessages(*Body, Back))
+          for (const RaftMessage &Message : Back)
+            Take(Message);
+      });
 }
 
 std::string AgreementLinks::answer(const std::string &Body,
@@ -145,8 +137,8 @@
   for (const std::string &Address : others()) {
     SocketAddress Target;
     if (!SocketAddress::parse(Address, Target))
-      Client.send(Target, request(internal_path::Join, Body), MessageTimeout,
-                  [](const HttpResult &) {});
+      Client.send(Target, internalRequest(internal_path::Join, Body),
+                  MessageTimeout, [](const HttpResult &) {});
   }
 }
 
@@ -156,8 +148,8 @@
     SocketAddress Target;
     if (Address == SelfAddress || SocketAddress::parse(Address, Target))
       continue;
-    Client.send(Target, request(internal_path::Offer, Body), MessageTimeout,
-                [Run](const HttpResult &Result) {
+    Client.send(Target, internalRequest(internal_path::Offer, Body),
+                MessageTimeout, [Run](const HttpResult &Result) {
                   FoundingOffer Theirs;
                   const std::string *Back = bodyOf(Result);
                   if (Back != nullptr && decodeOffer(*Back, Theirs))
--- a/Source/Fleet/InternalMessages.h
+++ b/Source/Fleet/InternalMessages.h
@@ -5,9 +5,11 @@
 #define MIMOSASHUNT_FLEET_INTERNALMESSAGES_H
 
 #include "Jobs/JobTypes.h"
+#include "Links/HttpTypes.h"
 
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace mimosashunt {
@@ -50,6 +52,20 @@
 inline constexpr const char *Call = "/internal/call";
 } // namespace internal_path
 
+/// When a caller may come again that was refused for want of a leader: a change
+/// of leader takes about as long.
+inline constexpr int64_t RetrySoonMs = 500;
+
+/// A request between the system's own processes.
+inline HttpRequest internalRequest(const char *Path, std::string Body) {
+  HttpRequest Result;
+  Result.Method = "POST";
+  Result.Path = Path;
+  Result.Headers.push_back({"content-type", "application/cbor"});
+  Result.Body = std::move(Body);
+  return Result;
+}
+
 } // namespace mimosashunt
 
 #endif
--- a/Source/Fleet/LeaderLink.cpp
+++ b/Source/Fleet/LeaderLink.cpp
@@ -16,16 +16,6 @@
 /// not reach.
 constexpr Duration SyncValid = milliseconds(1500);
 constexpr int MaxRedirects = 2;
-constexpr int64_t RetrySoonMs = 500;
-
-HttpRequest request(const char *Path, std::string Body) {
-  HttpRequest Result;
-  Result.Method = "POST";
-  Result.Path = Path;
-  Result.Headers.push_back({"content-type", "application/cbor"});
-  Result.Body = std::move(Body);
-  return Result;
-}
 
 } // namespace
 
@@ -74,7 +64,8 @@
   SyncUnderWay = true;
   SyncRequest Asked{Vm, Configuration.Version};
   Instant SentAt = Loop.timers().now();
-  Client.send(Target, request(internal_path::Sync, toCbor(Asked)), SyncTimeout,
+  Client.send(Target, internalRequest(internal_path::Sync, toCbor(Asked)),
+              SyncTimeout,
               [this, Address = Candidate, SentAt](const HttpResult &Result) {
                 SyncUnderWay = false;
                 synced(Address, Result);
@@ -136,7 +127,7 @@
   if (SocketAddress::parse(Address, Target) || Left <= Duration::zero())
     return Done({CallOutcome::NotRun, JobState::Queued, RetrySoonMs, {}});
   Client.send(
-      Target, request(internal_path::Call, Body), Left,
+      Target, internalRequest(internal_path::Call, Body), Left,
       [this, Address, Body, Until, Redirects,
        Done = std::move(Done)](const HttpResult &Result) mutable {
         JobAnswer Back;
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -17,7 +17,6 @@
 constexpr Duration StopLimit = seconds(2);
 /// Proposals that wait for the group; more are refused as not run.
 constexpr size_t MaxPendingProposals = 4000;
-constexpr int64_t RetrySoonMs = 500;
 const char *const PassedOnHeader = "x-mimosashunt-passed-on";
 
 uint64_t randomNumber() {
--- a/Source/Pools/Maintenance.cpp
+++ b/Source/Pools/Maintenance.cpp
@@ -167,10 +167,8 @@
 
 void Maintenance::planWave(const WaveRecord &Wave) {
   uint64_t Number = Wave.Plan.Wave;
-  Instant Seen = FirstSeen.try_emplace(Number, Timers.now()).first->second;
   int64_t Age = std::max<int64_t>(0, Hooks.WallNow() - Wave.Plan.At);
   Duration Left = milliseconds(Wave.Plan.DurationMs - Age);
-  (void)Seen;
   std::vector<std::pair<double, std::string>> Waiting;
   for (const std::string &Vm : Wave.Plan.Vms) {
     auto Listed = Vms.find(Vm);
--- a/Source/Pools/Maintenance.h
+++ b/Source/Pools/Maintenance.h
@@ -95,7 +95,6 @@
   Instant ListAskedAt;
   std::map<std::string, Work> Works;
   std::set<std::pair<uint64_t, std::string>> Finishing;
-  std::map<uint64_t, Instant> FirstSeen; // When a wave was first seen here.
   TimerId TickTimer = 0;
   std::shared_ptr<bool> Alive;
 };
--- a/Source/Scheduling/WorkerHealth.cpp
+++ b/Source/Scheduling/WorkerHealth.cpp
@@ -62,11 +62,4 @@
          Now >= Found->second.EjectedUntil;
 }
 
-size_t WorkerHealth::ejectedCount(Instant Now) const {
-  return static_cast<size_t>(
-      std::count_if(Workers.begin(), Workers.end(), [&](const auto &Item) {
-        return Now < Item.second.EjectedUntil;
-      }));
-}
-
 } // namespace mimosashunt
--- a/Source/Scheduling/WorkerHealth.h
+++ b/Source/Scheduling/WorkerHealth.h
@@ -8,7 +8,6 @@
 #include "Core/Time.h"
 #include "Jobs/JobCommands.h"
 
-#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -16,8 +15,6 @@
 namespace mimosashunt {
 
 struct HealthOptions {
-  /// Ends that are remembered of each worker.
-  size_t Remembered = 6;
   /// Failed or stuck runs in a row, of different jobs, that eject a worker.
   size_t StrikesToEject = 2;
   Duration FirstEjection = seconds(2);
@@ -44,7 +41,6 @@
   bool ejected(const WorkerKey &Worker, Instant Now) const;
   /// After an ejection one run at a time shows whether the worker is sound.
   bool onProbation(const WorkerKey &Worker, Instant Now) const;
-  size_t ejectedCount(Instant Now) const;
 
 private:
   struct State {
