Scheduling: steps kept together, late work counted, waves paced

Steps that come and go are now kept on as few workers as hold them, each on the one that it fills.

Two older tests had taken spread for granted: the worker that stands still gets work because the job fills all three, and the worker that fails everything is now the one that placement prefers, with a check that it failed some.

--- a/Source/Pools/Maintenance.cpp
+++ b/Source/Pools/Maintenance.cpp
@@ -1,5 +1,7 @@
 #include "Pools/Maintenance.h"
 
+#include "Pools/WavePace.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -180,20 +182,20 @@
   }
   std::sort(Waiting.begin(), Waiting.end());
   size_t MaxDown = std::max<uint32_t>(1, Wave.Plan.MaxDown);
-  Duration RoundTime = Options.MaintenanceTime + Options.EmptyingTime;
-  auto Rounds = static_cast<int64_t>((Waiting.size() + MaxDown - 1) / MaxDown);
-  // Two rounds to spare: VMs fail, and orders are lost.
-  bool Hurry = Left < RoundTime * (Rounds + 2);
+  WavePace Pace = wavePace({Waiting.size(), downIn(Number), MaxDown, Left,
+                            Options.MaintenanceTime + Options.EmptyingTime});
   for (const auto &[Cost, Vm] : Waiting) {
-    if (downIn(Number) >= MaxDown)
+    size_t Down = downIn(Number);
+    // VMs with work are taken only as many at once as the wave needs.
+    if (Down >= MaxDown || (Cost > 0 && Down >= Pace.AtOnce))
       return;
-    if ((!Hurry && poolBusy(Vm)) || !poolCanSpare(Vm))
+    if ((!Pace.Hurry && poolBusy(Vm)) || !poolCanSpare(Vm))
       continue;
     Works[Vm] = {Number, Stage::Emptying, Timers.now(), Timers.now(), false};
     Scheduler.cordon(Vm, true);
     Hooks.Note(
         "maintenance_begins",
-        {{"vm", Vm}, {"wave", Number}, {"cost", Cost}, {"hurry", Hurry}});
+        {{"vm", Vm}, {"wave", Number}, {"cost", Cost}, {"hurry", Pace.Hurry}});
   }
 }
 
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -265,11 +265,13 @@
     }
     double Factor = estimateFactor(*Job);
     double Chain = Job->remainingChainMs(Factor);
-    Duration Left = milliseconds(static_cast<int64_t>(Chain));
-    if (Timers.now() + Left > Job->Objective)
-      continue;
-    Demand.PassingCores +=
-        Job->remainingWork(Factor) / std::max(Chain, ShortestChainMs);
+    bool InTime = Timers.now() + milliseconds(static_cast<int64_t>(Chain)) <=
+                  Job->Objective;
+    // What is late is still owed; it asks for room to end within some seconds
+    // and not for a burst of its own.
+    double LateMs = static_cast<double>(toMillis(Options.LateSpread));
+    double OverMs = std::max(Chain, InTime ? ShortestChainMs : LateMs);
+    Demand.PassingCores += Job->remainingWork(Factor) / OverMs;
   }
   return Demand;
 }
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -43,6 +43,9 @@
   /// Ends that come within this time are agreed on together.
   Duration NotePause = milliseconds(20);
   Duration StopRetry = milliseconds(250);
+  /// Work that is late already asks for room to end within this time: callers
+  /// wait up to three objectives, the shortest of which is about 1 s.
+  Duration LateSpread = milliseconds(2500);
   /// A worker that neither answers nor reports for so long is forgotten.
   Duration ForgetAfter = seconds(12);
   /// Attempts that one leader may have used for a task; the next one numbers
@@ -72,7 +75,8 @@
 
 /// What one pool asks for now.
 struct PoolDemand {
-  double PassingCores = 0; // To run all that came and can still be in time.
+  /// To run all that came in time, and what is late within some seconds.
+  double PassingCores = 0;
   double LastingCores = 0; // Of long-running tasks.
   /// Fewest VMs on which the long-running tasks fit as spread as they ask.
   size_t FewestVms = 0;
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -137,6 +137,7 @@
   const QueueConfiguration *Queue = Configuration.queue(Job.job().Queue);
   bool Advised = Queue != nullptr && Queue->Advice.has_value();
   StepProgress &Progress = Job.Occurrences[Occurrence].Steps[Step];
+  Candidate *Beside = nullptr;
   for (uint32_t I = 0; I < Spec.Count; ++I) {
     TaskSlot &Slot = Progress.Tasks[I];
     if (Slot.Done || Slot.NotBefore > Timers.now())
@@ -147,8 +148,11 @@
       continue;
     if (!withinQuota(Job, Spec.Each))
       return;
+    uint32_t Remaining = Spec.Count - Progress.DoneCount - Progress.Placed;
     Candidate *Found =
-        place(Candidates, {&Spec, &Progress, &Slot, Advised, Timers.now()});
+        place(Candidates, {&Spec, &Progress, &Slot, Advised, Timers.now(),
+                           std::max<uint32_t>(Remaining, 1), Beside});
+    Beside = Found;
     if (Found == nullptr) {
       if (Advised)
         askAdvice(Job, Occurrence, Step, Candidates);
--- a/Source/Scheduling/Placement.cpp
+++ b/Source/Scheduling/Placement.cpp
@@ -49,24 +49,54 @@
   return holdsTicket(Request, Option);
 }
 
+bool failedThere(const PlacementRequest &Request, const Candidate &Option) {
+  return Request.Slot->Avoid.count(Option.Worker->key().Id) > 0;
+}
+
+bool farFromData(const PlacementRequest &Request, const Candidate &Option) {
+  const std::string &Rack = Request.Spec->DataRack;
+  return !Rack.empty() && Option.Worker->Entry.rack() != Rack;
+}
+
+/// How many times \p Part fits into \p Whole in one dimension.
+int64_t timesIn(int64_t Whole, int64_t Part, int64_t Most) {
+  return Part <= 0 ? Most : std::min(Most, Whole / Part);
+}
+
+/// How many of the step's remaining tasks the worker could take.
+uint32_t holds(const PlacementRequest &Request, const Candidate &Option,
+               const std::map<WorkerKey, uint32_t> &Extra) {
+  if (Option.Probation)
+    return 1;
+  const Resources Each = Request.Spec->room();
+  int64_t Most = Request.Remaining;
+  Most = timesIn(Option.Free.Cpu, Each.Cpu, Most);
+  Most = timesIn(Option.Free.MemoryMb, Each.MemoryMb, Most);
+  Most = timesIn(Option.Free.Accelerators, Each.Accelerators, Most);
+  uint32_t Limit = Request.Spec->MaxPerWorker;
+  if (Limit > 0)
+    Most = std::min<int64_t>(Most, Limit - runsOfStep(Request, Option, Extra));
+  return static_cast<uint32_t>(Most);
+}
+
 /// Smaller is better.
 using Preference = std::tuple<bool, bool, uint32_t, int64_t>;
 
 Preference preferenceOf(const PlacementRequest &Request,
                         const Candidate &Option,
                         const std::map<WorkerKey, uint32_t> &Extra) {
-  const StepSpec &Spec = *Request.Spec;
-  bool FailedThere = Request.Slot->Avoid.count(Option.Worker->key().Id) > 0;
-  bool FarFromData =
-      !Spec.DataRack.empty() && Option.Worker->Entry.rack() != Spec.DataRack;
+  bool Failed = failedThere(Request, Option);
+  bool Far = farFromData(Request, Option);
   // A long-running step is spread, so that a lost worker costs few of its
   // tasks, over workers that serve others already: the rest stay free to move
   // to other pools.
-  uint32_t Together = Spec.LongRunning ? runsOfStep(Request, Option, Extra) : 0;
-  int64_t Last = -Option.Free.Cpu;
-  if (Spec.LongRunning)
-    Last = -static_cast<int64_t>(Option.LongRuns);
-  return {FailedThere, FarFromData, Together, Last};
+  if (Request.Spec->LongRunning)
+    return {Failed, Far, runsOfStep(Request, Option, Extra),
+            -static_cast<int64_t>(Option.LongRuns)};
+  // Any other step is kept together, and on a worker that it fills: what is
+  // left free elsewhere holds the next step whole.
+  uint32_t Outside = Request.Remaining - holds(Request, Option, Extra);
+  return {Failed, Far, Outside, Option.Free.Cpu};
 }
 
 Candidate *best(std::vector<Candidate> &Candidates,
@@ -101,8 +131,10 @@
   std::vector<Candidate> Before = Candidates;
   std::vector<Candidate *> Places;
   std::map<WorkerKey, uint32_t> Extra;
+  PlacementRequest Member = Request;
   for (size_t I = 0; I < Count; ++I) {
-    Candidate *Found = best(Candidates, Request, Extra, Rack);
+    Member.Remaining = static_cast<uint32_t>(Count - I);
+    Candidate *Found = best(Candidates, Member, Extra, Rack);
     if (Found == nullptr) {
       Candidates = Before;
       return std::nullopt;
@@ -135,7 +167,12 @@
 
 Candidate *place(std::vector<Candidate> &Candidates,
                  const PlacementRequest &Request) {
-  Candidate *Found = best(Candidates, Request, {}, {});
+  Candidate *Found = Request.Beside;
+  bool Stays = Found != nullptr && !Request.Spec->LongRunning &&
+               allowed(Request, *Found, {}) && !failedThere(Request, *Found) &&
+               !farFromData(Request, *Found);
+  if (!Stays)
+    Found = best(Candidates, Request, {}, {});
   if (Found != nullptr)
     take(*Found, *Request.Spec);
   return Found;
--- a/Source/Scheduling/Placement.h
+++ b/Source/Scheduling/Placement.h
@@ -1,6 +1,8 @@
 // Picks the worker for one task, and the workers for a gang, from the book of
 // free room. Load pattern: many jobs whose data lies on one rack, steps that
-// may not share a worker, and gangs that need all their room at once.
+// may not share a worker, gangs that need all their room at once, and a rack or
+// a data centre lost in a burst: a job is late if any of its tasks is, so a
+// step that comes and goes is kept together on as few workers as hold it.
 
 #ifndef MIMOSASHUNT_SCHEDULING_PLACEMENT_H
 #define MIMOSASHUNT_SCHEDULING_PLACEMENT_H
@@ -35,6 +37,10 @@
   const TaskSlot *Slot = nullptr;
   bool NeedsTicket = false;
   Instant Now;
+  /// Tasks of the step that still look for a place, this one included.
+  uint32_t Remaining = 1;
+  /// Where the task before this one went; taken again while it fits.
+  Candidate *Beside = nullptr;
 };
 
 /// The best candidate, or none. Takes the room from it.
--- a/Tests/Jobs/BurstReplayTest.cpp
+++ b/Tests/Jobs/BurstReplayTest.cpp
@@ -129,6 +129,30 @@
   EXPECT_EQ(Frame.Workers.Broken, std::vector<std::string>());
 }
 
+TEST(BurstReplay, ALostPartOfThePoolDelaysNoLargerPartOfTheJobs) {
+  // Each job needs all of its eight tasks: spread over the pool, nearly every
+  // job would lose one of them.
+  SchedulerFrame Frame;
+  Frame.addPool("p", 12, 32);
+  Frame.lead();
+  Frame.run(milliseconds(200));
+  constexpr size_t Jobs = 12;
+  for (size_t I = 0; I < Jobs; ++I)
+    Frame.submit("j" + std::to_string(I), "p", chain(1, 8, 3800, 1700));
+  Frame.run(milliseconds(400));
+  for (const char *Id : {"p-0", "p-1", "p-2", "p-3"})
+    Frame.Workers.at(Id).Faults.Silent = true;
+  Frame.run(seconds(9));
+  size_t InTime = 0;
+  for (size_t I = 0; I < Jobs; ++I) {
+    int64_t Took = Frame.tookMs("j" + std::to_string(I));
+    InTime += Took >= 0 && Took <= 1700 * 16 / 10 + 600 ? 1 : 0;
+  }
+  EXPECT_GE(InTime, Jobs * 2 / 3);
+  EXPECT_EQ(Frame.countIn(JobState::Completed), Jobs);
+  EXPECT_EQ(Frame.Workers.Broken, std::vector<std::string>());
+}
+
 TEST(BurstReplay, WorkGoesToTheRackOfItsDataWhileThereIsRoom) {
   SchedulerFrame Frame;
   Frame.addPool("p", 8, 16);
--- a/Tests/Jobs/DispatcherTest.cpp
+++ b/Tests/Jobs/DispatcherTest.cpp
@@ -201,4 +201,16 @@
   EXPECT_EQ(Frame.Leader->pendingOf("other"), 0U);
 }
 
+TEST(Dispatcher, WorkThatIsLateStillAsksForRoom) {
+  // A burst that the pool can't hold: what waits becomes late, and the pool
+  // must not shrink on that account.
+  SchedulerFrame Frame;
+  Frame.addPool("p", 1, 8);
+  Frame.lead();
+  for (int I = 0; I < 40; ++I)
+    Frame.submit("j" + std::to_string(I), "p", chain(1, 8, 1000, 500));
+  Frame.run(seconds(3));
+  EXPECT_GT(Frame.Leader->demandOf("p").PassingCores, 8.0);
+}
+
 } // namespace
--- a/Tests/Jobs/PoolsTest.cpp
+++ b/Tests/Jobs/PoolsTest.cpp
@@ -2,6 +2,7 @@
 
 #include "Pools/Maintenance.h"
 #include "Pools/PoolPlanner.h"
+#include "Pools/WavePace.h"
 #include "Support/SchedulerFrame.h"
 
 #include <gtest/gtest.h>
@@ -255,4 +256,21 @@
   EXPECT_EQ(Wave.Platform.Orders.size(), 2U);
 }
 
+TEST(WavePace, TakesOnlyAsManyAtOnceAsTheWaveNeeds) {
+  WaveRest Rest{20, 0, 10, seconds(49), milliseconds(4500)};
+  EXPECT_EQ(wavePace(Rest), (WavePace{3, false}));
+  // Half of the time has gone and nothing was done.
+  Rest.Left = seconds(25);
+  EXPECT_EQ(wavePace(Rest), (WavePace{6, false}));
+  Rest.Left = seconds(12);
+  EXPECT_EQ(wavePace(Rest), (WavePace{10, true}));
+  Rest.Left = seconds(-3);
+  EXPECT_EQ(wavePace(Rest), (WavePace{10, true}));
+}
+
+TEST(WavePace, NeverMoreThanTheWaveAllows) {
+  EXPECT_EQ(wavePace({20, 0, 2, seconds(40), milliseconds(4500)}).AtOnce, 2U);
+  EXPECT_EQ(wavePace({1, 0, 5, seconds(400), milliseconds(4500)}).AtOnce, 1U);
+}
+
 } // namespace
--- a/Tests/Jobs/WorkerFaultsTest.cpp
+++ b/Tests/Jobs/WorkerFaultsTest.cpp
@@ -71,7 +71,8 @@
   SchedulerFrame Frame;
   Frame.addPool("p", 6, 8, /*MaxAttempts=*/3);
   Frame.lead();
-  Frame.Workers.at("p-2").Faults.FailsAll = true;
+  // The one that placement prefers while all are idle.
+  Frame.Workers.at("p-0").Faults.FailsAll = true;
   for (int I = 0; I < 30; ++I) {
     Frame.submit("j" + std::to_string(I), "p", chain(1, 4, 1000, 300));
     Frame.run(milliseconds(100));
@@ -79,6 +80,7 @@
   Frame.run(seconds(5));
   EXPECT_EQ(Frame.countIn(JobState::Completed), 30U);
   // Idle all the time, it would draw most starts to itself.
+  EXPECT_GE(Frame.Leader->counters().EndsFailed, 1U);
   EXPECT_LT(Frame.Leader->counters().EndsFailed, 30U);
 }
 
@@ -87,7 +89,8 @@
   Frame.addPool("p", 3, 8);
   Frame.lead();
   Frame.Workers.at("p-1").Faults.StandsStill = true;
-  Frame.submit("a", "p", chain(1, 6, 1000, 500));
+  // As many tasks as all three workers hold.
+  Frame.submit("a", "p", chain(1, 24, 1000, 500));
   Frame.run(seconds(6));
   EXPECT_EQ(Frame.stateOf("a"), JobState::Completed);
   EXPECT_GE(Frame.Leader->counters().Standstills, 1U);
