Scheduling: a pass over a long backlog costs little; stand-in fleet

Cause: on the grown sites the leader's 0.35 of a core was used up in a burst (half of the quick lookups first started after 432 ms), and each job that waited made the next pass dearer. Profiled with real daemons against a stand-in fleet on loopback (280 workers, 560 starts a second, 0.38 ms of processor a start): 31% of the leader's time in the scheduler's turn, half of it walking all workers for the few that are due. What an organisation has that cannot be located was summed over all jobs for each task, and each waiting job scanned the whole pool once more after the pool was full.

Due looks are now kept in order, workers by pool; a pass remembers the rooms that no worker had, jobs with nothing to place are not ranked, the sum of what is not located is made once a turn, and jobs not begun are counted at the tick.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -123,8 +123,9 @@
   }
   bool Changed = !Known->Agreed || Known->Entry != Report.Entry;
   bool WasLeaving = Known->Entry.Leaving;
-  Known->Entry = Report.Entry;
-  Known->Entry.Leaving |= WasLeaving;
+  WorkerEntry Entry = Report.Entry;
+  Entry.Leaving |= WasLeaving;
+  Table.update(*Known, Entry);
   Known->LastSequence = Report.Sequence;
   Known->LastHeartbeat = Timers.now();
   Table.noteClock(*Known, Timers.now(), Report.ClockMs);
@@ -150,7 +151,7 @@
   if (Worker == nullptr)
     return;
   Worker->Entry.Leaving = true;
-  Worker->LookAt = Timers.now();
+  Table.lookAt(*Worker, Timers.now());
 }
 
 // Ends.
@@ -221,9 +222,13 @@
   for (const WorkerKey &Key : Forgotten)
     gone(Key, "forgotten");
   // Due times, waiting objectives and advice move on with the time.
-  for (const auto &[Id, Job] : Jobs)
-    if (!Job->Ended)
-      dirty(Job->Pool);
+  Pending.clear();
+  for (const auto &[Id, Job] : Jobs) {
+    if (Job->Ended)
+      continue;
+    dirty(Job->Pool);
+    Pending[Job->job().Queue] += Job->Begun ? 0 : 1;
+  }
   flushEnds();
 }
 
@@ -238,10 +243,8 @@
 }
 
 size_t Dispatcher::pendingOf(const std::string &Queue) const {
-  size_t Count = 0;
-  for (const auto &[Id, Job] : Jobs)
-    Count += Job->job().Queue == Queue && !Job->Begun && !Job->Ended ? 1 : 0;
-  return Count;
+  auto Found = Pending.find(Queue);
+  return Found == Pending.end() ? 0 : Found->second;
 }
 
 PoolDemand Dispatcher::demandOf(const std::string &Pool) const {
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -122,7 +122,7 @@
 
   /// State as callers see it, for a job that the store has.
   JobState stateOf(const JobRecord &Record) const;
-  /// Jobs of the queue that have not begun.
+  /// Jobs of the queue that had not begun at the last tick.
   size_t pendingOf(const std::string &Queue) const;
 
   /// Keeps new tasks off the VM's workers, for maintenance or a move.
@@ -158,6 +158,7 @@
   // Looks.
   void lookAtDue();
   void look(LiveWorker &Worker);
+  void lookLater(LiveWorker &Worker, Duration Pause);
   void looked(const WorkerKey &Key, Instant SentAt, const LookAnswer &Answer);
   void synced(LiveWorker &Worker);
   void takeRunning(LiveWorker &Worker, const RunningTask &Row, Instant SentAt);
@@ -192,17 +193,22 @@
   void schedule(const std::string &Pool);
   std::vector<JobRank> rank(const std::string &Pool,
                             std::vector<JobProgress *> &List) const;
-  void scheduleJob(JobProgress &Job, std::vector<Candidate> &Candidates);
+  /// True if the step has tasks that may be placed now.
+  bool isOpen(const JobProgress &Job, uint32_t Occurrence, uint32_t Step,
+              WallMillis Now) const;
+  bool hasOpenStep(const JobProgress &Job, WallMillis Now) const;
+  void scheduleJob(JobProgress &Job, PlacementPass &Pass);
   void scheduleStep(JobProgress &Job, uint32_t Occurrence, uint32_t Step,
-                    std::vector<Candidate> &Candidates);
+                    PlacementPass &Pass);
   void scheduleGang(JobProgress &Job, uint32_t Occurrence, uint32_t Step,
-                    std::vector<Candidate> &Candidates);
+                    PlacementPass &Pass);
   /// True if no worker that runs the task answers.
   bool allSilent(const TaskSlot &Slot) const;
   bool withinQuota(const JobProgress &Job, const Resources &Extra) const;
   void askAdvice(JobProgress &Job, uint32_t Occurrence, uint32_t Step,
                  const std::vector<Candidate> &Candidates);
-  Resources unlocated(const std::string &Organisation) const;
+  /// What each organisation may have running that cannot be located yet.
+  std::map<std::string, Resources> unlocated() const;
   size_t poolSize(const std::string &Pool) const;
   double estimateFactor(const JobProgress &Job) const;
   void dirty(const std::string &Pool) { DirtyPools.insert(Pool); }
@@ -223,6 +229,8 @@
   // ended.
   std::map<JobId, std::unique_ptr<JobProgress>> Jobs;
   std::set<std::string> DirtyPools;
+  std::map<std::string, size_t> Pending;      // Jobs not begun, by queue.
+  std::map<std::string, Resources> Unlocated; // As of this turn.
   // Workers, by pool, that may run what an earlier leader started.
   std::map<std::string, std::set<WorkerKey>> Unknown;
   std::vector<RunEnd> PendingEnds;
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -11,10 +11,7 @@
 // Scheduling.
 
 size_t Dispatcher::poolSize(const std::string &Pool) const {
-  size_t Count = 0;
-  for (const auto &[Key, Worker] : Table.all())
-    Count += Worker.Entry.Pool == Pool ? 1 : 0;
-  return Count;
+  return Table.inPool(Pool).size();
 }
 
 double Dispatcher::estimateFactor(const JobProgress &Job) const {
@@ -25,8 +22,9 @@
 std::vector<JobRank> Dispatcher::rank(const std::string &Pool,
                                       std::vector<JobProgress *> &List) const {
   std::vector<JobRank> Ranks;
+  WallMillis Now = Hooks.WallNow();
   for (const auto &[Id, Job] : Jobs) {
-    if (Job->Ended || Job->Pool != Pool)
+    if (Job->Ended || Job->Pool != Pool || !hasOpenStep(*Job, Now))
       continue;
     JobRank Rank;
     Rank.Index = List.size();
@@ -55,46 +53,58 @@
 void Dispatcher::schedule(const std::string &Pool) {
   if (Pool.empty())
     return;
-  std::vector<Candidate> Candidates =
-      candidatesOf(Table, Pool, Health, Timers.now());
-  if (Candidates.empty())
+  PlacementPass Pass(candidatesOf(Table, Pool, Health, Timers.now()));
+  if (Pass.candidates().empty())
     return;
   std::vector<JobProgress *> List;
   std::vector<JobRank> Ranks = rank(Pool, List);
   orderJobs(Options.Order, Timers.now(), MeanWork, Ranks);
   for (const JobRank &Rank : Ranks)
-    scheduleJob(*List[Rank.Index], Candidates);
+    scheduleJob(*List[Rank.Index], Pass);
+}
+
+bool Dispatcher::isOpen(const JobProgress &Job, uint32_t Occurrence,
+                        uint32_t Step, WallMillis Now) const {
+  const StepProgress &Progress = Job.Occurrences[Occurrence].Steps[Step];
+  bool MayCopy = Job.step(Step).Speculative && !Progress.done();
+  return (!Progress.allPlaced() || MayCopy) &&
+         Job.spec().Times.dueAt(Occurrence) <= Now &&
+         Job.ready(Occurrence, Step);
 }
 
-void Dispatcher::scheduleJob(JobProgress &Job,
-                             std::vector<Candidate> &Candidates) {
+bool Dispatcher::hasOpenStep(const JobProgress &Job, WallMillis Now) const {
+  for (uint32_t K = 0; K < Job.Occurrences.size(); ++K)
+    for (uint32_t S = 0; S < Job.Occurrences[K].Steps.size(); ++S)
+      if (isOpen(Job, K, S, Now))
+        return true;
+  return false;
+}
+
+void Dispatcher::scheduleJob(JobProgress &Job, PlacementPass &Pass) {
   WallMillis Now = Hooks.WallNow();
-  for (uint32_t K = 0; K < Job.Occurrences.size(); ++K) {
-    if (Job.spec().Times.dueAt(K) > Now)
-      continue;
+  for (uint32_t K = 0; K < Job.Occurrences.size(); ++K)
     for (uint32_t S = 0; S < Job.Occurrences[K].Steps.size(); ++S) {
-      const StepProgress &Step = Job.Occurrences[K].Steps[S];
-      bool MayCopy = Job.step(S).Speculative && !Step.done();
-      if ((Step.allPlaced() && !MayCopy) || !Job.ready(K, S))
+      if (!isOpen(Job, K, S, Now))
         continue;
       bool MayBeElsewhere =
           Job.Inherited && !reconciled(Job.Pool) && !Job.step(S).Speculative;
       if (MayBeElsewhere)
         continue;
       if (Job.step(S).Gang)
-        scheduleGang(Job, K, S, Candidates);
+        scheduleGang(Job, K, S, Pass);
       else
-        scheduleStep(Job, K, S, Candidates);
+        scheduleStep(Job, K, S, Pass);
     }
-  }
 }
 
-Resources Dispatcher::unlocated(const std::string &Organisation) const {
-  Resources Sum;
+std::map<std::string, Resources> Dispatcher::unlocated() const {
+  std::map<std::string, Resources> Result;
+  if (Timers.now() >= Began + Table.longestLease())
+    return Result;
   for (const auto &[Id, Job] : Jobs) {
-    if (!Job->Inherited || Job->Ended ||
-        Job->job().Organisation != Organisation || reconciled(Job->Pool))
+    if (!Job->Inherited || Job->Ended || reconciled(Job->Pool))
       continue;
+    Resources &Sum = Result[Job->job().Organisation];
     for (uint32_t K = 0; K < Job->Occurrences.size(); ++K)
       for (uint32_t S = 0; S < Job->Occurrences[K].Steps.size(); ++S) {
         const StepProgress &Step = Job->Occurrences[K].Steps[S];
@@ -104,7 +114,7 @@
                                       Step.Placed);
       }
   }
-  return Sum;
+  return Result;
 }
 
 bool Dispatcher::withinQuota(const JobProgress &Job,
@@ -114,7 +124,9 @@
   if (Owner == nullptr || Owner->Maximum == Resources{})
     return true;
   Resources Used = Table.usedBy(Owner->Name);
-  Used += unlocated(Owner->Name);
+  auto Elsewhere = Unlocated.find(Owner->Name);
+  if (Elsewhere != Unlocated.end())
+    Used += Elsewhere->second;
   Used += Extra;
   const Resources &Most = Owner->Maximum;
   return (Most.Cpu == 0 || Used.Cpu <= Most.Cpu) &&
@@ -131,8 +143,7 @@
 }
 
 void Dispatcher::scheduleStep(JobProgress &Job, uint32_t Occurrence,
-                              uint32_t Step,
-                              std::vector<Candidate> &Candidates) {
+                              uint32_t Step, PlacementPass &Pass) {
   const StepSpec &Spec = Job.step(Step);
   const QueueConfiguration *Queue = Configuration.queue(Job.job().Queue);
   bool Advised = Queue != nullptr && Queue->Advice.has_value();
@@ -150,12 +161,12 @@
       return;
     uint32_t Remaining = Spec.Count - Progress.DoneCount - Progress.Placed;
     Candidate *Found =
-        place(Candidates, {&Spec, &Progress, &Slot, Advised, Timers.now(),
-                           std::max<uint32_t>(Remaining, 1), Beside});
+        Pass.place({&Spec, &Progress, &Slot, Advised, Timers.now(),
+                    std::max<uint32_t>(Remaining, 1), Beside});
     Beside = Found;
     if (Found == nullptr) {
       if (Advised)
-        askAdvice(Job, Occurrence, Step, Candidates);
+        askAdvice(Job, Occurrence, Step, Pass.candidates());
       return;
     }
     TaskName Task{Job.id(), Occurrence, Step, I};
@@ -164,8 +175,7 @@
 }
 
 void Dispatcher::scheduleGang(JobProgress &Job, uint32_t Occurrence,
-                              uint32_t Step,
-                              std::vector<Candidate> &Candidates) {
+                              uint32_t Step, PlacementPass &Pass) {
   const StepSpec &Spec = Job.step(Step);
   StepProgress &Progress = Job.Occurrences[Occurrence].Steps[Step];
   // A gang starts whole, once nothing of an earlier attempt is left.
@@ -174,13 +184,12 @@
     return;
   const QueueConfiguration *Queue = Configuration.queue(Job.job().Queue);
   bool Advised = Queue != nullptr && Queue->Advice.has_value();
-  auto Places = placeGang(
-      Candidates,
+  auto Places = Pass.placeGang(
       {&Spec, &Progress, &Progress.Tasks.front(), Advised, Timers.now()},
       Spec.Count);
   if (!Places) {
     if (Advised)
-      askAdvice(Job, Occurrence, Step, Candidates);
+      askAdvice(Job, Occurrence, Step, Pass.candidates());
     return;
   }
   uint32_t Attempt = Job.nextAttempt({Job.id(), Occurrence, Step, 0});
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -45,15 +45,17 @@
   if (!mayOrder())
     return;
   lookAtDue();
+  Unlocated = unlocated();
   // Scheduling may make other pools dirty, but only for the next turn.
   for (const std::string &Pool : std::exchange(DirtyPools, {}))
     schedule(Pool);
 }
 
 void Dispatcher::lookAtDue() {
-  for (auto &[Key, Worker] : Table.all())
-    if (!Worker.LookUnderWay && Worker.LookAt <= Timers.now())
-      look(Worker);
+  // A look that is under way sets the time of the next when it ends.
+  for (LiveWorker *Worker : Table.takeDue(Timers.now()))
+    if (!Worker->LookUnderWay)
+      look(*Worker);
 }
 
 void Dispatcher::look(LiveWorker &Worker) {
@@ -112,8 +114,7 @@
   checkStandstill(*Worker);
   pace(*Worker);
   dirty(Worker->Entry.Pool);
-  Worker->LookAt = Timers.now() + Options.LookPause;
-  Timers.at(Worker->LookAt, [] {}); // Wakes the loop for the next turn.
+  lookLater(*Worker, Options.LookPause);
 }
 
 void Dispatcher::synced(LiveWorker &Worker) {
@@ -317,7 +318,7 @@
   // One answer may be lost on its way; the look is repeated at once.
   if (Lost && Worker.InTouch && Worker.SilentLooks == 0) {
     ++Worker.SilentLooks;
-    Worker.LookAt = Timers.now();
+    Table.lookAt(Worker, Timers.now());
     return;
   }
   if (Worker.InTouch)
@@ -326,8 +327,12 @@
                                  {"runs", Worker.Runs.size()}});
   Worker.InTouch = false;
   ++Worker.SilentLooks;
-  Worker.LookAt = Timers.now() + Options.SilentLook;
-  Timers.at(Worker.LookAt, [] {});
+  lookLater(Worker, Options.SilentLook);
+}
+
+void Dispatcher::lookLater(LiveWorker &Worker, Duration Pause) {
+  Table.lookAt(Worker, Timers.now() + Pause);
+  Timers.at(Worker.LookAt, [] {}); // Wakes the loop for that turn.
 }
 
 void Dispatcher::lapse(LiveWorker &Worker) {
@@ -451,7 +456,7 @@
     if (Known.State == RunState::Starting)
       Known.State = RunState::Unsure;
     Known.Since = Timers.now();
-    Worker->LookAt = std::min(Worker->LookAt, Timers.now());
+    Table.lookAt(*Worker, Timers.now());
     return;
   }
   ++Counters.StartsRefused;
@@ -526,7 +531,7 @@
               if (Answer.Outcome == OrderOutcome::Taken ||
                   Answer.Outcome == OrderOutcome::Outdated) {
                 Found->second.StopAnsweredAt = Timers.now();
-                Asked->LookAt = std::min(Asked->LookAt, Timers.now());
+                Table.lookAt(*Asked, Timers.now());
               }
             });
 }
--- a/Source/Scheduling/Placement.cpp
+++ b/Source/Scheduling/Placement.cpp
@@ -125,62 +125,79 @@
   Option.LongRuns += Spec.LongRunning ? 1 : 0;
 }
 
-std::optional<std::vector<Candidate *>>
-gangOn(std::vector<Candidate> &Candidates, const PlacementRequest &Request,
-       size_t Count, const std::string &Rack) {
-  std::vector<Candidate> Before = Candidates;
-  std::vector<Candidate *> Places;
-  std::map<WorkerKey, uint32_t> Extra;
-  PlacementRequest Member = Request;
-  for (size_t I = 0; I < Count; ++I) {
-    Member.Remaining = static_cast<uint32_t>(Count - I);
-    Candidate *Found = best(Candidates, Member, Extra, Rack);
-    if (Found == nullptr) {
-      Candidates = Before;
-      return std::nullopt;
-    }
-    take(*Found, *Request.Spec);
-    ++Extra[Found->Worker->key()];
-    Places.push_back(Found);
-  }
-  return Places;
-}
-
 } // namespace
 
 std::vector<Candidate> candidatesOf(WorkerTable &Table, const std::string &Pool,
                                     const WorkerHealth &Health, Instant Now) {
   std::vector<Candidate> Result;
-  for (auto &[Key, Worker] : Table.all()) {
-    bool Usable = Worker.Entry.Pool == Pool && Worker.Agreed && Worker.Synced &&
-                  Worker.InTouch && !Worker.Entry.Leaving && !Worker.Cordoned;
+  const std::map<WorkerKey, LiveWorker *> &Workers = Table.inPool(Pool);
+  Result.reserve(Workers.size());
+  for (const auto &[Key, Worker] : Workers) {
+    bool Usable = Worker->Agreed && Worker->Synced && Worker->InTouch &&
+                  !Worker->Entry.Leaving && !Worker->Cordoned;
     if (!Usable || Health.ejected(Key, Now))
       continue;
-    size_t LongRuns = 0;
-    for (const auto &[Task, Known] : Worker.Runs)
-      LongRuns += Known.LongRunning ? 1 : 0;
-    Result.push_back({&Worker, Worker.freeRoom(), Worker.Runs.size(), LongRuns,
-                      Health.onProbation(Key, Now)});
+    Result.push_back({Worker, Worker->freeRoom(), Worker->Runs.size(),
+                      Worker->LongRuns, Health.onProbation(Key, Now)});
   }
   return Result;
 }
 
-Candidate *place(std::vector<Candidate> &Candidates,
-                 const PlacementRequest &Request) {
+bool PlacementPass::isTooLarge(const Resources &Room) const {
+  return std::any_of(TooLarge.begin(), TooLarge.end(),
+                     [&](const Resources &Known) { return Room.holds(Known); });
+}
+
+Candidate *PlacementPass::search(const PlacementRequest &Request) {
+  const StepSpec &Spec = *Request.Spec;
+  if (isTooLarge(Spec.room()))
+    return nullptr;
+  Candidate *Found = best(Candidates, Request, {}, {});
+  bool RoomAlone = Spec.Requirement.empty() && Spec.MaxPerWorker == 0 &&
+                   !Request.NeedsTicket && Request.Slot->At.empty();
+  if (Found == nullptr && RoomAlone)
+    TooLarge.push_back(Spec.room());
+  return Found;
+}
+
+Candidate *PlacementPass::place(const PlacementRequest &Request) {
   Candidate *Found = Request.Beside;
   bool Stays = Found != nullptr && !Request.Spec->LongRunning &&
                allowed(Request, *Found, {}) && !failedThere(Request, *Found) &&
                !farFromData(Request, *Found);
   if (!Stays)
-    Found = best(Candidates, Request, {}, {});
+    Found = search(Request);
   if (Found != nullptr)
     take(*Found, *Request.Spec);
   return Found;
 }
 
 std::optional<std::vector<Candidate *>>
-placeGang(std::vector<Candidate> &Candidates, const PlacementRequest &Request,
-          size_t Count) {
+PlacementPass::gangOn(const PlacementRequest &Request, size_t Count,
+                      const std::string &Rack) {
+  std::vector<Candidate> Before = Candidates;
+  std::vector<Candidate *> Places;
+  std::map<WorkerKey, uint32_t> Extra;
+  PlacementRequest Member = Request;
+  for (size_t I = 0; I < Count; ++I) {
+    Member.Remaining = static_cast<uint32_t>(Count - I);
+    Candidate *Found = best(Candidates, Member, Extra, Rack);
+    if (Found == nullptr) {
+      // In place: others may hold on to the candidates.
+      std::copy(Before.begin(), Before.end(), Candidates.begin());
+      return std::nullopt;
+    }
+    take(*Found, *Request.Spec);
+    ++Extra[Found->Worker->key()];
+    Places.push_back(Found);
+  }
+  return Places;
+}
+
+std::optional<std::vector<Candidate *>>
+PlacementPass::placeGang(const PlacementRequest &Request, size_t Count) {
+  if (isTooLarge(Request.Spec->room()))
+    return std::nullopt;
   if (Request.Spec->RackLocal) {
     std::map<std::string, int64_t> FreeByRack;
     for (const Candidate &Option : Candidates)
@@ -191,10 +208,10 @@
       Racks.emplace_back(-Free, Rack);
     std::sort(Racks.begin(), Racks.end());
     for (const auto &[Free, Rack] : Racks)
-      if (auto Places = gangOn(Candidates, Request, Count, Rack))
+      if (auto Places = gangOn(Request, Count, Rack))
         return Places;
   }
-  return gangOn(Candidates, Request, Count, {});
+  return gangOn(Request, Count, {});
 }
 
 } // namespace mimosashunt
--- a/Source/Scheduling/Placement.h
+++ b/Source/Scheduling/Placement.h
@@ -13,6 +13,8 @@
 
 #include <map>
 #include <optional>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace mimosashunt {
@@ -43,14 +45,31 @@
   Candidate *Beside = nullptr;
 };
 
-/// The best candidate, or none. Takes the room from it.
-Candidate *place(std::vector<Candidate> &Candidates,
-                 const PlacementRequest &Request);
+/// One pass over a pool's waiting work. Free room only shrinks in it, so that
+/// what did not fit once does not fit later; a long backlog costs little.
+class PlacementPass {
+public:
+  explicit PlacementPass(std::vector<Candidate> Candidates)
+      : Candidates(std::move(Candidates)) {}
 
-/// A place for each task of a gang, or nothing if not all fit at once.
-std::optional<std::vector<Candidate *>>
-placeGang(std::vector<Candidate> &Candidates, const PlacementRequest &Request,
-          size_t Count);
+  /// The best candidate, or none. Takes the room from it.
+  Candidate *place(const PlacementRequest &Request);
+  /// A place for each task of a gang, or nothing if not all fit at once.
+  std::optional<std::vector<Candidate *>>
+  placeGang(const PlacementRequest &Request, size_t Count);
+
+  const std::vector<Candidate> &candidates() const { return Candidates; }
+
+private:
+  Candidate *search(const PlacementRequest &Request);
+  bool isTooLarge(const Resources &Room) const;
+  std::optional<std::vector<Candidate *>>
+  gangOn(const PlacementRequest &Request, size_t Count,
+         const std::string &Rack);
+
+  std::vector<Candidate> Candidates;
+  std::vector<Resources> TooLarge; // Rooms that no candidate had.
+};
 
 } // namespace mimosashunt
 
--- a/Source/Workers/WorkerTable.cpp
+++ b/Source/Workers/WorkerTable.cpp
@@ -72,23 +72,56 @@
 
 LiveWorker &WorkerTable::add(const WorkerEntry &Entry, Instant Now) {
   LiveWorker &Worker = Workers[Entry.Key];
-  Worker.Entry = Entry;
+  update(Worker, Entry);
   Worker.LeaseEnds = Now;
-  Worker.LookAt = Now;
+  lookAt(Worker, Now);
   return Worker;
 }
 
+void WorkerTable::update(LiveWorker &Worker, const WorkerEntry &Entry) {
+  auto Before = ByPool.find(Worker.Entry.Pool);
+  if (Before != ByPool.end())
+    Before->second.erase(Entry.Key);
+  Worker.Entry = Entry;
+  ByPool[Entry.Pool][Entry.Key] = &Worker;
+}
+
+const std::map<WorkerKey, LiveWorker *> &
+WorkerTable::inPool(const std::string &Pool) const {
+  static const std::map<WorkerKey, LiveWorker *> None;
+  auto Found = ByPool.find(Pool);
+  return Found == ByPool.end() ? None : Found->second;
+}
+
+void WorkerTable::lookAt(LiveWorker &Worker, Instant At) {
+  DueLooks.erase({Worker.LookAt, Worker.key()});
+  Worker.LookAt = At;
+  DueLooks.emplace(At, Worker.key());
+}
+
+std::vector<LiveWorker *> WorkerTable::takeDue(Instant Now) {
+  std::vector<LiveWorker *> Due;
+  while (!DueLooks.empty() && DueLooks.begin()->first <= Now) {
+    Due.push_back(find(DueLooks.begin()->second));
+    DueLooks.erase(DueLooks.begin());
+  }
+  return Due;
+}
+
 void WorkerTable::erase(const WorkerKey &Key) {
   LiveWorker *Worker = find(Key);
   if (Worker == nullptr)
     return;
   while (!Worker->Runs.empty())
     release(*Worker, Worker->Runs.begin()->first);
+  DueLooks.erase({Worker->LookAt, Key});
+  ByPool[Worker->Entry.Pool].erase(Key);
   Workers.erase(Key);
 }
 
 Run &WorkerTable::book(LiveWorker &Worker, const TaskName &Task, Run Booked) {
   Worker.Used += Booked.Room;
+  Worker.LongRuns += Booked.LongRunning ? 1 : 0;
   ByOrganisation[Booked.Organisation] += Booked.Quota;
   return Worker.Runs[Task] = std::move(Booked);
 }
@@ -98,6 +131,7 @@
   if (Found == Worker.Runs.end())
     return;
   Worker.Used -= Found->second.Room;
+  Worker.LongRuns -= Found->second.LongRunning ? 1 : 0;
   ByOrganisation[Found->second.Organisation] -= Found->second.Quota;
   Worker.Runs.erase(Found);
 }
--- a/Source/Workers/WorkerTable.h
+++ b/Source/Workers/WorkerTable.h
@@ -12,6 +12,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace mimosashunt {
 
@@ -67,12 +69,13 @@
   Instant LastAnswer;
   Instant LastHeartbeat;
   uint64_t LastSequence = 0;
-  Resources Used; // Sum of Room over Runs.
+  Resources Used;      // Sum of Room over Runs.
+  size_t LongRuns = 0; // Long-running ones among Runs.
   std::map<TaskName, Run> Runs;
   uint64_t Processed = 0; // Ends up to this number were taken in.
   uint64_t Noted = 0;     // Ends up to this number are agreed on.
   bool LookUnderWay = false;
-  Instant LookAt;
+  Instant LookAt; // Set through WorkerTable::lookAt() alone.
   Instant LookSentAt;
   int SilentLooks = 0;
 
@@ -102,13 +105,23 @@
   LiveWorker *latest(const std::string &Id);
   LiveWorker *byAddress(const std::string &Address);
   LiveWorker &add(const WorkerEntry &Entry, Instant Now);
+  /// Replaces what is known of the same life.
+  void update(LiveWorker &Worker, const WorkerEntry &Entry);
   void erase(const WorkerKey &Key);
+  /// The pool's workers, in order of their keys.
+  const std::map<WorkerKey, LiveWorker *> &
+  inPool(const std::string &Pool) const;
   std::map<WorkerKey, LiveWorker> &all() { return Workers; }
   const std::map<WorkerKey, LiveWorker> &all() const { return Workers; }
 
   Run &book(LiveWorker &Worker, const TaskName &Task, Run Booked);
   void release(LiveWorker &Worker, const TaskName &Task);
 
+  /// Sets when the worker is looked at next; replaces an earlier time.
+  void lookAt(LiveWorker &Worker, Instant At);
+  /// Workers whose time has come; each is returned once for each lookAt().
+  std::vector<LiveWorker *> takeDue(Instant Now);
+
   void noteClock(LiveWorker &Worker, Instant Now, int64_t ClockMs);
   /// End of a lease that begins now, on the worker's clock; widens LeaseEnds.
   std::optional<int64_t> grant(LiveWorker &Worker, Instant Now);
@@ -120,6 +133,10 @@
 private:
   const LeaseOptions Options;
   std::map<WorkerKey, LiveWorker> Workers;
+  // The same workers by the pool in their entry.
+  std::map<std::string, std::map<WorkerKey, LiveWorker *>> ByPool;
+  // Each worker that is to be looked at, by its LookAt.
+  std::set<std::pair<Instant, WorkerKey>> DueLooks;
   std::map<std::string, Resources> ByOrganisation;
 };
 
--- /dev/null
+++ b/Utilities/jobfleet.sh
@@ -0,0 +1,56 @@
+# Starts and stops the job path's daemons on loopback, each VM on an IP of its
+# own; sourced by tests and trials. Expects $bin (folder of programs), $work (an
+# empty folder) and $net (the third number of 127.0.NET.N).
+
+declare -A pid_of
+pids=()
+
+# Writes the settings of VM $1, number $2 of the role $3 (control or entry).
+job_settings() {
+  local ip="127.0.$net.$2" role=""
+  if [ "$3" = control ]; then
+    role="\"controlListen\": \"$ip:7400\", \"dataFolder\": \"$work/disk-$1\", \"firstStart\": ${first_start:-true},
+ \"platformOrdersPerSecond\": 4"
+    mkdir -p "$work/disk-$1"
+  else
+    role="\"callersListen\": \"$ip:7300\", \"readyListen\": \"$ip:7301\""
+  fi
+  cat >"$work/$1.json" <<JSON
+{"vm": "$1", "dataCentre": "dc-$(($2 % 3 + 1))", "internalListen": "$ip:7500",
+ "metricsListen": "$ip:9464", "seeds": [$seeds], "graceSeconds": 3, $role}
+JSON
+}
+
+# Prepares $1 control VMs and $2 entry VMs; sets $control and $entries.
+prepare_jobs() {
+  local n
+  seeds="" control="" entries=""
+  for ((n = 1; n <= $1; n++)); do
+    [ $n -le 3 ] && seeds+="${seeds:+,}\"127.0.$net.$n:7400\""
+    control+="${control:+,}127.0.$net.$n:7400"
+  done
+  for ((n = 1; n <= $2; n++)); do entries+="${entries:+,}127.0.$net.$((100 + n)):7300"; done
+  for ((n = 1; n <= $1; n++)); do job_settings "control-$n" $n control; done
+  for ((n = 1; n <= $2; n++)); do job_settings "entry-$n" $((100 + n)) entry; done
+}
+
+# Starts the VM $1; its log is appended to.
+start_vm() {
+  local program=mimosashunt-gateway
+  [[ $1 == control-* ]] && program=mimosashunt-scheduler
+  "$bin/Source/Fleet/$program" --settings="$work/$1.json" >>"$work/$1.log" 2>&1 &
+  pid_of[$1]=$!
+  pids+=($!)
+}
+
+start_jobs() {
+  local n
+  for ((n = 1; n <= $1; n++)); do start_vm "control-$n"; done
+  for ((n = 1; n <= $2; n++)); do start_vm "entry-$n"; done
+}
+
+# Ends only what was started here, by process id.
+end_jobs() {
+  [ ${#pids[@]} -eq 0 ] || kill -KILL "${pids[@]}" 2>/dev/null
+  wait 2>/dev/null
+}
