Fleet: configurations are fetched apart from the sync, packed

Cause: an entry VM got the configuration within the answer to its sync, which may take 0.5 s. The text is now asked for by itself, with 2.5 s to come, and is compressed; a VM that knows of a newer version and has not got it for 1.5 s stops serving, so that it never answers by the older one for long.

--- a/Source/Fleet/InternalMessages.h
+++ b/Source/Fleet/InternalMessages.h
@@ -4,6 +4,7 @@
 #ifndef MIMOSASHUNT_FLEET_INTERNALMESSAGES_H
 #define MIMOSASHUNT_FLEET_INTERNALMESSAGES_H
 
+#include "Fleet/Packing.h"
 #include "Jobs/JobTypes.h"
 #include "Links/HttpTypes.h"
 
@@ -17,12 +18,8 @@
 /// An entry VM asks for what is new.
 struct SyncRequest {
   std::string Vm;
-  uint64_t Version = 0; // Of the configuration that it has.
 
-  static void describe(auto &Self, auto Field) {
-    Field("vm", Self.Vm);
-    Field("version", Self.Version);
-  }
+  static void describe(auto &Self, auto Field) { Field("vm", Self.Vm); }
 };
 
 struct SyncReply {
@@ -30,8 +27,7 @@
   bool Leads = false;
   std::string Leader;               // Internal address, if known.
   std::vector<std::string> Members; // Internal addresses of all control VMs.
-  uint64_t Version = 0;
-  std::string Text; // The configuration, if the asker's is older.
+  uint64_t Version = 0;             // Of the configuration in force.
   std::map<std::string, uint64_t> Pending; // Jobs that wait, by queue.
 
   static void describe(auto &Self, auto Field) {
@@ -39,16 +35,28 @@
     Field("leader", Self.Leader);
     Field("members", Self.Members);
     Field("version", Self.Version);
-    Field("text", Self.Text);
     Field("pending", Self.Pending);
   }
 };
 
+/// The configuration, asked for apart from SyncReply: it may take longer over a
+/// slow link than an entry VM may be out of touch.
+struct ConfigurationReply {
+  uint64_t Version = 0;
+  PackedText Text;
+
+  static void describe(auto &Self, auto Field) {
+    Field("version", Self.Version);
+    Field("text", Self.Text);
+  }
+};
+
 namespace internal_path {
 inline constexpr const char *Consensus = "/internal/consensus";
 inline constexpr const char *Offer = "/internal/offer";
 inline constexpr const char *Join = "/internal/join";
 inline constexpr const char *Sync = "/internal/sync";
+inline constexpr const char *Configuration = "/internal/configuration";
 inline constexpr const char *Call = "/internal/call";
 } // namespace internal_path
 
--- a/Source/Fleet/LeaderLink.cpp
+++ b/Source/Fleet/LeaderLink.cpp
@@ -16,6 +16,13 @@
 /// not reach.
 constexpr Duration SyncValid = milliseconds(1500);
 constexpr int MaxRedirects = 2;
+/// Control VMs may name each other while they elect a leader; more hints than
+/// this wait for the next tick.
+constexpr int MaxHintsPerTick = 2;
+/// The longest configuration takes about 1 s over an entry VM's link.
+constexpr Duration FetchTimeout = milliseconds(2500);
+/// Changes must be in force within 2 s of their acknowledgement.
+constexpr Duration BehindLimit = milliseconds(1500);
 
 } // namespace
 
@@ -24,13 +31,18 @@
                        const ConfigurationReader &Reader, EventLog &Events)
     : Loop(Loop), Client(Loop, {.IdleTimeout = seconds(20)}), Vm(std::move(Vm)),
       Seeds(std::move(Seeds)), Reader(Reader), Events(Events) {
-  SyncTimer = Loop.timers().every(SyncPeriod, [this] { sync(); });
+  SyncTimer = Loop.timers().every(SyncPeriod, [this] {
+    HintsFollowed = 0;
+    sync();
+  });
 }
 
 LeaderLink::~LeaderLink() { Loop.timers().cancel(SyncTimer); }
 
 bool LeaderLink::inTouch() const {
-  return EverSynced && Loop.timers().now() - SyncedAt < SyncValid &&
+  Instant Now = Loop.timers().now();
+  bool Behind = BehindSince && Now - *BehindSince >= BehindLimit;
+  return EverSynced && Now - SyncedAt < SyncValid && !Behind &&
          Configuration.Version > 0;
 }
 
@@ -62,7 +74,7 @@
     return;
   }
   SyncUnderWay = true;
-  SyncRequest Asked{Vm, Configuration.Version};
+  SyncRequest Asked{Vm};
   Instant SentAt = Loop.timers().now();
   Client.send(Target, internalRequest(internal_path::Sync, toCbor(Asked)),
               SyncTimeout,
@@ -90,27 +102,67 @@
   if (!Reply.Leads) {
     if (Leader == Asked)
       Leader.clear();
-    bool Hint = !Reply.Leader.empty() && Reply.Leader != Asked;
-    if (!Hint)
-      return nextCandidate();
-    Candidate = Reply.Leader;
-    return sync();
+    return followHint(Reply, Asked);
   }
   if (Leader != Asked)
     Events.note("leader_found", {{"leader", Asked}});
   Leader = Candidate = Asked;
   Pending = std::move(Reply.Pending);
   EverSynced = true;
-  if (Reply.Version <= Configuration.Version || Reply.Text.empty())
+  fetch(Reply.Version);
+}
+
+void LeaderLink::followHint(const SyncReply &Reply, const std::string &Asked) {
+  bool Hint = !Reply.Leader.empty() && Reply.Leader != Asked;
+  if (!Hint)
+    return nextCandidate();
+  Candidate = Reply.Leader;
+  if (HintsFollowed++ < MaxHintsPerTick)
+    sync();
+}
+
+void LeaderLink::fetch(uint64_t Newest) {
+  if (Newest <= Configuration.Version) {
+    BehindSince.reset();
+    return;
+  }
+  if (!BehindSince)
+    BehindSince = Loop.timers().now();
+  SocketAddress Target;
+  if (FetchUnderWay || SocketAddress::parse(Leader, Target))
+    return;
+  FetchUnderWay = true;
+  Client.send(
+      Target,
+      internalRequest(internal_path::Configuration, toCbor(SyncRequest{Vm})),
+      FetchTimeout, [this](const HttpResult &Result) {
+        FetchUnderWay = false;
+        fetched(Result);
+      });
+}
+
+void LeaderLink::fetched(const HttpResult &Result) {
+  const auto *Response = std::get_if<HttpResponse>(&Result);
+  ConfigurationReply Reply;
+  std::string Text;
+  if (Response == nullptr || Response->Status != Ok ||
+      !fromCbor(Response->Body, Reply) || !unpack(Reply.Text, Text)) {
+    // The next sync asks again.
+    Events.note("configuration_not_fetched", {{"leader", Leader}});
+    return;
+  }
+  if (Reply.Version <= Configuration.Version)
     return;
   ServiceConfiguration Next;
-  if (auto Fault = Reader.read(Reply.Text, Next)) {
+  if (auto Fault = Reader.read(Text, Next)) {
     Events.note("configuration_unreadable",
                 {{"version", Reply.Version}, {"fault", *Fault}});
     return;
   }
   Configuration = std::move(Next);
-  Events.note("configuration_in_force", {{"version", Configuration.Version}});
+  BehindSince.reset();
+  Events.note("configuration_in_force",
+              {{"version", Configuration.Version}, {"bytes", Text.size()}});
 }
 
 void LeaderLink::call(const JobCall &Call, Duration Timeout, Answer Done) {
--- a/Source/Fleet/LeaderLink.h
+++ b/Source/Fleet/LeaderLink.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,10 +41,12 @@
 private:
   void sync();
   void synced(const std::string &Asked, const HttpResult &Result);
+  void followHint(const SyncReply &Reply, const std::string &Asked);
+  void fetch(uint64_t Newest);
+  void fetched(const HttpResult &Result);
   void nextCandidate();
   void callAt(const std::string &Address, const std::string &Body,
               Instant Until, int Redirects, Answer Done);
-  void follow(const std::string &Leader);
 
   EventLoop &Loop;
   HttpClient Client;
@@ -61,6 +64,10 @@
   Instant SyncedAt;
   bool EverSynced = false;
   bool SyncUnderWay = false;
+  int HintsFollowed = 0; // Since the last tick.
+  bool FetchUnderWay = false;
+  /// Since when the leader has had a newer configuration than this VM.
+  std::optional<Instant> BehindSince;
   TimerId SyncTimer = 0;
 };
 
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -432,8 +432,10 @@
   if (Path == internal_path::Sync) {
     SyncRequest Request;
     if (fromCbor(Body, Request))
-      return Exchange->respond(bytes(toCbor(sync(Request))));
+      return Exchange->respond(bytes(toCbor(sync())));
   }
+  if (Path == internal_path::Configuration)
+    return Exchange->respond(bytes(toCbor(packedConfiguration())));
   if (Path == internal_path::Call) {
     JobCall Call;
     if (fromCbor(Body, Call))
@@ -444,7 +446,13 @@
   Exchange->respond({NotFound, {}, {}});
 }
 
-SyncReply SchedulerDaemon::sync(const SyncRequest &Request) {
+ConfigurationReply SchedulerDaemon::packedConfiguration() {
+  if (Packed.Version != State.version())
+    Packed = {State.version(), pack(State.configurationText())};
+  return Packed;
+}
+
+SyncReply SchedulerDaemon::sync() {
   SyncReply Reply;
   Reply.Leads = leads();
   Reply.Leader = Group->leaderAddress();
@@ -452,8 +460,6 @@
   if (!Reply.Leads)
     return Reply;
   Reply.Version = State.version();
-  if (Request.Version < State.version())
-    Reply.Text = State.configurationText();
   for (const QueueConfiguration &Queue : Configuration.Queues)
     if (size_t Count = Scheduler->pendingOf(Queue.Name))
       Reply.Pending[Queue.Name] = Count;
--- a/Source/Fleet/SchedulerDaemon.h
+++ b/Source/Fleet/SchedulerDaemon.h
@@ -75,7 +75,8 @@
 
   void onInternal(const ExchangePtr &Exchange);
   void onOffer(const ExchangePtr &Exchange);
-  SyncReply sync(const SyncRequest &Request);
+  SyncReply sync();
+  ConfigurationReply packedConfiguration();
   void onCall(const JobCall &Call, const AnswerCall &Answer);
   void submit(const JobCall &Call, const AnswerCall &Answer);
   void cancel(const JobCall &Call, const AnswerCall &Answer);
@@ -104,6 +105,7 @@
   std::unique_ptr<Replica> Group;
   JobStore State;
   ServiceConfiguration Configuration; // Parsed from State's text.
+  ConfigurationReply Packed;          // The last that was asked for.
   // Alive exactly while this VM leads and its leadership is agreed on.
   std::unique_ptr<Dispatcher> Scheduler;
   std::unique_ptr<Maintenance> Waves;
--- a/Utilities/install.sh
+++ b/Utilities/install.sh
@@ -5,7 +5,8 @@
 packages=(g++ cmake ninja-build pkg-config ccache clang-format clang-tidy jq curl
   libh2o-evloop-dev libcapnp-dev prometheus-cpp-dev libgflags-dev
   liblog4cxx-dev libgtest-dev librapidcheck-dev libbenchmark-dev
-  nlohmann-json3-dev libvalijson-dev libopentracing-dev libxxhash-dev libssl-dev)
+  nlohmann-json3-dev libvalijson-dev libopentracing-dev libxxhash-dev libssl-dev
+  zlib1g-dev)
 missing=()
 for package in "${packages[@]}"; do
   dpkg -s "$package" >/dev/null 2>&1 || missing+=("$package")
