Scheduling: fewer looks at workers

Ends that come within 30 ms are read together instead of within 10; looks wait up to 0.6 s while something runs and up to 2 s otherwise.

--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -31,13 +31,13 @@
   PacingOptions Pacing;
   OrderPolicy Order = WorthPerWork{};
   /// How long a look at a worker may wait for an end while something runs.
-  Duration BusyLook = milliseconds(400);
-  Duration IdleLook = milliseconds(1500);
+  Duration BusyLook = milliseconds(600);
+  Duration IdleLook = milliseconds(2000);
   /// How long to wait before an unreachable worker is asked again.
   Duration SilentLook = milliseconds(200);
   /// Least time between two looks, so that ends which come together are read
   /// together.
-  Duration LookPause = milliseconds(10);
+  Duration LookPause = milliseconds(30);
   /// A task whose progress stands still for so long is started elsewhere.
   Duration StandstillLimit = milliseconds(1800);
   /// Ends that come within this time are agreed on together.
