Pools: moves are bounded by the platform's rate alone

Cause: at most 16 VMs could be on their way at once. The platform's own rate, of which a quarter is left for maintenance, bounds orders already.

--- a/Source/Pools/PoolMover.cpp
+++ b/Source/Pools/PoolMover.cpp
@@ -119,7 +119,7 @@
   size_t Left = std::max<size_t>(1, static_cast<size_t>(Allowed));
   for (const VmMove &Chosen :
        Planner.plan(Timers.now(), demands(), movable(), Arriving)) {
-    if (UnderWay.size() >= Options.MostUnderWay || Left-- == 0)
+    if (Left-- == 0)
       return;
     order(Chosen);
   }
--- a/Source/Pools/PoolMover.h
+++ b/Source/Pools/PoolMover.h
@@ -27,7 +27,6 @@
   Duration OrderPause = milliseconds(3100);
   /// A VM that was moved is expected back by then; otherwise the list tells.
   Duration MoveLimit = seconds(6);
-  size_t MostUnderWay = 16;
   /// Orders that the platform takes from everybody; a part of it is left for
   /// maintenance.
   double OrdersPerSecond = 4;
