Links: connections to one address are bounded and unused ones go

Calls beyond the bound now wait in order, within their own timeouts; pools unused for their idle time and 2 s go.

Test: 50 calls at once opened 50 connections before.

--- a/Source/Links/HttpClient.cpp
+++ b/Source/Links/HttpClient.cpp
@@ -10,6 +10,7 @@
 
 // Backstop for a socket that blocks for good; each call has its own timeout.
 constexpr uint64_t IoTimeoutMillis = 120000;
+constexpr Duration SweepPeriod = seconds(2);
 
 bool hasLength(const std::vector<HttpHeader> &Headers, int Status) {
   constexpr int NoContent = 204;
@@ -37,7 +38,7 @@
 struct HttpClient::Call {
   HttpClient *Owner;
   uint64_t Id;
-  std::string Target;
+  SocketAddress Target;
   std::string Bytes;
   h2o_iovec_t Buffer;
   bool IsHead;
@@ -45,6 +46,7 @@
   Guard MayLeave;
   TimerId Timer = 0;
   h2o_http1client_t *Native = nullptr;
+  std::shared_ptr<Pool> Using; // Set while it has a place in its lane.
   bool MayHaveLeft = false;
   HttpResponse Response;
 };
@@ -55,9 +57,11 @@
   Context.loop = Loop.native();
   Context.getaddr_receiver = Loop.resolver();
   Context.io_timeout = &IoTimeout;
+  SweepTimer = Loop.timers().every(SweepPeriod, [this] { sweep(); });
 }
 
 HttpClient::~HttpClient() {
+  Loop.timers().cancel(SweepTimer);
   for (auto &[Id, Entry] : Calls) {
     Loop.timers().cancel(Entry->Timer);
     if (Entry->Native != nullptr)
@@ -65,29 +69,91 @@
   }
 }
 
-h2o_socketpool_t *HttpClient::pool(const SocketAddress &Address) {
-  std::unique_ptr<h2o_socketpool_t> &Pool = Pools[Address.text()];
-  if (!Pool) {
-    Pool = std::make_unique<h2o_socketpool_t>();
-    sockaddr_in Native = Address.native();
-    h2o_socketpool_init_by_address(
-        Pool.get(), reinterpret_cast<sockaddr *>(&Native), sizeof(Native), 0,
-        Options.ConnectionsPerAddress);
-    h2o_socketpool_set_timeout(
-        Pool.get(), Loop.native(),
-        static_cast<uint64_t>(toMillis(Options.IdleTimeout)));
+std::shared_ptr<HttpClient::Pool>
+HttpClient::makePool(const SocketAddress &Address) {
+  auto Made = std::make_shared<Pool>();
+  sockaddr_in Native = Address.native();
+  h2o_socketpool_init_by_address(
+      &Made->Native, reinterpret_cast<sockaddr *>(&Native), sizeof(Native), 0,
+      Options.ConnectionsPerAddress);
+  h2o_socketpool_set_timeout(
+      &Made->Native, Loop.native(),
+      static_cast<uint64_t>(toMillis(Options.IdleTimeout)));
+  return Made;
+}
+
+void HttpClient::connect(uint64_t Id) {
+  auto Found = Calls.find(Id);
+  if (Found == Calls.end())
+    return;
+  Call &Entry = *Found->second;
+  Lane &Own = Lanes[Entry.Target.text()];
+  if (Own.UnderWay >= Options.ConnectionsPerAddress) {
+    Own.Waiting.push_back(Id);
+    return;
+  }
+  if (!Own.Connections)
+    Own.Connections = makePool(Entry.Target);
+  ++Own.UnderWay;
+  Entry.Using = Own.Connections;
+  ++Entry.Using->InUse;
+  Entry.Using->LastUsed = Loop.timers().now();
+  h2o_http1client_t *Native = nullptr;
+  h2o_http1client_connect_with_pool(&Native, &Entry, &Context,
+                                    &Entry.Using->Native, onConnect);
+  Found = Calls.find(Id);
+  if (Found != Calls.end())
+    Found->second->Native = Native;
+}
+
+void HttpClient::leave(const Call &Ended) {
+  if (!Ended.Using)
+    return;
+  --Ended.Using->InUse;
+  Ended.Using->LastUsed = Loop.timers().now();
+  Lane &Own = Lanes[Ended.Target.text()];
+  --Own.UnderWay;
+  // Once h2o has taken this call's connection back.
+  if (!Own.Waiting.empty())
+    Loop.defer([this, Target = Ended.Target.text()] { admit(Target); });
+}
+
+void HttpClient::admit(const std::string &Target) {
+  auto Found = Lanes.find(Target);
+  while (Found != Lanes.end() && !Found->second.Waiting.empty() &&
+         Found->second.UnderWay < Options.ConnectionsPerAddress) {
+    uint64_t Next = Found->second.Waiting.front();
+    Found->second.Waiting.pop_front();
+    connect(Next);
+    Found = Lanes.find(Target);
   }
-  return Pool.get();
 }
 
 void HttpClient::retirePool(const std::string &Target) {
-  auto Found = Pools.find(Target);
-  if (Found == Pools.end())
+  auto Found = Lanes.find(Target);
+  if (Found == Lanes.end() || !Found->second.Connections)
     return;
   // Calls under way return their connections to it; what idles there is closed
   // after the idle timeout.
-  Retired.push_back(std::move(Found->second));
-  Pools.erase(Found);
+  Retired.push_back(std::exchange(Found->second.Connections, nullptr));
+}
+
+void HttpClient::sweep() {
+  Instant Before = Loop.timers().now() - Options.IdleTimeout - SweepPeriod;
+  auto Unused = [Before](const std::shared_ptr<Pool> &Item) {
+    return Item && Item->InUse == 0 && Item->LastUsed < Before;
+  };
+  for (auto &[Target, Own] : Lanes)
+    if (Unused(Own.Connections) && Own.Waiting.empty())
+      Retired.push_back(std::exchange(Own.Connections, nullptr));
+  std::erase_if(Lanes, [](const auto &Item) {
+    const Lane &Own = Item.second;
+    return !Own.Connections && Own.UnderWay == 0 && Own.Waiting.empty();
+  });
+  for (const std::shared_ptr<Pool> &Item : Retired)
+    if (Unused(Item))
+      h2o_socketpool_dispose(&Item->Native);
+  std::erase_if(Retired, Unused);
 }
 
 void HttpClient::send(const SocketAddress &Address, const HttpRequest &Request,
@@ -96,7 +162,7 @@
   auto Made = std::make_unique<Call>();
   Made->Owner = this;
   Made->Id = Id;
-  Made->Target = Address.text();
+  Made->Target = Address;
   Made->Bytes = wireForm(Address, Request);
   Made->Buffer = h2o_iovec_init(Made->Bytes.data(), Made->Bytes.size());
   Made->IsHead = Request.Method == "HEAD";
@@ -108,17 +174,7 @@
   Entry->Timer = Loop.timers().at(Due, [this, Id] { expire(Id); });
   // Connecting starts on the loop's next turn, so that a pooled connection
   // cannot call back before send() has returned.
-  Loop.defer([this, Id, Target = Address] {
-    auto Found = Calls.find(Id);
-    if (Found == Calls.end())
-      return;
-    h2o_http1client_t *Native = nullptr;
-    h2o_http1client_connect_with_pool(&Native, Found->second.get(), &Context,
-                                      pool(Target), onConnect);
-    Found = Calls.find(Id);
-    if (Found != Calls.end())
-      Found->second->Native = Native;
-  });
+  Loop.defer([this, Id] { connect(Id); });
 }
 
 void HttpClient::finish(uint64_t Id, HttpResult Result) {
@@ -129,6 +185,7 @@
   Calls.erase(Found);
   Loop.timers().cancel(Entry->Timer);
   Loop.refresh();
+  leave(*Entry);
   Entry->Done(std::move(Result));
   // h2o may still refer to the request's bytes until this turn has ended.
   Loop.defer([Kept = std::shared_ptr<Call>(std::move(Entry))] {});
@@ -144,7 +201,7 @@
   if (Entry.MayHaveLeft) {
     // Something between the two ends may have lost track of the connections to
     // this address, so later calls get new ones.
-    retirePool(Entry.Target);
+    retirePool(Entry.Target.text());
     finish(Id, HttpLost{"no whole answer in time"});
   } else
     finish(Id, HttpNotSent{"no connection in time"});
--- a/Source/Links/HttpClient.h
+++ b/Source/Links/HttpClient.h
@@ -9,6 +9,7 @@
 #include "Links/HttpTypes.h"
 #include "Links/SocketAddress.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,7 +32,8 @@
 using HttpResult = std::variant<HttpResponse, HttpNotSent, HttpLost>;
 
 struct HttpClientOptions {
-  /// Pooled connections for each address.
+  /// Most connections, and so most calls under way, for each address; further
+  /// calls wait in order of arrival, within their own timeouts.
   size_t ConnectionsPerAddress = 64;
   /// Idle connections are closed sooner than servers close theirs, so that a
   /// request rarely meets a connection that the server is closing.
@@ -73,15 +75,36 @@
 
   void finish(uint64_t Id, HttpResult Result);
   void expire(uint64_t Id);
-  h2o_socketpool_t *pool(const SocketAddress &Address);
+  /// Connections to one address; replaced when they seem to have gone silent.
+  struct Pool {
+    h2o_socketpool_t Native{};
+    size_t InUse = 0; // Calls that hold one of its connections.
+    Instant LastUsed;
+  };
+  struct Lane {
+    std::shared_ptr<Pool> Connections;
+    size_t UnderWay = 0;
+    std::deque<uint64_t> Waiting; // Calls, by id; some may have expired.
+  };
+
+  std::shared_ptr<Pool> makePool(const SocketAddress &Address);
+  void connect(uint64_t Id);
+  /// Gives the call's place in its lane back.
+  void leave(const Call &Ended);
+  /// Begins calls that wait while there are places.
+  void admit(const std::string &Target);
   void retirePool(const std::string &Target);
+  /// Disposes of what has not been used for long, so that addresses which are
+  /// gone cost neither descriptors nor time in each turn of the loop.
+  void sweep();
 
   EventLoop &Loop;
   HttpClientOptions Options;
   h2o_timeout_t IoTimeout{};
   h2o_http1client_ctx_t Context{};
-  std::map<std::string, std::unique_ptr<h2o_socketpool_t>> Pools;
-  std::vector<std::unique_ptr<h2o_socketpool_t>> Retired;
+  std::map<std::string, Lane> Lanes; // By address.
+  std::vector<std::shared_ptr<Pool>> Retired;
+  TimerId SweepTimer = 0;
   std::map<uint64_t, std::unique_ptr<Call>> Calls;
   uint64_t LastCall = 0;
 };
--- a/Tests/Links/HttpTest.cpp
+++ b/Tests/Links/HttpTest.cpp
@@ -6,6 +6,7 @@
 #include "Links/HttpServer.h"
 #include "Support/ListeningPort.h"
 
+#include <algorithm>
 #include <optional>
 #include <sys/socket.h>
 #include <thread>
@@ -189,5 +190,41 @@
     EXPECT_TRUE(SocketAddress::parse(Bad, Address)) << Bad;
 }
 
+TEST(HttpClient, KeepsToItsConnectionsAndClosesIdleOnes) {
+  // Bursts of orders to many workers, each of which may go and never close.
+  EventLoop &Loop = *new EventLoop();
+  HttpClient &Client = *new HttpClient(
+      Loop, {.ConnectionsPerAddress = 4, .IdleTimeout = seconds(1)});
+  SocketAddress Address = freeAddress();
+  size_t Most = 0;
+  HttpServer *Server = nullptr;
+  Server = new HttpServer(Loop, [&](std::shared_ptr<HttpExchange> Exchange) {
+    Most = std::max(Most, Server->openConnections());
+    Loop.timers().at(Loop.timers().now() + milliseconds(5), [Exchange] {
+      Exchange->respond({200, {}, "ok"});
+    });
+  });
+  ASSERT_FALSE(Server->listen(Address));
+  constexpr int Calls = 50;
+  int Answered = 0;
+  HttpRequest Request;
+  Request.Method = "GET";
+  Request.Path = "/";
+  for (int I = 0; I < Calls; ++I)
+    Client.send(Address, Request, seconds(10), [&](const HttpResult &Result) {
+      Answered += std::holds_alternative<HttpResponse>(Result) ? 1 : 0;
+    });
+  Instant Until = Loop.timers().now() + seconds(20);
+  auto Goes = [&] { return Loop.timers().now() < Until; };
+  while (Answered < Calls && Goes())
+    Loop.runOnce();
+  EXPECT_EQ(Answered, Calls);
+  EXPECT_LE(Most, 4U);
+  Loop.timers().every(milliseconds(100), [] {});
+  while (Server->openConnections() > 0 && Goes())
+    Loop.runOnce();
+  EXPECT_EQ(Server->openConnections(), 0U);
+}
+
 } // namespace
 } // namespace mimosashunt::test
