--- a/Source/Pools/Maintenance.cpp
+++ b/Source/Pools/Maintenance.cpp
@@ -193,9 +193,10 @@
       continue;
     Works[Vm] = {Number, Stage::Emptying, Timers.now(), Timers.now(), false};
     Scheduler.cordon(Vm, true);
-    Hooks.Note(
-        "maintenance_begins",
-        {{"vm", Vm}, {"wave", Number}, {"cost", Cost}, {"hurry", Pace.Hurry}});
+    Hooks.Note("maintenance_begins", {{"pool_vm", Vm},
+                                      {"wave", Number},
+                                      {"cost", Cost},
+                                      {"hurry", Pace.Hurry}});
   }
 }
 
@@ -243,8 +244,9 @@
     return;
   Work &Item = Found->second;
   Item.UnderWay = false;
-  Hooks.Note("maintenance_ordered",
-             {{"vm", Vm}, {"wave", Item.Wave}, {"outcome", nameOf(Outcome)}});
+  Hooks.Note(
+      "maintenance_ordered",
+      {{"pool_vm", Vm}, {"wave", Item.Wave}, {"outcome", nameOf(Outcome)}});
   if (Outcome == VmOrderOutcome::Done) {
     Item.At = Stage::Away;
     Item.Since = Timers.now();
@@ -267,7 +269,7 @@
   Scheduler.cordon(Vm, false);
   if (!Finishing.insert({Wave, Vm}).second)
     return;
-  Hooks.Note("maintenance_ended", {{"vm", Vm}, {"wave", Wave}});
+  Hooks.Note("maintenance_ended", {{"pool_vm", Vm}, {"wave", Wave}});
   std::shared_ptr<bool> Kept = Alive;
   Hooks.Propose(FinishMaintenance{Wave, {Vm}},
                 [this, Kept, Wave, Vm](bool Committed) {
--- a/Source/Pools/PoolMover.cpp
+++ b/Source/Pools/PoolMover.cpp
@@ -128,7 +128,7 @@
 void PoolMover::order(const VmMove &Chosen) {
   UnderWay[Chosen.Vm] = {Chosen.To, Timers.now(), false};
   Scheduler.cordon(Chosen.Vm, true);
-  Hooks.Note("vm_move", {{"vm", Chosen.Vm},
+  Hooks.Note("vm_move", {{"pool_vm", Chosen.Vm},
                          {"from", Chosen.From},
                          {"to", Chosen.To},
                          {"wanted", Planner.wanted(Chosen.To)}});
@@ -143,7 +143,7 @@
 void PoolMover::ordered(const VmMove &Chosen, VmOrderOutcome Outcome) {
   if (Outcome != VmOrderOutcome::Done)
     Hooks.Note("vm_move_not_taken",
-               {{"vm", Chosen.Vm}, {"outcome", nameOf(Outcome)}});
+               {{"pool_vm", Chosen.Vm}, {"outcome", nameOf(Outcome)}});
   if (Outcome == VmOrderOutcome::Fenced)
     return Hooks.Deposed();
   auto Found = UnderWay.find(Chosen.Vm);
