Scheduling: a large configuration costs a pass nothing; pause between looks by fleet size

Cause 1: with many routes in the configuration each step that was placed, each sync of an entry VM and each job's rank searched all routes in turn; a job now holds what it needs of its queue, and a sync copies the count of the last tick.

--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -460,9 +460,7 @@
   if (!Reply.Leads)
     return Reply;
   Reply.Version = State.version();
-  for (const QueueConfiguration &Queue : Configuration.Queues)
-    if (size_t Count = Scheduler->pendingOf(Queue.Name))
-      Reply.Pending[Queue.Name] = Count;
+  Reply.Pending = Scheduler->pending();
   return Reply;
 }
 
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -81,8 +81,10 @@
   for (auto &[Id, Job] : Jobs) {
     const QueueConfiguration *Queue = Configuration.queue(Job->job().Queue);
     Job->Pool = Queue == nullptr ? std::string() : Queue->Pool;
-    if (Queue != nullptr)
+    if (Queue != nullptr) {
       Job->Priority = Queue->Priority;
+      Job->NeedsAdvice = Queue->Advice.has_value();
+    }
     dirty(Job->Pool);
   }
 }
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -35,9 +35,12 @@
   Duration IdleLook = milliseconds(2000);
   /// How long to wait before an unreachable worker is asked again.
   Duration SilentLook = milliseconds(200);
-  /// Least time between two looks, so that ends which come together are read
-  /// together.
-  Duration LookPause = milliseconds(30);
+  /// Time between two looks at a worker, so that ends which come together are
+  /// read together: a part for each worker of the fleet, within these bounds.
+  /// What a leader can read in a second does not grow with the fleet.
+  Duration LookPausePerWorker = Duration(400);
+  Duration LeastLookPause = milliseconds(10);
+  Duration MostLookPause = milliseconds(40);
   /// A task whose progress stands still for so long is started elsewhere.
   Duration StandstillLimit = milliseconds(1800);
   /// Ends that come within this time are agreed on together.
@@ -124,6 +127,8 @@
   JobState stateOf(const JobRecord &Record) const;
   /// Jobs of the queue that had not begun at the last tick.
   size_t pendingOf(const std::string &Queue) const;
+  /// The same for all queues; one without such jobs may be missing.
+  const std::map<std::string, uint64_t> &pending() const { return Pending; }
 
   /// Keeps new tasks off the VM's workers, for maintenance or a move.
   void cordon(const std::string &Vm, bool On);
@@ -159,6 +164,7 @@
   void lookAtDue();
   void look(LiveWorker &Worker);
   void lookLater(LiveWorker &Worker, Duration Pause);
+  Duration lookPause() const;
   void looked(const WorkerKey &Key, Instant SentAt, const LookAnswer &Answer);
   void synced(LiveWorker &Worker);
   void takeRunning(LiveWorker &Worker, const RunningTask &Row, Instant SentAt);
@@ -229,7 +235,7 @@
   // ended.
   std::map<JobId, std::unique_ptr<JobProgress>> Jobs;
   std::set<std::string> DirtyPools;
-  std::map<std::string, size_t> Pending;      // Jobs not begun, by queue.
+  std::map<std::string, uint64_t> Pending;    // Jobs not begun, by queue.
   std::map<std::string, Resources> Unlocated; // As of this turn.
   // Workers, by pool, that may run what an earlier leader started.
   std::map<std::string, std::set<WorkerKey>> Unknown;
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -145,8 +145,6 @@
 void Dispatcher::scheduleStep(JobProgress &Job, uint32_t Occurrence,
                               uint32_t Step, PlacementPass &Pass) {
   const StepSpec &Spec = Job.step(Step);
-  const QueueConfiguration *Queue = Configuration.queue(Job.job().Queue);
-  bool Advised = Queue != nullptr && Queue->Advice.has_value();
   StepProgress &Progress = Job.Occurrences[Occurrence].Steps[Step];
   Candidate *Beside = nullptr;
   for (uint32_t I = 0; I < Spec.Count; ++I) {
@@ -161,11 +159,11 @@
       return;
     uint32_t Remaining = Spec.Count - Progress.DoneCount - Progress.Placed;
     Candidate *Found =
-        Pass.place({&Spec, &Progress, &Slot, Advised, Timers.now(),
+        Pass.place({&Spec, &Progress, &Slot, Job.NeedsAdvice, Timers.now(),
                     std::max<uint32_t>(Remaining, 1), Beside});
     Beside = Found;
     if (Found == nullptr) {
-      if (Advised)
+      if (Job.NeedsAdvice)
         askAdvice(Job, Occurrence, Step, Pass.candidates());
       return;
     }
@@ -182,13 +180,11 @@
   if (!Progress.PerWorker.empty() || Progress.DoneCount > 0 ||
       !withinQuota(Job, Spec.Each * Spec.Count))
     return;
-  const QueueConfiguration *Queue = Configuration.queue(Job.job().Queue);
-  bool Advised = Queue != nullptr && Queue->Advice.has_value();
-  auto Places = Pass.placeGang(
-      {&Spec, &Progress, &Progress.Tasks.front(), Advised, Timers.now()},
-      Spec.Count);
+  auto Places = Pass.placeGang({&Spec, &Progress, &Progress.Tasks.front(),
+                                Job.NeedsAdvice, Timers.now()},
+                               Spec.Count);
   if (!Places) {
-    if (Advised)
+    if (Job.NeedsAdvice)
       askAdvice(Job, Occurrence, Step, Pass.candidates());
     return;
   }
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -114,7 +114,7 @@
   checkStandstill(*Worker);
   pace(*Worker);
   dirty(Worker->Entry.Pool);
-  lookLater(*Worker, Options.LookPause);
+  lookLater(*Worker, lookPause());
 }
 
 void Dispatcher::synced(LiveWorker &Worker) {
@@ -330,6 +330,12 @@
   lookLater(Worker, Options.SilentLook);
 }
 
+Duration Dispatcher::lookPause() const {
+  auto Workers = static_cast<int64_t>(Table.all().size());
+  return std::clamp(Options.LookPausePerWorker * Workers,
+                    Options.LeastLookPause, Options.MostLookPause);
+}
+
 void Dispatcher::lookLater(LiveWorker &Worker, Duration Pause) {
   Table.lookAt(Worker, Timers.now() + Pause);
   Timers.at(Worker.LookAt, [] {}); // Wakes the loop for that turn.
--- a/Source/Scheduling/JobProgress.cpp
+++ b/Source/Scheduling/JobProgress.cpp
@@ -13,6 +13,7 @@
                          const QueueConfiguration &Queue, uint32_t FirstAttempt,
                          Instant AcceptedAt)
     : Pool(Queue.Pool), Priority(Queue.Priority),
+      NeedsAdvice(Queue.Advice.has_value()),
       MaxAttempts(Record.Job.MaxAttempts), AcceptedAt(AcceptedAt),
       Job(Record.Job), FirstAttempt(FirstAttempt),
       LongRunning(Record.Job.Spec.isLongRunning()) {
--- a/Source/Scheduling/JobProgress.h
+++ b/Source/Scheduling/JobProgress.h
@@ -91,6 +91,7 @@
   std::vector<OccurrenceProgress> Occurrences;
   std::string Pool;
   int64_t Priority = 0;
+  bool NeedsAdvice = false; // Only advised workers may run its steps.
   uint32_t MaxAttempts = 1;
   /// The end by which the caller is served well.
   Instant Objective;
--- a/Tests/Links/HttpTest.cpp
+++ b/Tests/Links/HttpTest.cpp
@@ -198,12 +198,13 @@
   SocketAddress Address = freeAddress();
   size_t Most = 0;
   HttpServer *Server = nullptr;
-  Server = new HttpServer(Loop, [&](std::shared_ptr<HttpExchange> Exchange) {
-    Most = std::max(Most, Server->openConnections());
-    Loop.timers().at(Loop.timers().now() + milliseconds(5), [Exchange] {
-      Exchange->respond({200, {}, "ok"});
-    });
-  });
+  Server =
+      new HttpServer(Loop, [&](const std::shared_ptr<HttpExchange> &Exchange) {
+        Most = std::max(Most, Server->openConnections());
+        Loop.timers().at(Loop.timers().now() + milliseconds(5), [Exchange] {
+          Exchange->respond({200, {}, "ok"});
+        });
+      });
   ASSERT_FALSE(Server->listen(Address));
   constexpr int Calls = 50;
   int Answered = 0;
