Scheduling: what can never run asks for no VMs

Late work now asks only if each of its steps fits some worker of the pool, and no longer than three objectives, for which callers wait.

Tests: both new ones fail without it by construction (every late job counted: demand above 0 where 0 is expected).

--- a/Source/Jobs/JobCommands.h
+++ b/Source/Jobs/JobCommands.h
@@ -5,6 +5,7 @@
 
 #include "Jobs/JobTypes.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <variant>
@@ -40,6 +41,11 @@
 
   /// The rack among the labels; the other labels tell the kind.
   std::string rack() const { return Labels.size() > 1 ? Labels[1] : ""; }
+  /// True if the worker has the label, or none is asked for.
+  bool meets(const std::string &Label) const {
+    return Label.empty() ||
+           std::find(Labels.begin(), Labels.end(), Label) != Labels.end();
+  }
 
   static void describe(auto &Self, auto Field) {
     Field("key", Self.Key);
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -249,6 +249,26 @@
   return Found == Pending.end() ? 0 : Found->second;
 }
 
+bool Dispatcher::asksForRoomLate(const JobProgress &Job) const {
+  // Callers wait for three objectives; what has not begun by then, such as a
+  // job that fits nowhere, must not hold VMs for good.
+  constexpr int ObjectivesWaited = 3;
+  Duration Waited = Timers.now() - Job.AcceptedAt;
+  return Waited < ObjectivesWaited * (Job.Objective - Job.AcceptedAt) &&
+         fitsSomewhere(Job);
+}
+
+bool Dispatcher::fitsSomewhere(const JobProgress &Job) const {
+  const std::map<WorkerKey, LiveWorker *> &Workers = Table.inPool(Job.Pool);
+  const std::vector<StepSpec> &Steps = Job.spec().Steps;
+  return std::all_of(Steps.begin(), Steps.end(), [&](const StepSpec &Step) {
+    return std::any_of(Workers.begin(), Workers.end(), [&](const auto &Item) {
+      const WorkerEntry &Entry = Item.second->Entry;
+      return Entry.Room.holds(Step.room()) && Entry.meets(Step.Requirement);
+    });
+  });
+}
+
 PoolDemand Dispatcher::demandOf(const std::string &Pool) const {
   PoolDemand Demand;
   constexpr double ThousandthsPerCore = 1000;
@@ -272,6 +292,8 @@
     double Chain = Job->remainingChainMs(Factor);
     bool InTime = Timers.now() + milliseconds(static_cast<int64_t>(Chain)) <=
                   Job->Objective;
+    if (!InTime && !asksForRoomLate(*Job))
+      continue;
     // What is late is still owed; it asks for room to end within some seconds
     // and not for a burst of its own.
     double LateMs = static_cast<double>(toMillis(Options.LateSpread));
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -208,6 +208,10 @@
                     PlacementPass &Pass);
   void scheduleGang(JobProgress &Job, uint32_t Occurrence, uint32_t Step,
                     PlacementPass &Pass);
+  /// True while a job that is late still counts in its pool's demand.
+  bool asksForRoomLate(const JobProgress &Job) const;
+  /// True if each step's tasks fit into some worker of the pool, were it empty.
+  bool fitsSomewhere(const JobProgress &Job) const;
   /// True if no worker that runs the task answers.
   bool allSilent(const TaskSlot &Slot) const;
   bool withinQuota(const JobProgress &Job, const Resources &Extra) const;
--- a/Source/Scheduling/Placement.cpp
+++ b/Source/Scheduling/Placement.cpp
@@ -7,11 +7,6 @@
 
 namespace {
 
-bool hasLabel(const WorkerEntry &Entry, const std::string &Label) {
-  return std::find(Entry.Labels.begin(), Entry.Labels.end(), Label) !=
-         Entry.Labels.end();
-}
-
 bool holdsTicket(const PlacementRequest &Request, const Candidate &Option) {
   if (!Request.NeedsTicket)
     return true;
@@ -36,8 +31,7 @@
     return false;
   if (Option.Probation && Option.Runs > 0)
     return false;
-  if (!Spec.Requirement.empty() &&
-      !hasLabel(Option.Worker->Entry, Spec.Requirement))
+  if (!Option.Worker->Entry.meets(Spec.Requirement))
     return false;
   if (Spec.MaxPerWorker > 0 &&
       runsOfStep(Request, Option, Extra) >= Spec.MaxPerWorker)
--- a/Tests/Jobs/DispatcherTest.cpp
+++ b/Tests/Jobs/DispatcherTest.cpp
@@ -213,4 +213,28 @@
   EXPECT_GT(Frame.Leader->demandOf("p").PassingCores, 8.0);
 }
 
+TEST(Dispatcher, WorkThatCanNeverRunAsksForNoRoom) {
+  SchedulerFrame Frame;
+  Frame.addPool("p", 2, 8);
+  Frame.lead();
+  JobSpec Large = chain(1, 4, 9000, 500);
+  JobSpec Labelled = chain(1, 4, 1000, 500);
+  Labelled.Steps[0].Requirement = "no such kind";
+  Frame.submit("large", "p", Large);
+  Frame.submit("labelled", "p", Labelled);
+  Frame.run(seconds(3));
+  EXPECT_EQ(Frame.Leader->demandOf("p").PassingCores, 0.0);
+}
+
+TEST(Dispatcher, WorkAsksForRoomNoLongerThanItsCallersWait) {
+  SchedulerFrame Frame;
+  Frame.addPool("p", 1, 8);
+  Frame.lead();
+  Frame.Workers.at("p-0").Faults.Silent = true;
+  Frame.submit("a", "p", chain(1, 4, 1000, 500));
+  // Its objective is 1.4 s, and three of them have gone by.
+  Frame.run(milliseconds(4300));
+  EXPECT_EQ(Frame.Leader->demandOf("p").PassingCores, 0.0);
+}
+
 } // namespace
