Pools: a worker that a new leader has not read is not empty

Workers whose lists the new leader had not read yet looked empty, cost nothing and were maintained first, which ended three tasks of a step that may miss one. Neither maintenance nor a move takes a VM now before its worker was read or everything there has lapsed.

Test: Maintenance.AWorkerThatANewLeaderHasNotReadIsNotEmpty failed first (orders were given).

--- a/Source/Pools/PoolMover.cpp
+++ b/Source/Pools/PoolMover.cpp
@@ -88,7 +88,7 @@
     bool Off = Pool != nullptr && Pool->Standby;
     if (Found != ByVm.end()) {
       const LiveWorker &Worker = *Found->second;
-      Vm.Empty = Worker.Runs.empty();
+      Vm.Empty = Scheduler.knownEmpty(Worker);
       Vm.Movable &= Worker.InTouch && !Worker.Entry.Leaving &&
                     !Worker.Cordoned && Worker.Entry.Pool == Entry.Pool;
     } else {
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -309,14 +309,20 @@
       Worker.Cordoned = On;
 }
 
+bool Dispatcher::knownEmpty(const LiveWorker &Worker) const {
+  // Until its lists were read, it may run what an earlier leader started.
+  bool Read = Worker.Synced || Timers.now() >= Worker.LeaseEnds;
+  return Read && Worker.Runs.empty();
+}
+
 bool Dispatcher::evacuate(const std::string &Vm) {
   bool Empty = true;
   constexpr int32_t AtWork = 100;
   for (auto &[Key, Worker] : Table.all()) {
     if (Worker.Entry.Vm != Vm || Vm.empty())
       continue;
+    Empty = Empty && knownEmpty(Worker);
     for (auto &[Task, Known] : Worker.Runs) {
-      Empty = false;
       if (!Known.LongRunning || Known.State != RunState::Running)
         continue;
       auto Job = Jobs.find(Task.Job);
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -133,8 +133,10 @@
   /// Keeps new tasks off the VM's workers, for maintenance or a move.
   void cordon(const std::string &Vm, bool On);
   /// Stops a long-running task on the VM if its step can spare it; returns
-  /// true if nothing runs there any more.
+  /// true if nothing can run there any more.
   bool evacuate(const std::string &Vm);
+  /// True if nothing can run on the worker, whoever started it.
+  bool knownEmpty(const LiveWorker &Worker) const;
   /// When the VM's worker started, in Unix milliseconds; zero if none is known.
   int64_t bornOn(const std::string &Vm) const;
   /// All that ran on the VM has ended by an order to the platform.
--- a/Tests/Fleet/LeaderLinkTest.cpp
+++ b/Tests/Fleet/LeaderLinkTest.cpp
@@ -69,14 +69,16 @@
       Loop.runOnce();
   }
 
-  EventLoop Loop;
+  // h2o cannot take a loop or a server down, so both live as long as the
+  // process.
+  EventLoop &Loop = *new EventLoop();
   VersionReader Reader;
   EventLog Events{"entry", "entry", "warn"};
 };
 
 TEST(LeaderLink, AConfigurationThatTakesLongerThanASyncComesInForce) {
   LinkFrame Frame;
-  FakeControl Leader(Frame.Loop, milliseconds(900));
+  FakeControl &Leader = *new FakeControl(Frame.Loop, milliseconds(900));
   Leader.Reply.Leads = true;
   Leader.Reply.Version = 7;
   LeaderLink Link(Frame.Loop, "entry", {Leader.Address.text()}, Frame.Reader,
@@ -88,7 +90,7 @@
 
 TEST(LeaderLink, AVmThatStaysBehindDoesNotServe) {
   LinkFrame Frame;
-  FakeControl Leader(Frame.Loop, milliseconds(1));
+  FakeControl &Leader = *new FakeControl(Frame.Loop, milliseconds(1));
   Leader.Reply.Leads = true;
   Leader.Reply.Version = 7;
   LeaderLink Link(Frame.Loop, "entry", {Leader.Address.text()}, Frame.Reader,
@@ -105,8 +107,8 @@
 
 TEST(LeaderLink, TwoThatNameEachOtherAreNotAskedInQuickTurn) {
   LinkFrame Frame;
-  FakeControl First(Frame.Loop, milliseconds(1));
-  FakeControl Second(Frame.Loop, milliseconds(1));
+  FakeControl &First = *new FakeControl(Frame.Loop, milliseconds(1));
+  FakeControl &Second = *new FakeControl(Frame.Loop, milliseconds(1));
   First.Reply.Leader = Second.Address.text();
   Second.Reply.Leader = First.Address.text();
   int Ticks = 0;
--- a/Tests/Jobs/PoolsTest.cpp
+++ b/Tests/Jobs/PoolsTest.cpp
@@ -161,11 +161,23 @@
     for (size_t I = 0; I < Workers; ++I)
       Frame.Workers.at("p-" + std::to_string(I)).Entry.Key.Born =
           1800000000000 + 1000000 - toMillis(Age);
-    Frame.lead();
-    StartWave Wave{1, {}, 30000, MaxDown, 1800000000000 + 1000000};
+    lead();
+    announce(1, MaxDown);
+  }
+
+  void announce(uint64_t Number, uint32_t MaxDown) {
+    int64_t Now =
+        1800000000000 + toMillis(Frame.Timers.now().time_since_epoch());
+    StartWave Wave{Number, {}, 30000, MaxDown, Now};
     for (const auto &[Id, Worker] : Frame.Workers.all())
       Wave.Vms.push_back(Worker.Entry.Vm);
     Frame.Store.apply(Wave);
+  }
+
+  /// Another leader, which has read no worker yet.
+  void lead() {
+    Driver.reset();
+    Frame.lead();
     DispatcherHooks Hooks;
     Hooks.Propose = [this](const JobCommand &Command,
                            const std::function<void(bool)> &Done) {
@@ -240,6 +252,30 @@
   EXPECT_TRUE(Wave.Frame.Store.waves().at(1).completed());
 }
 
+TEST(Maintenance, AWorkerThatANewLeaderHasNotReadIsNotEmpty) {
+  WaveFrame Wave(4, 4, seconds(1000));
+  Wave.Frame.run(seconds(12));
+  ASSERT_TRUE(Wave.Frame.Store.waves().at(1).completed());
+  JobSpec Spec = chain(1, 4, 1000, 600000);
+  Spec.Steps[0].LongRunning = true;
+  Spec.Steps[0].MayMiss = 1;
+  Spec.Steps[0].MaxPerWorker = 1;
+  Wave.Frame.submit("serves", "p", Spec);
+  Wave.Frame.run(seconds(1));
+  Wave.Platform.Orders.clear();
+  Wave.Platform.DownUntil.clear();
+  std::vector<std::string> Ids;
+  for (const auto &[Id, Worker] : Wave.Frame.Workers.all())
+    Ids.push_back(Id);
+  for (const std::string &Id : Ids)
+    Wave.Frame.Workers.at(Id).Faults.Silent = true;
+  Wave.lead();
+  Wave.announce(2, 4);
+  // Their leases hold for longer than this.
+  Wave.Frame.run(milliseconds(1500));
+  EXPECT_TRUE(Wave.Platform.Orders.empty());
+}
+
 TEST(Maintenance, AnOrderWithoutAnAnswerIsGivenAgain) {
   WaveFrame Wave(3, 1);
   Wave.Platform.LoseAnswers = 2;
