Links: a client that ends disposes of its idle connections

Cause: with the LeaderLink tests a client ends before its process for the first time; its pools' idle connections were left behind, which ASan reports as a leak (106 bytes). Daemons end with their clients, so nothing was lost there.

--- a/Source/Links/HttpClient.cpp
+++ b/Source/Links/HttpClient.cpp
@@ -67,6 +67,11 @@
     if (Entry->Native != nullptr)
       h2o_http1client_cancel(Entry->Native);
   }
+  for (auto &[Target, Own] : Lanes)
+    if (Own.Connections)
+      h2o_socketpool_dispose(&Own.Connections->Native);
+  for (const std::shared_ptr<Pool> &Item : Retired)
+    h2o_socketpool_dispose(&Item->Native);
 }
 
 std::shared_ptr<HttpClient::Pool>
