--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -43,7 +43,7 @@
   /// with the fleet.
   Duration PollIntervalPerWorker = Duration(400);
   Duration MinPollInterval = milliseconds(10);
-  Duration MaxPollInterval = milliseconds(80);
+  Duration MaxPollInterval = milliseconds(40);
   /// A task without progress for this long is restarted on another worker.
   Duration StallTimeout = milliseconds(1800);
   /// Unused: results are proposed together once per tick.
