Fleet: a control VM with an empty disk finds a leader that is no seed

Join requests went to the seeds alone, which keep them to themselves; core-a was no member 14 s later, when two more disks were lost with the power of all. Three of five voters' disks were gone, two VMs cannot elect a leader. Ruled out: a slow catch-up (core-a's log was empty at its next start and it logged no role, so no leader ever wrote to it). Now the answer to a join request names the members, and the next request goes to them, too; an older VM answers with an empty body, which is ignored.

--- a/Source/Fleet/HttpRaftTransport.cpp
+++ b/Source/Fleet/HttpRaftTransport.cpp
@@ -143,10 +143,23 @@
     SocketAddress Target;
     if (!SocketAddress::parse(Address, Target))
       Client.send(Target, internalRequest(internal_path::Join, Body),
-                  MessageTimeout, [](const HttpResult &) {});
+                  MessageTimeout,
+                  [this](const HttpResult &Result) { learnMembers(Result); });
   }
 }
 
+void HttpRaftTransport::learnMembers(const HttpResult &JoinResponse) {
+  const std::string *Body = successBody(JoinResponse);
+  std::vector<Member> Known;
+  if (Body == nullptr || !decodeMembers(*Body, Known))
+    return;
+  std::set<std::string> Addresses(MemberAddresses.begin(),
+                                  MemberAddresses.end());
+  for (const Member &Item : Known)
+    Addresses.insert(Item.Address);
+  MemberAddresses.assign(Addresses.begin(), Addresses.end());
+}
+
 void HttpRaftTransport::exchangeBootstrapOffers(const BootstrapOffer &OwnOffer,
                                                 const OfferHandler &OnOffer) {
   std::string RequestBody = encodeBootstrapOffer(OwnOffer);
--- a/Source/Fleet/HttpRaftTransport.h
+++ b/Source/Fleet/HttpRaftTransport.h
@@ -62,6 +62,9 @@
     bool InFlight = false;
   };
 
+  /// Adds the members that a control VM names in its response to a join
+  /// request: only the leader can admit a member, and it may be no seed.
+  void learnMembers(const HttpResult &JoinResponse);
   void sendBatch(const std::string &Address, MessageQueue &Queue);
   std::vector<std::string> peerAddresses() const;
 
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -453,7 +453,10 @@
     std::vector<Member> New;
     if (decodeMembers(Body, New) && New.size() == 1)
       Group->handleJoinRequest(New.front());
-    return Exchange->respond(cborResponse({}));
+    const Membership &Members = Group->membership();
+    std::vector<Member> Known = Members.Voters;
+    Known.insert(Known.end(), Members.Learners.begin(), Members.Learners.end());
+    return Exchange->respond(cborResponse(encodeMembers(Known)));
   }
   if (Path == internal_path::Sync) {
     SyncRequest Request;
