--- a/Source/Fleet/InternalMessages.h
+++ b/Source/Fleet/InternalMessages.h
@@ -63,6 +63,8 @@
 inline constexpr const char *Sync = "/internal/sync";
 inline constexpr const char *Configuration = "/internal/configuration";
 inline constexpr const char *Call = "/internal/call";
+inline constexpr const char *Orders = "/internal/orders";
+inline constexpr const char *Results = "/internal/results";
 } // namespace internal_path
 
 /// Delay after which a caller that was refused for lack of a leader may retry:
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -11,8 +11,13 @@
 namespace {
 
 constexpr int Ok = 200;
+constexpr int BadRequest = 400;
 constexpr int NotFound = 404;
 constexpr Duration OfferInterval = milliseconds(100);
+constexpr Duration CarriersInterval = milliseconds(200);
+/// With fewer workers the leader's processor suffices, and its orders take the
+/// shortest way.
+constexpr size_t MinWorkersForCarriers = 150;
 constexpr Duration ForwardTimeout = milliseconds(900);
 constexpr Duration StopTimeout = seconds(2);
 /// Jobs are refused as not run while more proposals than this await commitment.
@@ -55,7 +60,16 @@
           Loop, Settings.seedInternalAddresses(),
           Settings.InternalListen.text(),
           [this](const RaftMessage &Message) { Group->receive(Message); }),
-      ForwardClient(Loop), ControlServer(Loop,
+      ForwardClient(Loop),
+      Carrier(Loop, Ports.Workers, Settings.DataCentre,
+              [this](const char *Kind, Json Fields) {
+                Events.log(Kind, std::move(Fields));
+              }),
+      CarriedWorkers(Loop, Ports.Workers, Settings.InternalListen.text(),
+                     [this](const char *Kind, Json Fields) {
+                       Events.log(Kind, std::move(Fields));
+                     }),
+      ControlServer(Loop,
                                          [this](const ExchangePtr &Exchange) {
                                            handleControlRequest(Exchange);
                                          }),
@@ -69,7 +83,10 @@
             {Ok, {{"content-type", "text/plain"}}, metricsText()});
       }) {}
 
-SchedulerDaemon::~SchedulerDaemon() { Loop.timers().cancel(BootstrapTimer); }
+SchedulerDaemon::~SchedulerDaemon() {
+  Loop.timers().cancel(BootstrapTimer);
+  Loop.timers().cancel(CarriersTimer);
+}
 
 std::error_code SchedulerDaemon::open(std::string &Key) {
   Key = "dataFolder";
@@ -107,6 +124,8 @@
       return Error;
   BootstrapTimer = Loop.timers().scheduleEvery(
       OfferInterval, [this] { sendBootstrapOffer(); });
+  CarriersTimer = Loop.timers().scheduleEvery(CarriersInterval,
+                                              [this] { updateCarriers(); });
   Watcher = std::make_unique<SettingsWatcher>(
       Loop, SettingsFile,
       [this](const FleetSettings &NewSettings) {
@@ -290,7 +309,7 @@
                             Settings.PlatformChecksTokens};
     WaveOptions.MaintenanceDuration = Settings.MaintenanceDuration;
     Scheduler = std::make_unique<Dispatcher>(State.leaderships(), State,
-                                             Configuration, Ports.Workers,
+                                             Configuration, CarriedWorkers,
                                              Loop.timers(), Options, Hooks);
     WaveMaintenance = std::make_unique<Maintenance>(
         State, *Scheduler, Ports.Vms, Loop.timers(), WaveOptions, Hooks);
@@ -314,9 +333,18 @@
   Mover.reset();
   WaveMaintenance.reset();
   Scheduler.reset();
+  updateCarriers();
   Events.log("leads_no_more", {{"why", Reason}});
 }
 
+void SchedulerDaemon::updateCarriers() {
+  std::vector<std::string> Addresses;
+  if (Scheduler && Scheduler->workers().all().size() >= MinWorkersForCarriers)
+    Addresses = memberAddresses();
+  std::erase(Addresses, Settings.InternalListen.text());
+  CarriedWorkers.setCarriers(Addresses, Group->log().term());
+}
+
 bool SchedulerDaemon::isLeader() const {
   return Scheduler != nullptr && Group->isLeader();
 }
@@ -449,15 +477,13 @@
         cborResponse(Transport.handleRequest(Body, [this] { Group->pump(); })));
   if (Path == internal_path::Offer)
     return handleBootstrapOffer(Exchange);
-  if (Path == internal_path::Join) {
-    std::vector<Member> New;
-    if (decodeMembers(Body, New) && New.size() == 1)
-      Group->handleJoinRequest(New.front());
-    const Membership &Members = Group->membership();
-    std::vector<Member> Known = Members.Voters;
-    Known.insert(Known.end(), Members.Learners.begin(), Members.Learners.end());
-    return Exchange->respond(cborResponse(encodeMembers(Known)));
-  }
+  if (Path == internal_path::Join)
+    return handleJoinRequest(Exchange);
+  if (Path == internal_path::Orders)
+    return Exchange->respond(Carrier.handleBatch(Body, Group->log().term()));
+  if (Path == internal_path::Results)
+    return Exchange->respond(
+        {CarriedWorkers.handleResults(Body) ? Ok : BadRequest, {}, {}});
   if (Path == internal_path::Sync) {
     SyncRequest Request;
     if (fromCbor(Body, Request))
@@ -475,6 +501,16 @@
   Exchange->respond({NotFound, {}, {}});
 }
 
+void SchedulerDaemon::handleJoinRequest(const ExchangePtr &Exchange) {
+  std::vector<Member> New;
+  if (decodeMembers(Exchange->request().Body, New) && New.size() == 1)
+    Group->handleJoinRequest(New.front());
+  const Membership &Members = Group->membership();
+  std::vector<Member> Known = Members.Voters;
+  Known.insert(Known.end(), Members.Learners.begin(), Members.Learners.end());
+  Exchange->respond(cborResponse(encodeMembers(Known)));
+}
+
 ConfigurationReply SchedulerDaemon::compressedConfiguration() {
   if (CompressedConfiguration.Version != State.configurationVersion())
     CompressedConfiguration = {State.configurationVersion(),
@@ -582,6 +618,10 @@
   Registry
       .gauge("mimosashunt_log_lines_left_out", "Log lines that were left out")
       .Set(static_cast<double>(Events.droppedLines()));
+  Registry
+      .gauge("mimosashunt_batches_refused",
+             "Batches of orders that were not carried")
+      .Set(static_cast<double>(Carrier.refusedBatches()));
   if (Scheduler)
     updateSchedulerMetrics();
   return Registry.text();
@@ -614,6 +654,11 @@
            Counters.StalledRuns);
   SetGauge("mimosashunt_runs_lapsed", "Runs given up with their worker's lease",
            Counters.ExpiredRuns);
+  SetGauge("mimosashunt_carriers", "Control VMs that carry orders",
+           CarriedWorkers.usableCarriers());
+  SetGauge("mimosashunt_orders_carried",
+           "Orders that went through other control VMs",
+           CarriedWorkers.carriedOrders());
   SetGauge("mimosashunt_jobs_live", "Jobs that have not ended",
            Scheduler->activeJobCount());
   SetGauge("mimosashunt_vms_down", "VMs under maintenance",
--- a/Source/Fleet/SchedulerDaemon.h
+++ b/Source/Fleet/SchedulerDaemon.h
@@ -7,11 +7,13 @@
 
 #include "Agreement/Replica.h"
 #include "Daemon/Metrics.h"
+#include "Fleet/CarriedWorkerPort.h"
 #include "Fleet/Codecs.h"
 #include "Fleet/EventLog.h"
 #include "Fleet/FleetSettings.h"
 #include "Fleet/HttpRaftTransport.h"
 #include "Fleet/InternalMessages.h"
+#include "Fleet/OrderCarrier.h"
 #include "Fleet/SettingsWatcher.h"
 #include "Links/EventLoop.h"
 #include "Links/HttpServer.h"
@@ -74,6 +76,9 @@
   /// Exchanges offers with the seeds until the group exists or this disk may
   /// not found one.
   void sendBootstrapOffer();
+  /// Lets the other control VMs carry orders while this VM leads a fleet that
+  /// is large enough.
+  void updateCarriers();
   /// True while this VM is the leader and its scheduler runs.
   bool isLeader() const;
 
@@ -90,6 +95,7 @@
                          const char *Event);
 
   void handleInternalRequest(const ExchangePtr &Exchange);
+  void handleJoinRequest(const ExchangePtr &Exchange);
   void handleBootstrapOffer(const ExchangePtr &Exchange);
   SyncReply makeSyncReply();
   ConfigurationReply compressedConfiguration();
@@ -113,6 +119,8 @@
   Metrics Registry;
   HttpRaftTransport Transport;
   HttpClient ForwardClient;
+  OrderCarrier Carrier;             // Used while another VM leads.
+  CarriedWorkerPort CarriedWorkers; // Used while this VM leads.
   HttpServer ControlServer;
   HttpServer InternalServer;
   HttpServer MetricsServer;
@@ -134,6 +142,7 @@
   bool Stopping = false;
   Instant StopStartedAt;
   TimerId BootstrapTimer = 0;
+  TimerId CarriersTimer = 0;
 };
 
 } // namespace mimosashunt
