--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -44,6 +44,9 @@
   Duration PollIntervalPerWorker = Duration(400);
   Duration MinPollInterval = milliseconds(10);
   Duration MaxPollInterval = milliseconds(40);
+  /// Time between two scheduling passes, so that what several batches of
+  /// responses change is handled in one: this much for each worker of the fleet.
+  Duration PassIntervalPerWorker = Duration(20);
   /// A task without progress for this long is restarted on another worker.
   Duration StallTimeout = milliseconds(1800);
   /// Unused: results are proposed together once per tick.
@@ -225,6 +228,9 @@
   void removeJobIfFinished(const JobId &Job);
 
   // Scheduling.
+  /// Schedules the pools that changed, unless the last pass was too recent; the
+  /// event loop is woken for the next one then.
+  void scheduleDirtyPools();
   void schedulePool(const std::string &Pool);
   std::vector<JobRank> rankJobs(const std::string &Pool,
                                 std::vector<JobProgress *> &List) const;
@@ -270,6 +276,8 @@
   // ended.
   std::map<JobId, std::unique_ptr<JobProgress>> Jobs;
   std::set<std::string> DirtyPools;
+  Instant LastPassAt;
+  bool IsPassScheduled = false; // A timer wakes the loop for the next pass.
   /// Jobs not started, by queue, as of the last tick.
   std::map<std::string, uint64_t> PendingJobs;
   /// By organisation, as of this turn.
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -50,6 +50,27 @@
   return Ranks;
 }
 
+void Dispatcher::scheduleDirtyPools() {
+  if (DirtyPools.empty())
+    return;
+  Duration Interval = Options.PassIntervalPerWorker *
+                      static_cast<int64_t>(Table.all().size());
+  Instant Due = LastPassAt + Interval;
+  if (Timers.now() < Due) {
+    if (!std::exchange(IsPassScheduled, true))
+      Timers.scheduleAt(Due, [this, IsAlive = AliveFlag] {
+        if (*IsAlive)
+          IsPassScheduled = false;
+      });
+    return;
+  }
+  LastPassAt = Timers.now();
+  UnlocatedUsage = computeUnlocatedUsage();
+  // Pools that become dirty during scheduling wait for the next pass.
+  for (const std::string &Pool : std::exchange(DirtyPools, {}))
+    schedulePool(Pool);
+}
+
 void Dispatcher::schedulePool(const std::string &Pool) {
   if (Pool.empty())
     return;
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -45,10 +45,7 @@
   if (!mayIssueOrders())
     return;
   pollDueWorkers();
-  UnlocatedUsage = computeUnlocatedUsage();
-  // Pools that become dirty during scheduling wait for the next turn.
-  for (const std::string &Pool : std::exchange(DirtyPools, {}))
-    schedulePool(Pool);
+  scheduleDirtyPools();
 }
 
 void Dispatcher::pollDueWorkers() {
@@ -598,10 +595,11 @@
 }
 
 void Dispatcher::adjustPaces(TrackedWorker &Worker) {
-  if (!mayIssueOrders())
+  std::vector<PaceChange> Changes =
+      computePaceChanges(Worker, Timers.now(), Options.Pacing);
+  if (Changes.empty() || !mayIssueOrders())
     return;
-  for (const PaceChange &Change :
-       computePaceChanges(Worker, Timers.now(), Options.Pacing)) {
+  for (const PaceChange &Change : Changes) {
     Run &CurrentRun = Worker.Runs.at(Change.Task);
     CurrentRun.PacePercent = Change.Percent;
     CurrentRun.PaceChangedAt = Timers.now();
