--- a/Source/Fleet/CarriedOrders.cpp
+++ b/Source/Fleet/CarriedOrders.cpp
@@ -69,14 +69,14 @@
   const PollResponse &Response = Result.Response;
   Json Running = Json::array();
   for (const RunningTask &Row : Response.Running)
-    Running.push_back(Json::array({encodeTask(Row.Task), Row.Attempt,
-                                   Row.Checkpoint, Row.ProgressPercent,
-                                   Row.Gauge}));
+    Running.push_back(
+        Json::array({encodeTask(Row.Task), Row.Attempt, Row.Checkpoint,
+                     Row.ProgressPercent, Row.Gauge}));
   Json Finished = Json::array();
   for (const FinishedRun &Row : Response.Finished)
-    Finished.push_back(Json::array({Row.Number, encodeTask(Row.Task),
-                                    Row.Attempt, static_cast<int>(Row.Kind),
-                                    Row.Checkpoint}));
+    Finished.push_back(
+        Json::array({Row.Number, encodeTask(Row.Task), Row.Attempt,
+                     static_cast<int>(Row.Kind), Row.Checkpoint}));
   Json Clock = Response.ClockMs ? Json(*Response.ClockMs) : Json();
   return Json::array({Result.Id, static_cast<int>(Response.Outcome), Clock,
                       std::move(Running), std::move(Finished)});
@@ -98,17 +98,15 @@
   if (!In.at(2).is_null())
     Response.ClockMs = In.at(2).get<int64_t>();
   for (const Json &Row : In.at(3))
-    Response.Running.push_back({decodeTask(Row.at(0)),
-                                Row.at(1).get<uint32_t>(),
-                                Row.at(2).get<std::string>(),
-                                Row.at(3).get<int32_t>(),
-                                Row.at(4).get<int64_t>()});
+    Response.Running.push_back(
+        {decodeTask(Row.at(0)), Row.at(1).get<uint32_t>(),
+         Row.at(2).get<std::string>(), Row.at(3).get<int32_t>(),
+         Row.at(4).get<int64_t>()});
   for (const Json &Row : In.at(4))
-    Response.Finished.push_back({Row.at(0).get<uint64_t>(),
-                                 decodeTask(Row.at(1)),
-                                 Row.at(2).get<uint32_t>(),
-                                 decodeEnum(Row.at(3), EndKind::Alone),
-                                 Row.at(4).get<std::string>()});
+    Response.Finished.push_back(
+        {Row.at(0).get<uint64_t>(), decodeTask(Row.at(1)),
+         Row.at(2).get<uint32_t>(), decodeEnum(Row.at(3), EndKind::Alone),
+         Row.at(4).get<std::string>()});
   return Result;
 }
 
@@ -137,9 +135,9 @@
 std::string encodeOrders(const OrderBatch &Batch) {
   Json Orders = Json::array();
   for (const CarriedOrder &Item : Batch.Orders)
-    Orders.push_back(Json::array({Item.Id, Item.Worker.Id,
-                                  Item.Worker.Incarnation, Item.Address,
-                                  std::visit(OrderEncoder(), Item.Order)}));
+    Orders.push_back(
+        Json::array({Item.Id, Item.Worker.Id, Item.Worker.Incarnation,
+                     Item.Address, std::visit(OrderEncoder(), Item.Order)}));
   return toBytes(
       Json::array({Batch.Term, Batch.ResultsAddress, std::move(Orders)}));
 }
--- a/Source/Fleet/CarriedWorkerPort.cpp
+++ b/Source/Fleet/CarriedWorkerPort.cpp
@@ -30,8 +30,7 @@
                                      EventLogger LogEvent)
     : Loop(Loop), Direct(Direct), ResultsAddress(std::move(ResultsAddress)),
       LogEvent(std::move(LogEvent)), Client(Loop) {
-  TickTimer =
-      Loop.timers().scheduleEvery(TickInterval, [this] { onTick(); });
+  TickTimer = Loop.timers().scheduleEvery(TickInterval, [this] { onTick(); });
 }
 
 CarriedWorkerPort::~CarriedWorkerPort() { Loop.timers().cancel(TickTimer); }
@@ -101,8 +100,7 @@
                               PollCallback Done) {
   uint64_t Id = ++LastId;
   Pending[Id] = {Address, Loop.timers().now() + Timeout, std::move(Done)};
-  Carriers.at(Address)->Sender->add(
-      {Id, To.Key, To.Address, std::move(Order)});
+  Carriers.at(Address)->Sender->add({Id, To.Key, To.Address, std::move(Order)});
 }
 
 void CarriedWorkerPort::handleBatchSent(const std::string &Address,
--- a/Source/Fleet/CarriedWorkerPort.h
+++ b/Source/Fleet/CarriedWorkerPort.h
@@ -1,7 +1,7 @@
 // The leader's way to the workers of a large fleet: other control VMs carry its
 // orders in batches, so that its processor time for a start does not contain an
-// HTTP exchange with the worker. A worker's orders go through the carrier in its
-// data centre, or through another one; without a usable carrier the leader
+// HTTP exchange with the worker. A worker's orders go through the carrier in
+// its data centre, or through another one; without a usable carrier the leader
 // sends them itself.
 
 #ifndef MIMOSASHUNT_FLEET_CARRIEDWORKERPORT_H
@@ -19,8 +19,8 @@
 namespace mimosashunt {
 
 /// Each order gets exactly one response. Orders whose carrier fails are
-/// Unanswered, since the carrier may still carry them out. Those of a batch that
-/// was refused or never sent go to their workers directly.
+/// Unanswered, since the carrier may still carry them out. Those of a batch
+/// that was refused or never sent go to their workers directly.
 class CarriedWorkerPort : public WorkerPort {
 public:
   using EventLogger = std::function<void(const char *Kind, Json Fields)>;
--- a/Source/Fleet/OrderCarrier.h
+++ b/Source/Fleet/OrderCarrier.h
@@ -40,8 +40,8 @@
 
   void carry(const CarriedOrder &Item, const std::string &ResultsAddress);
   void addResult(const std::string &Address, CarriedResult Result);
-  void handleSent(const std::string &Address,
-                  std::vector<CarriedResult> Batch, const HttpResult &Result);
+  void handleSent(const std::string &Address, std::vector<CarriedResult> Batch,
+                  const HttpResult &Result);
   HttpResponse refuse(int Status, const char *Reason);
 
   EventLoop &Loop;
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -60,19 +60,18 @@
           Loop, Settings.seedInternalAddresses(),
           Settings.InternalListen.text(),
           [this](const RaftMessage &Message) { Group->receive(Message); }),
-      ForwardClient(Loop),
-      Carrier(Loop, Ports.Workers, Settings.DataCentre,
-              [this](const char *Kind, Json Fields) {
-                Events.log(Kind, std::move(Fields));
-              }),
+      ForwardClient(Loop), Carrier(Loop, Ports.Workers, Settings.DataCentre,
+                                   [this](const char *Kind, Json Fields) {
+                                     Events.log(Kind, std::move(Fields));
+                                   }),
       CarriedWorkers(Loop, Ports.Workers, Settings.InternalListen.text(),
                      [this](const char *Kind, Json Fields) {
                        Events.log(Kind, std::move(Fields));
                      }),
       ControlServer(Loop,
-                                         [this](const ExchangePtr &Exchange) {
-                                           handleControlRequest(Exchange);
-                                         }),
+                    [this](const ExchangePtr &Exchange) {
+                      handleControlRequest(Exchange);
+                    }),
       InternalServer(Loop,
                      [this](const ExchangePtr &Exchange) {
                        handleInternalRequest(Exchange);
--- a/Source/Links/HttpClient.cpp
+++ b/Source/Links/HttpClient.cpp
@@ -163,8 +163,8 @@
 
 void HttpClient::disposeIdlePools() {
   auto IsIdle = [this](const std::shared_ptr<Pool> &Candidate) {
-    return Candidate && isExpired(*Candidate, Options.IdleTimeout +
-                                                  IdlePoolCheckInterval);
+    return Candidate &&
+           isExpired(*Candidate, Options.IdleTimeout + IdlePoolCheckInterval);
   };
   for (auto &[Target, Dest] : Destinations)
     if (IsIdle(Dest.Connections) && Dest.WaitingCalls.empty())
@@ -196,8 +196,8 @@
   Call *Entry = NewCall.get();
   Calls.emplace(Id, std::move(NewCall));
   Instant Deadline = Loop.timers().now() + Timeout;
-  Entry->Timer =
-      Loop.timers().scheduleAt(Deadline, [this, Id] { abandonCall(Id, "no whole answer in time"); });
+  Entry->Timer = Loop.timers().scheduleAt(
+      Deadline, [this, Id] { abandonCall(Id, "no whole answer in time"); });
   // Connecting is deferred so that a pooled connection cannot invoke the
   // callback before send() has returned.
   Loop.defer([this, Id] { startCall(Id); });
--- a/Source/Pools/Maintenance.cpp
+++ b/Source/Pools/Maintenance.cpp
@@ -31,7 +31,8 @@
                          VmPort &Port, TimerService &Timers,
                          MaintenanceOptions Options, LeaderHooks Hooks)
     : Store(Store), Scheduler(Scheduler), Port(Port), Timers(Timers),
-      Options(Options), Hooks(std::move(Hooks)), Takeover(Options.Takeover, Timers.now()),
+      Options(Options), Hooks(std::move(Hooks)),
+      Takeover(Options.Takeover, Timers.now()),
       Alive(std::make_shared<bool>(true)) {
   TickTimer = Timers.scheduleEvery(Options.TickInterval, [this] { onTick(); });
 }
@@ -239,8 +240,8 @@
   Entry.OrderInFlight = true;
   Scheduler.setCordoned(Vm, true);
   std::shared_ptr<bool> StillAlive = Alive;
-  Port.startMaintenance(Vm, Entry.Wave, Scheduler.token(),
-                        Hooks.MayIssueOrders, [this, StillAlive, Vm](VmOrderOutcome Outcome) {
+  Port.startMaintenance(Vm, Entry.Wave, Scheduler.token(), Hooks.MayIssueOrders,
+                        [this, StillAlive, Vm](VmOrderOutcome Outcome) {
                           if (*StillAlive)
                             handleOrderOutcome(Vm, Outcome);
                         });
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -45,7 +45,8 @@
   Duration MinPollInterval = milliseconds(10);
   Duration MaxPollInterval = milliseconds(40);
   /// Time between two scheduling passes, so that what several batches of
-  /// responses change is handled in one: this much for each worker of the fleet.
+  /// responses change is handled in one: this much for each worker of the
+  /// fleet.
   Duration PassIntervalPerWorker = Duration(20);
   /// A task without progress for this long is restarted on another worker.
   Duration StallTimeout = milliseconds(1800);
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -53,8 +53,8 @@
 void Dispatcher::scheduleDirtyPools() {
   if (DirtyPools.empty())
     return;
-  Duration Interval = Options.PassIntervalPerWorker *
-                      static_cast<int64_t>(Table.all().size());
+  Duration Interval =
+      Options.PassIntervalPerWorker * static_cast<int64_t>(Table.all().size());
   Instant Due = LastPassAt + Interval;
   if (Timers.now() < Due) {
     if (!std::exchange(IsPassScheduled, true))
--- a/Tests/Fleet/CarrierTest.cpp
+++ b/Tests/Fleet/CarrierTest.cpp
@@ -89,8 +89,7 @@
   }
 
   size_t countEvents(const std::string &Kind) const {
-    return static_cast<size_t>(
-        std::count(Events.begin(), Events.end(), Kind));
+    return static_cast<size_t>(std::count(Events.begin(), Events.end(), Kind));
   }
 
   // h2o cannot destroy an event loop or a server, so all live as long as the
@@ -109,10 +108,11 @@
   OrderCarrier &Carrier = *new OrderCarrier(
       Loop, CarriedTo, "dc-1",
       [this](const char *Kind, const Json &) { Events.emplace_back(Kind); });
-  HttpServer &LeaderServer = *new HttpServer(Loop, [this](const auto &Exchange) {
-    bool IsRead = Leader.handleResults(Exchange->request().Body);
-    Exchange->respond({IsRead ? 200 : 400, {}, {}});
-  });
+  HttpServer &LeaderServer =
+      *new HttpServer(Loop, [this](const auto &Exchange) {
+        bool IsRead = Leader.handleResults(Exchange->request().Body);
+        Exchange->respond({IsRead ? 200 : 400, {}, {}});
+      });
   HttpServer &CarrierServer =
       *new HttpServer(Loop, [this](const auto &Exchange) {
         Exchange->respond(
@@ -213,10 +213,9 @@
   Env.useCarrier();
   Env.CarriedTo.IsSilent = true;
   std::optional<OrderOutcome> Outcome;
-  Env.Leader.startRun(Env.Worker, Env.Order,
-                      [&](const OrderResponse &Response) {
-                        Outcome = Response.Outcome;
-                      });
+  Env.Leader.startRun(
+      Env.Worker, Env.Order,
+      [&](const OrderResponse &Response) { Outcome = Response.Outcome; });
   Env.runUntil([&] { return !Env.CarriedTo.Starts.empty(); });
   Env.Leader.setCarriers({}, 0);
   EXPECT_EQ(Outcome, OrderOutcome::Unanswered);
--- a/Tests/Fleet/RaftTransportTest.cpp
+++ b/Tests/Fleet/RaftTransportTest.cpp
@@ -44,9 +44,9 @@
   auto &Leader = *new JoinCounter(Loop);
   Seed.Known = {{1, "seed", Seed.Address.text()},
                 {2, "leader", Leader.Address.text()}};
-  auto &Transport = *new HttpRaftTransport(Loop, {Seed.Address.text()},
-                                           freeAddress().text(),
-                                           [](const RaftMessage &) {});
+  auto &Transport =
+      *new HttpRaftTransport(Loop, {Seed.Address.text()}, freeAddress().text(),
+                             [](const RaftMessage &) {});
   Member Self{3, "self", "127.0.0.1:1"};
   int Sent = 0;
   constexpr int MaxJoins = 20;
--- a/Tests/Jobs/PoolsTest.cpp
+++ b/Tests/Jobs/PoolsTest.cpp
@@ -230,9 +230,9 @@
     Fleet.beginLeadership();
     MaintenanceOptions Options;
     Options.Takeover.PlatformChecksTokens = PlatformChecksTokens;
-    Controller = std::make_unique<Maintenance>(Fleet.Store, *Fleet.Scheduler,
-                                               Platform, Fleet.Timers, Options,
-                                               makeHooks());
+    Controller =
+        std::make_unique<Maintenance>(Fleet.Store, *Fleet.Scheduler, Platform,
+                                      Fleet.Timers, Options, makeHooks());
   }
 
   /// Starts a new leadership that moves VMs instead of maintaining them.
