--- /dev/null
+++ b/Source/Fleet/SchedulerMetrics.cpp
@@ -0,0 +1,88 @@
+// The part of the scheduler daemon that fills its metrics.
+
+#include "Fleet/SchedulerDaemon.h"
+
+namespace mimosashunt {
+
+std::string SchedulerDaemon::metricsText() {
+  Registry.gauge("mimosashunt_leads", "1 while this VM leads").Set(isLeader());
+  Registry.gauge("mimosashunt_term", "Term of the log")
+      .Set(static_cast<double>(Group->log().term()));
+  Registry.gauge("mimosashunt_applied_index", "Log index that is applied")
+      .Set(static_cast<double>(Group->appliedIndex()));
+  Registry.gauge("mimosashunt_voters", "Voters of the group")
+      .Set(static_cast<double>(Group->membership().Voters.size()));
+  Registry
+      .gauge("mimosashunt_configuration_version", "Version that is in force")
+      .Set(static_cast<double>(State.configurationVersion()));
+  Registry
+      .gauge("mimosashunt_log_lines_left_out", "Log lines that were left out")
+      .Set(static_cast<double>(Events.droppedLines()));
+  Registry
+      .gauge("mimosashunt_batches_refused",
+             "Batches of orders that were not carried")
+      .Set(static_cast<double>(Carrier.refusedBatches()));
+  if (Scheduler)
+    updateSchedulerMetrics();
+  return Registry.text();
+}
+
+void SchedulerDaemon::updateSchedulerMetrics() {
+  const DispatcherCounters &Counters = Scheduler->counters();
+  auto SetGauge = [this](const char *Name, const char *Help, uint64_t Value) {
+    Registry.gauge(Name, Help).Set(static_cast<double>(Value));
+  };
+  // The counters start at zero with each leadership; a scraper sums them over
+  // fencing tokens.
+  SetGauge("mimosashunt_fencing_token", "Token of this leadership",
+           Scheduler->token());
+  SetGauge("mimosashunt_starts", "Starts that were ordered",
+           Counters.StartOrders);
+  SetGauge("mimosashunt_starts_refused", "Starts that were not taken",
+           Counters.RejectedStarts);
+  SetGauge("mimosashunt_starts_lost", "Starts without an answer",
+           Counters.UnansweredStarts);
+  SetGauge("mimosashunt_scheduling_passes", "Passes over the waiting tasks",
+           Counters.SchedulingPasses);
+  SetGauge("mimosashunt_looks", "Looks at workers", Counters.Polls);
+  SetGauge("mimosashunt_stops", "Stops that were ordered", Counters.StopOrders);
+  SetGauge("mimosashunt_ends_done", "Runs that ended done",
+           Counters.CompletedRuns);
+  SetGauge("mimosashunt_ends_failed", "Runs that ended failed",
+           Counters.FailedRuns);
+  SetGauge("mimosashunt_ends_other", "Runs that ended otherwise",
+           Counters.OtherEndedRuns);
+  SetGauge("mimosashunt_standstills", "Runs without progress",
+           Counters.StalledRuns);
+  SetGauge("mimosashunt_runs_lapsed", "Runs given up with their worker's lease",
+           Counters.ExpiredRuns);
+  SetGauge("mimosashunt_carriers", "Control VMs that carry orders",
+           CarriedWorkers.usableCarriers());
+  SetGauge("mimosashunt_orders_carried",
+           "Orders that went through other control VMs",
+           CarriedWorkers.carriedOrders());
+  SetGauge("mimosashunt_jobs_live", "Jobs that have not ended",
+           Scheduler->activeJobCount());
+  SetGauge("mimosashunt_vms_down", "VMs under maintenance",
+           WaveMaintenance->downVmCount());
+  SetGauge("mimosashunt_vms_moving", "VMs on their way to another pool",
+           Mover->movesInFlight());
+  std::map<std::string, size_t> Workers = {
+      {"in_touch", 0}, {"silent", 0}, {"leaving", 0}};
+  for (const auto &[Key, Worker] : Scheduler->workers().all())
+    ++Workers[Worker.Entry.Leaving ? "leaving"
+              : Worker.IsReachable ? "in_touch"
+                                   : "silent"];
+  for (const auto &[Condition, Count] : Workers)
+    Registry
+        .gauge("mimosashunt_workers", "Workers by condition",
+               {{"condition", Condition}})
+        .Set(static_cast<double>(Count));
+  for (const QueueConfiguration &Queue : Configuration.Queues)
+    Registry
+        .gauge("mimosashunt_jobs_waiting", "Jobs that have not begun",
+               {{"queue", Queue.Name}})
+        .Set(static_cast<double>(Scheduler->pendingJobCount(Queue.Name)));
+}
+
+} // namespace mimosashunt
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -50,8 +50,6 @@
   Duration PassIntervalPerWorker = Duration(20);
   /// A task without progress for this long is restarted on another worker.
   Duration StallTimeout = milliseconds(1800);
-  /// Unused: results are proposed together once per tick.
-  Duration ResultBatchInterval = milliseconds(20);
   Duration StopRetryInterval = milliseconds(250);
   /// Cores are requested such that overdue jobs end within this time. Callers
   /// wait up to three objectives, the shortest of which is about 1 s.
@@ -104,6 +102,7 @@
   uint64_t RejectedStarts = 0;
   uint64_t UnansweredStarts = 0;
   uint64_t Polls = 0;
+  uint64_t SchedulingPasses = 0;
   uint64_t StopOrders = 0;
   uint64_t CompletedRuns = 0;
   uint64_t FailedRuns = 0;
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -65,6 +65,7 @@
     return;
   }
   LastPassAt = Timers.now();
+  ++Counters.SchedulingPasses;
   UnlocatedUsage = computeUnlocatedUsage();
   // Pools that become dirty during scheduling wait for the next pass.
   for (const std::string &Pool : std::exchange(DirtyPools, {}))
--- a/Tests/Jobs/DispatcherTest.cpp
+++ b/Tests/Jobs/DispatcherTest.cpp
@@ -193,6 +193,36 @@
   EXPECT_EQ(Harness.Workers.PaceOrders.back().Percent, 100U);
 }
 
+// Responses of many workers arrive in quick succession; a pass over all waiting
+// jobs for each of them cost the leader of a large fleet its processor.
+TEST(Dispatcher, OnePassHandlesWhatSeveralResponsesChange) {
+  constexpr size_t Workers = 20;
+  auto CountPasses = [](Duration IntervalPerWorker) {
+    DispatcherOptions Options;
+    Options.PassIntervalPerWorker = IntervalPerWorker;
+    SchedulerHarness Fleet(
+        [](const TaskId &Task, const StepSpec &Spec) {
+          return Spec.EstimateMs + 7 * Task.Index;
+        },
+        Options);
+    Fleet.addPool("p", Workers, 16);
+    Fleet.beginLeadership();
+    for (int I = 0; I < 100; ++I) {
+      Fleet.submitJob("j" + std::to_string(I), "p",
+                      makeChainSpec(2, 8, 1000, 300));
+      Fleet.advanceTime(milliseconds(10));
+    }
+    Fleet.advanceTime(seconds(3));
+    EXPECT_EQ(Fleet.countJobsInState(JobState::Completed), 100U);
+    EXPECT_TRUE(Fleet.Workers.Violations.empty());
+    return Fleet.Scheduler->counters().SchedulingPasses;
+  };
+  constexpr uint64_t RunMillis = 4000;
+  constexpr uint64_t IntervalMillis = Workers * 1;
+  EXPECT_LE(CountPasses(milliseconds(1)), RunMillis / IntervalMillis + 1);
+  EXPECT_GT(CountPasses(Duration(0)), RunMillis / IntervalMillis + 1);
+}
+
 TEST(Dispatcher, CountsJobsThatHaveNotStarted) {
   SchedulerHarness Harness;
   Harness.addPool("p", 1, 1);
