--- a/Tests/Jobs/DispatcherTest.cpp
+++ b/Tests/Jobs/DispatcherTest.cpp
@@ -202,7 +202,7 @@
     Options.PassIntervalPerWorker = IntervalPerWorker;
     SchedulerHarness Fleet(
         [](const TaskId &Task, const StepSpec &Spec) {
-          return Spec.EstimateMs + 7 * Task.Index;
+          return Spec.EstimateMs + int64_t{7} * Task.Index;
         },
         Options);
     Fleet.addPool("p", Workers, 16);
