Links, Scheduling, Fleet: lateness of the loop and age of renewals are logged

The log and the metrics could not tell a late event loop from a stop or an old view (docs/incidents/2026-12-04-avail.md). loop_late names each second in which a timer ran 200 ms late, lease_not_renewed each run that lapsed on a worker in touch; both are metrics, too. No decision changes.

--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -15,6 +15,9 @@
 constexpr int NotFound = 404;
 constexpr Duration OfferInterval = milliseconds(100);
 constexpr Duration CarriersInterval = milliseconds(200);
+constexpr Duration LoadInterval = seconds(1);
+/// Two heartbeats between control VMs. Less is usual and not logged.
+constexpr Duration LoggedLateness = milliseconds(200);
 /// With fewer workers the leader's processor suffices, and its orders take the
 /// shortest way.
 constexpr size_t MinWorkersForCarriers = 150;
@@ -85,6 +88,7 @@
 SchedulerDaemon::~SchedulerDaemon() {
   Loop.timers().cancel(BootstrapTimer);
   Loop.timers().cancel(CarriersTimer);
+  Loop.timers().cancel(LoadTimer);
 }
 
 std::error_code SchedulerDaemon::open(std::string &Key) {
@@ -125,6 +129,8 @@
       OfferInterval, [this] { sendBootstrapOffer(); });
   CarriersTimer = Loop.timers().scheduleEvery(CarriersInterval,
                                               [this] { updateCarriers(); });
+  LoadTimer = Loop.timers().scheduleEvery(LoadInterval,
+                                          [this] { reportLoopLoad(); });
   Watcher = std::make_unique<SettingsWatcher>(
       Loop, SettingsFile,
       [this](const FleetSettings &NewSettings) {
@@ -264,6 +270,19 @@
   return DidWork;
 }
 
+void SchedulerDaemon::reportLoopLoad() {
+  LastLoad = Loop.takeLoad();
+  if (LastLoad.LongestLateness < LoggedLateness)
+    return;
+  Json Fields = {{"late_ms", toMillis(LastLoad.LongestLateness)},
+                 {"turn_ms", toMillis(LastLoad.LongestTurn)},
+                 {"turns", LastLoad.Iterations},
+                 {"proposals", Group->pendingProposals()}};
+  if (Scheduler)
+    Fields["oldest_renewal_ms"] = toMillis(Scheduler->oldestRenewalAge());
+  Events.log("loop_late", Fields);
+}
+
 void SchedulerDaemon::onRoleChange() {
   Transport.setMemberAddresses(memberAddresses());
   bool IsLeader = Group->log().role() == RaftRole::Leader;
--- a/Source/Fleet/SchedulerDaemon.h
+++ b/Source/Fleet/SchedulerDaemon.h
@@ -108,6 +108,8 @@
   /// Parses the replicated configuration if its version has changed.
   void refreshConfiguration();
   void beginStop();
+  /// Logs how late the event loop ran, if it did, and keeps it for the metrics.
+  void reportLoopLoad();
   std::string metricsText();
   void updateSchedulerMetrics();
 
@@ -143,6 +145,8 @@
   Instant StopStartedAt;
   TimerId BootstrapTimer = 0;
   TimerId CarriersTimer = 0;
+  TimerId LoadTimer = 0;
+  LoopLoad LastLoad; // Of the last whole LoadInterval.
 };
 
 } // namespace mimosashunt
--- a/Source/Fleet/SchedulerMetrics.cpp
+++ b/Source/Fleet/SchedulerMetrics.cpp
@@ -22,6 +22,12 @@
       .gauge("mimosashunt_batches_refused",
              "Batches of orders that were not carried")
       .Set(static_cast<double>(Carrier.refusedBatches()));
+  constexpr double MicrosPerSecond = 1e6;
+  Registry
+      .gauge("mimosashunt_loop_lateness_seconds",
+             "Longest lateness of a due timer in the last second")
+      .Set(static_cast<double>(LastLoad.LongestLateness.count()) /
+           MicrosPerSecond);
   if (Scheduler)
     updateSchedulerMetrics();
   return Registry.text();
@@ -56,6 +62,12 @@
            Counters.StalledRuns);
   SetGauge("mimosashunt_runs_lapsed", "Runs given up with their worker's lease",
            Counters.ExpiredRuns);
+  SetGauge("mimosashunt_runs_not_renewed",
+           "Runs whose lease ran out on a worker in touch",
+           Counters.UnrenewedRuns);
+  SetGauge("mimosashunt_oldest_renewal_milliseconds",
+           "Time since the oldest lease of a busy worker was renewed",
+           static_cast<uint64_t>(toMillis(Scheduler->oldestRenewalAge())));
   SetGauge("mimosashunt_carriers", "Control VMs that carry orders",
            CarriedWorkers.usableCarriers());
   SetGauge("mimosashunt_orders_carried",
--- a/Source/Links/EventLoop.cpp
+++ b/Source/Links/EventLoop.cpp
@@ -82,14 +82,20 @@
 }
 
 void EventLoop::runOnce() {
+  std::optional<Instant> Due = Timers.nextDue();
   h2o_evloop_run(
       Loop, MayHaveWritten || !DeferredTasks.empty() ? 0 : pollTimeoutMillis());
+  Instant TurnStart = bootNow();
+  if (Due)
+    Load.LongestLateness = std::max(Load.LongestLateness, TurnStart - *Due);
   // h2o queues the completions of writes by timers and tasks and handles them
   // only after its next poll, so that poll must not block.
-  MayHaveWritten = Timers.advance(bootNow());
+  MayHaveWritten = Timers.advance(TurnStart);
   MayHaveWritten |= runDeferredTasks();
   if (IterationEndCallback)
     MayHaveWritten |= IterationEndCallback();
+  Load.LongestTurn = std::max(Load.LongestTurn, bootNow() - TurnStart);
+  ++Load.Iterations;
 }
 
 void EventLoop::stop() {
--- a/Source/Links/EventLoop.h
+++ b/Source/Links/EventLoop.h
@@ -14,6 +14,17 @@
 
 namespace mimosashunt {
 
+/// How busy an event loop was over some time.
+struct LoopLoad {
+  /// Longest time by which a due timer ran late, since the loop was handling
+  /// input or was not given the processor.
+  Duration LongestLateness{};
+  /// Longest time that the work at the end of one iteration took, timers and
+  /// deferred tasks included.
+  Duration LongestTurn{};
+  uint64_t Iterations = 0;
+};
+
 class EventLoop {
 public:
   EventLoop();
@@ -43,6 +54,9 @@
     IterationEndCallback = std::move(Callback);
   }
 
+  /// Returns the load since the last call.
+  LoopLoad takeLoad() { return std::exchange(Load, {}); }
+
   /// Runs iterations until stop(). The calling thread becomes the owner.
   void run();
 
@@ -71,6 +85,7 @@
   // True if the last iteration may have written to a socket, in which case the
   // next poll must not block.
   bool MayHaveWritten = false;
+  LoopLoad Load; // Since the last takeLoad().
   std::atomic<bool> Stopping{false};
 };
 
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -109,6 +109,8 @@
   uint64_t OtherEndedRuns = 0;
   uint64_t StalledRuns = 0;
   uint64_t ExpiredRuns = 0;
+  /// Runs whose lease ran out on a worker that answered this leader's polls.
+  uint64_t UnrenewedRuns = 0;
 };
 
 /// Schedules jobs onto workers while this VM is leader.
@@ -174,6 +176,9 @@
   uint64_t token() const { return Token; }
   const DispatcherCounters &counters() const { return Counters; }
   size_t activeJobCount() const { return Jobs.size(); }
+  /// Returns the time since the oldest lease of a reachable worker with runs
+  /// was renewed.
+  Duration oldestRenewalAge() const;
   /// Returns true once all runs in the pool that an earlier leader may have
   /// started are known or their leases have expired.
   bool isReconciled(const std::string &Pool) const;
@@ -204,6 +209,7 @@
   void removeVanishedRuns(TrackedWorker &Worker, const PollResponse &Response,
                           Instant SentAt);
   void handleRunEnd(TrackedWorker &Worker, const FinishedRun &End);
+  void reportUnrenewedRun(const TrackedWorker &Worker, const FinishedRun &End);
   void handleFailedPoll(TrackedWorker &Worker, bool Lost);
   void expireLease(TrackedWorker &Worker);
   void removeWorker(const WorkerKey &Key, const char *Reason);
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -68,7 +68,6 @@
     Order.MaxWaitMs = toMillis(Wait);
   }
   Worker.PollInFlight = true;
-  Worker.PollSentAt = Timers.now();
   ++Counters.Polls;
   std::shared_ptr<bool> IsAlive = AliveFlag;
   Port.pollWorker(Worker.Entry, Order,
@@ -250,6 +249,8 @@
     OrderedAt = CurrentRun->second.OrderedAt;
     removeRun(Worker, End.Task);
   }
+  if (End.Kind == EndKind::LeaseExpired)
+    reportUnrenewedRun(Worker, End);
   Json Fields = taskFields(End.Task, End.Attempt);
   Fields["worker"] = Worker.key().Id;
   Fields["how"] = nameOf(End.Kind);
@@ -322,6 +323,26 @@
   removeJobIfFinished(End.Task.Job);
 }
 
+void Dispatcher::reportUnrenewedRun(const TrackedWorker &Worker,
+                                    const FinishedRun &End) {
+  if (!Worker.IsSynced)
+    return;
+  ++Counters.UnrenewedRuns;
+  Json Fields = taskFields(End.Task, End.Attempt);
+  Fields["worker"] = Worker.key().Id;
+  Fields["since_renewal_ms"] = toMillis(Timers.now() - Worker.RenewedAt);
+  Fields["failed_polls"] = Worker.FailedPolls;
+  Hooks.LogEvent("lease_not_renewed", Fields);
+}
+
+Duration Dispatcher::oldestRenewalAge() const {
+  Duration Oldest{};
+  for (const auto &[Key, Worker] : Table.all())
+    if (Worker.IsSynced && Worker.IsReachable && !Worker.Runs.empty())
+      Oldest = std::max(Oldest, Timers.now() - Worker.RenewedAt);
+  return Oldest;
+}
+
 void Dispatcher::handleFailedPoll(TrackedWorker &Worker, bool Lost) {
   // A single response may be lost in transit, so the poll is repeated at once.
   if (Lost && Worker.IsReachable && Worker.FailedPolls == 0) {
--- a/Source/Workers/WorkerTable.cpp
+++ b/Source/Workers/WorkerTable.cpp
@@ -161,6 +161,7 @@
       TimeFromSample * 100 / (100 - Options.MaxClockDriftPercent);
   Instant Ends = Worker.Clock->At + WithDrift + Options.ExpiryMargin;
   Worker.LeaseEnd = std::max(Worker.LeaseEnd, Ends);
+  Worker.RenewedAt = Now;
   return *Clock + toMillis(Options.LeaseDuration);
 }
 
--- a/Source/Workers/WorkerTable.h
+++ b/Source/Workers/WorkerTable.h
@@ -84,7 +84,8 @@
   uint64_t CommittedEnds = 0;
   bool PollInFlight = false;
   Instant NextPollAt; // Changed only by WorkerTable::schedulePoll().
-  Instant PollSentAt;
+  /// When the last order that renews the lease was issued.
+  Instant RenewedAt;
   int FailedPolls = 0;
 
   const WorkerKey &key() const { return Entry.Key; }
