--- /dev/null
+++ b/Tests/Jobs/LeaseRenewalTest.cpp
@@ -0,0 +1,80 @@
+// Tests that the leases of running tasks are renewed in time by a leader that
+// has more work than its processor can do.
+
+#include "Support/BusyLeaderPort.h"
+#include "Support/SchedulerHarness.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+using namespace mimosashunt;
+using namespace mimosashunt::test;
+
+namespace {
+
+constexpr uint32_t LongRunningTasks = 24;
+
+JobSpec makeLongRunningSpec() {
+  constexpr int64_t HourMs = 3600000;
+  JobSpec Spec = makeChainSpec(1, LongRunningTasks, 500, HourMs);
+  Spec.Steps[0].LongRunning = true;
+  Spec.Steps[0].MaxPerWorker = 1;
+  Spec.Steps[0].MaxUnavailable = 3;
+  return Spec;
+}
+
+size_t countEvents(const SchedulerHarness &Harness, const std::string &Kind) {
+  return static_cast<size_t>(
+      std::count_if(Harness.LoggedEvents.begin(), Harness.LoggedEvents.end(),
+                    [&](const auto &Event) { return Event.first == Kind; }));
+}
+
+/// Submits 20 short jobs of eight tasks a second for this long.
+void submitJobsFor(SchedulerHarness &Harness, Duration For) {
+  constexpr Duration Interval = milliseconds(50);
+  static int Number = 0;
+  for (Duration Passed{}; Passed < For; Passed += Interval) {
+    Harness.submitJob("short" + std::to_string(++Number), "p",
+                      makeChainSpec(1, 8, 1000, 300));
+    Harness.advanceTime(Interval);
+  }
+}
+
+// The incident AVAIL of 2026-12-04: renewals waited behind other work, and the
+// long-running tasks of a step lapsed together.
+TEST(LeaseRenewal, TasksDoNotLapseTogetherWhileTheLeaderIsOverloaded) {
+  SchedulerHarness Harness;
+  // 160 responses a second; the jobs below and the polls need some 400.
+  BusyLeaderPort Leader(Harness.Timers, Harness.Workers, Duration(6250));
+  Harness.LeaderPort = &Leader;
+  Harness.addPool("p", 60, 16);
+  Harness.beginLeadership();
+  Harness.advanceTime(seconds(1));
+  Harness.submitJob("lasting", "p", makeLongRunningSpec());
+  Harness.advanceTime(seconds(2));
+  ASSERT_EQ(Harness.Workers.StartCounts.size(), LongRunningTasks);
+  submitJobsFor(Harness, seconds(20));
+  for (uint32_t I = 0; I < LongRunningTasks; ++I)
+    EXPECT_EQ((Harness.Workers.StartCounts[{"lasting", 0, 0, I}]), 1) << I;
+  EXPECT_EQ(countEvents(Harness, "lease_not_renewed"), 0U);
+  EXPECT_EQ(countEvents(Harness, "worker_lapsed"), 0U);
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
+// What the leader cannot do in time it must not begin: its backlog stays below
+// the lease however much work there is, and short jobs go on.
+TEST(LeaseRenewal, AnOverloadedLeaderStartsLess) {
+  SchedulerHarness Harness;
+  BusyLeaderPort Leader(Harness.Timers, Harness.Workers, Duration(6250));
+  Harness.LeaderPort = &Leader;
+  Harness.addPool("p", 60, 16);
+  Harness.beginLeadership();
+  Harness.advanceTime(seconds(1));
+  submitJobsFor(Harness, seconds(20));
+  EXPECT_LT(Leader.backlog(), milliseconds(1300));
+  int StartsSoFar = Leader.Starts;
+  submitJobsFor(Harness, seconds(2));
+  EXPECT_GT(Leader.Starts, StartsSoFar + 20);
+}
+
+} // namespace
--- a/Tests/Support/SchedulerHarness.cpp
+++ b/Tests/Support/SchedulerHarness.cpp
@@ -89,7 +89,7 @@
   };
   Scheduler =
       std::make_unique<Dispatcher>(Store.leaderships(), Store, Configuration,
-                                   Workers, Timers, Options, Hooks);
+                                   *LeaderPort, Timers, Options, Hooks);
   sendHeartbeats();
 }
 
--- a/Tests/Support/SchedulerHarness.h
+++ b/Tests/Support/SchedulerHarness.h
@@ -46,6 +46,8 @@
   JobStore Store;
   ServiceConfiguration Configuration;
   VirtualWorkers Workers;
+  /// The way of the next leader's orders to the workers.
+  WorkerPort *LeaderPort = &Workers;
   std::unique_ptr<Dispatcher> Scheduler;
   bool MayIssueOrders = true;
   bool WasDeposed = false;
