Scheduling, Fleet, platform: leases are renewed apart from polls, starts are bounded

What callers saw: on a fleet whose leader has too little processor time, tasks of a long-running step were away at once beyond the step's limit (AVAIL).

Cause: a lease of 2.6 s was renewed only by the worker's next poll, which was sent once the response to the last one had been handled, behind starts, ends and everything else; and nothing bounded how much work the leader began. With more work than processor time the responses waited for seconds, and the leases of many workers ran out together. Class: liveness traffic behind bulk work that nothing limits.

Mend: while responses are handled over 300 ms late, leases are renewed by an order of their own every 0.6 s, which waits for no response; starts whose response is outstanding are bounded by a window that shrinks above 600 ms and grows back; polls are further apart then; new jobs are refused as not run once tasks that have room have waited a second for the window. Long-running jobs are still taken.

--- a/Source/Fleet/CarriedOrders.cpp
+++ b/Source/Fleet/CarriedOrders.cpp
@@ -39,6 +39,10 @@
     return Json::array({"poll", LeaseEnd, Order.Token, Order.AcknowledgedEnds,
                         Order.MaxWaitMs});
   }
+  Json operator()(const RenewOrder &Order) const {
+    return Json::array(
+        {"renew", Order.LeaseEndMs, Order.Token, Order.AcknowledgedEnds});
+  }
 };
 
 WorkerOrder decodeOrder(const Json &In) {
@@ -54,6 +58,9 @@
   if (Kind == "pace")
     return PaceOrder{decodeTask(In.at(1)), In.at(2).get<uint32_t>(),
                      In.at(3).get<uint32_t>(), In.at(4).get<uint64_t>()};
+  if (Kind == "renew")
+    return RenewOrder{In.at(1).get<int64_t>(), In.at(2).get<uint64_t>(),
+                      In.at(3).get<uint64_t>()};
   if (Kind != "poll")
     throw std::invalid_argument("unknown kind of order");
   PollOrder Order;
--- a/Source/Fleet/CarriedOrders.h
+++ b/Source/Fleet/CarriedOrders.h
@@ -13,7 +13,8 @@
 
 namespace mimosashunt {
 
-using WorkerOrder = std::variant<StartOrder, StopOrder, PaceOrder, PollOrder>;
+using WorkerOrder =
+    std::variant<StartOrder, StopOrder, PaceOrder, PollOrder, RenewOrder>;
 
 /// One order of the leader, to be carried to a worker.
 struct CarriedOrder {
--- a/Source/Fleet/CarriedWorkerPort.cpp
+++ b/Source/Fleet/CarriedWorkerPort.cpp
@@ -215,6 +215,16 @@
         milliseconds(Order.MaxWaitMs) + CarriedOrderTimeout, std::move(Done));
 }
 
+void CarriedWorkerPort::renewLease(const WorkerEntry &To,
+                                   const RenewOrder &Order,
+                                   OrderCallback Done) {
+  const std::string *Carrier = selectCarrier(To);
+  if (Carrier == nullptr)
+    return Direct.renewLease(To, Order, std::move(Done));
+  carry(*Carrier, To, Order, CarriedOrderTimeout,
+        withoutLists(std::move(Done)));
+}
+
 void CarriedWorkerPort::requestAdvice(const TaskId &Step,
                                       const std::vector<std::string> &Workers,
                                       AdviceCallback Done) {
--- a/Source/Fleet/CarriedWorkerPort.h
+++ b/Source/Fleet/CarriedWorkerPort.h
@@ -47,6 +47,8 @@
                OrderCallback Done) override;
   void pollWorker(const WorkerEntry &To, const PollOrder &Order,
                   PollCallback Done) override;
+  void renewLease(const WorkerEntry &To, const RenewOrder &Order,
+                  OrderCallback Done) override;
   void requestAdvice(const TaskId &Step,
                      const std::vector<std::string> &Workers,
                      AdviceCallback Done) override;
--- a/Source/Fleet/OrderSender.h
+++ b/Source/Fleet/OrderSender.h
@@ -29,6 +29,10 @@
     Port.pollWorker(To, Order, Done);
   }
 
+  void operator()(const RenewOrder &Order) const {
+    Port.renewLease(To, Order, onResponse());
+  }
+
 private:
   WorkerPort::OrderCallback onResponse() const {
     return [Done = Done](const OrderResponse &Response) {
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "Agreement/RaftCodec.h"
 
+#include <algorithm>
 #include <chrono>
 #include <random>
 #include <utility>
@@ -129,8 +130,8 @@
       OfferInterval, [this] { sendBootstrapOffer(); });
   CarriersTimer = Loop.timers().scheduleEvery(CarriersInterval,
                                               [this] { updateCarriers(); });
-  LoadTimer = Loop.timers().scheduleEvery(LoadInterval,
-                                          [this] { reportLoopLoad(); });
+  LoadTimer =
+      Loop.timers().scheduleEvery(LoadInterval, [this] { reportLoopLoad(); });
   Watcher = std::make_unique<SettingsWatcher>(
       Loop, SettingsFile,
       [this](const FleetSettings &NewSettings) {
@@ -279,7 +280,11 @@
                  {"turns", LastLoad.Iterations},
                  {"proposals", Group->pendingProposals()}};
   if (Scheduler)
-    Fields["oldest_renewal_ms"] = toMillis(Scheduler->oldestRenewalAge());
+    Fields.update(
+        {{"oldest_renewal_ms", toMillis(Scheduler->oldestRenewalAge())},
+         {"response_delay_ms", toMillis(Scheduler->responseDelay())},
+         {"start_window", Scheduler->startWindow()},
+         {"overloaded", Scheduler->isOverloaded()}});
   Events.log("loop_late", Fields);
 }
 
@@ -575,8 +580,12 @@
   if (State.findJob(Request.Job) != nullptr)
     return Respond({JobRequestOutcome::Done, JobState::Queued, 0, {}});
   const QueueConfiguration *Queue = Configuration.findQueue(Request.Queue);
-  bool Refused =
-      Queue == nullptr || Group->pendingProposals() > MaxPendingProposals;
+  bool IsLongRunning =
+      std::any_of(Request.Spec.Steps.begin(), Request.Spec.Steps.end(),
+                  [](const StepSpec &Step) { return Step.LongRunning; });
+  bool Refused = Queue == nullptr ||
+                 Group->pendingProposals() > MaxPendingProposals ||
+                 (Scheduler->isOverloaded() && !IsLongRunning);
   if (Refused) {
     Events.log("job_refused", {{"job", Request.Job}, {"queue", Request.Queue}});
     return Respond(
--- a/Source/Fleet/SchedulerMetrics.cpp
+++ b/Source/Fleet/SchedulerMetrics.cpp
@@ -68,6 +68,16 @@
   SetGauge("mimosashunt_oldest_renewal_milliseconds",
            "Time since the oldest lease of a busy worker was renewed",
            static_cast<uint64_t>(toMillis(Scheduler->oldestRenewalAge())));
+  SetGauge("mimosashunt_renewals", "Leases renewed apart from polls",
+           Counters.Renewals);
+  SetGauge("mimosashunt_response_delay_milliseconds",
+           "How late workers' responses are handled",
+           static_cast<uint64_t>(toMillis(Scheduler->responseDelay())));
+  SetGauge("mimosashunt_start_window", "Starts that may be unanswered at once",
+           Scheduler->startWindow());
+  SetGauge("mimosashunt_overloaded",
+           "1 while new jobs are refused since the leader is behind",
+           Scheduler->isOverloaded() ? 1 : 0);
   SetGauge("mimosashunt_carriers", "Control VMs that carry orders",
            CarriedWorkers.usableCarriers());
   SetGauge("mimosashunt_orders_carried",
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -19,8 +19,8 @@
       Timers(Timers), Options(Options), Hooks(std::move(Hooks)),
       FirstAttempt(static_cast<uint32_t>(Token - 1) *
                    Options.AttemptsPerLeadership),
-      StartedAt(Timers.now()), Table(Options.Lease), Health(Options.Health),
-      AliveFlag(std::make_shared<bool>(true)) {
+      StartedAt(Timers.now()), Table(Options.Lease), Starts(Options.Starts),
+      Health(Options.Health), AliveFlag(std::make_shared<bool>(true)) {
   loadStore();
   TickTimer = Timers.scheduleEvery(TickPeriod, [this] { onTick(); });
 }
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -13,6 +13,8 @@
 #include "Scheduling/JobProgress.h"
 #include "Scheduling/Pacing.h"
 #include "Scheduling/Placement.h"
+#include "Scheduling/ResponseDelay.h"
+#include "Scheduling/StartWindow.h"
 #include "Scheduling/WorkerHealth.h"
 #include "Workers/WorkerTable.h"
 
@@ -44,10 +46,20 @@
   Duration PollIntervalPerWorker = Duration(400);
   Duration MinPollInterval = milliseconds(10);
   Duration MaxPollInterval = milliseconds(40);
+  /// Time between two polls of a worker while the leader is overloaded.
+  Duration OverloadPollInterval = milliseconds(400);
   /// Time between two scheduling passes, so that what several batches of
   /// responses change is handled in one: this much for each worker of the
   /// fleet.
   Duration PassIntervalPerWorker = Duration(20);
+  /// While responses are handled later than this, leases are renewed apart from
+  /// the polls. A poll and the next one take 0.7 s at most without delay; with
+  /// this one they use up half of a lease.
+  Duration MaxResponseDelay = milliseconds(300);
+  /// While responses are late, leases are renewed when they are this old.
+  Duration RenewalInterval = milliseconds(600);
+  Duration RenewalCheckInterval = milliseconds(100);
+  StartWindowOptions Starts;
   /// A task without progress for this long is restarted on another worker.
   Duration StallTimeout = milliseconds(1800);
   Duration StopRetryInterval = milliseconds(250);
@@ -111,6 +123,8 @@
   uint64_t ExpiredRuns = 0;
   /// Runs whose lease ran out on a worker that answered this leader's polls.
   uint64_t UnrenewedRuns = 0;
+  /// Renewals apart from polls.
+  uint64_t Renewals = 0;
 };
 
 /// Schedules jobs onto workers while this VM is leader.
@@ -176,6 +190,12 @@
   uint64_t token() const { return Token; }
   const DispatcherCounters &counters() const { return Counters; }
   size_t activeJobCount() const { return Jobs.size(); }
+  /// Returns how late responses of workers were handled lately.
+  Duration responseDelay() const { return Delay.longest(Timers.now()); }
+  /// Returns true while tasks that have room wait for this leader's processor,
+  /// so that new jobs would only make all of them late.
+  bool isOverloaded() const { return Starts.isOverloaded(Timers.now()); }
+  size_t startWindow() const { return Starts.size(); }
   /// Returns the time since the oldest lease of a reachable worker with runs
   /// was renewed.
   Duration oldestRenewalAge() const;
@@ -198,6 +218,10 @@
   // Polling of workers.
   void pollDueWorkers();
   void pollWorker(TrackedWorker &Worker);
+  bool isLate() const { return responseDelay() > Options.MaxResponseDelay; }
+  /// Renews leases that the polls leave too old, while responses are late.
+  void renewAgingLeases();
+  void renewLease(TrackedWorker &Worker);
   void schedulePollAfter(TrackedWorker &Worker, Duration Pause);
   Duration pollInterval() const;
   void onPollResponse(const WorkerKey &Key, Instant SentAt,
@@ -277,6 +301,12 @@
   const Instant StartedAt;
 
   WorkerTable Table;
+  ResponseDelay Delay;
+  Instant RenewalsCheckedAt;
+  StartWindow Starts;
+  /// The pool whose pass the start window ended. The next pass begins behind
+  /// it, so that no pool is always served last.
+  std::string LastCutShortPool;
   WorkerHealth Health;
   // Jobs that have not ended, and ended jobs some of whose runs may not have
   // ended.
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -51,7 +51,9 @@
 }
 
 void Dispatcher::scheduleDirtyPools() {
-  if (DirtyPools.empty())
+  Starts.adjust(Timers.now(), responseDelay(), Table.all().size());
+  // The response to a start wakes the loop.
+  if (DirtyPools.empty() || Starts.startsLeft() == 0)
     return;
   Duration Interval =
       Options.PassIntervalPerWorker * static_cast<int64_t>(Table.all().size());
@@ -68,8 +70,12 @@
   ++Counters.SchedulingPasses;
   UnlocatedUsage = computeUnlocatedUsage();
   // Pools that become dirty during scheduling wait for the next pass.
-  for (const std::string &Pool : std::exchange(DirtyPools, {}))
-    schedulePool(Pool);
+  std::set<std::string> Pools = std::exchange(DirtyPools, {});
+  auto First = Pools.upper_bound(LastCutShortPool);
+  std::for_each(First, Pools.end(), [this](const auto &P) { schedulePool(P); });
+  std::for_each(Pools.begin(), First,
+                [this](const auto &P) { schedulePool(P); });
+  Starts.recordPass(Timers.now(), Starts.startsLeft() == 0);
 }
 
 void Dispatcher::schedulePool(const std::string &Pool) {
@@ -81,8 +87,13 @@
   std::vector<JobProgress *> List;
   std::vector<JobRank> Ranks = rankJobs(Pool, List);
   orderJobs(Options.JobOrderPolicy, Timers.now(), MeanJobCoreMs, Ranks);
-  for (const JobRank &Rank : Ranks)
+  for (const JobRank &Rank : Ranks) {
+    if (Starts.startsLeft() == 0) {
+      LastCutShortPool = Pool;
+      return markPoolDirty(Pool);
+    }
     scheduleJob(*List[Rank.Index], Pass);
+  }
 }
 
 bool Dispatcher::isSchedulable(const JobProgress &Job, uint32_t Occurrence,
@@ -180,7 +191,7 @@
     if (!TaskState.Workers.empty() &&
         !(Spec.Speculative && areAllWorkersUnreachable(TaskState)))
       continue;
-    if (!isWithinQuota(Job, Spec.TaskResources))
+    if (Starts.startsLeft() == 0 || !isWithinQuota(Job, Spec.TaskResources))
       return;
     uint32_t Remaining = Spec.Count - Progress.DoneCount - Progress.PlacedCount;
     Candidate *Chosen = Pass.placeTask(
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -44,10 +44,48 @@
 void Dispatcher::processDueWork() {
   if (!mayIssueOrders())
     return;
+  // Renewals first: the rest may take long.
+  renewAgingLeases();
   pollDueWorkers();
   scheduleDirtyPools();
 }
 
+void Dispatcher::renewAgingLeases() {
+  Instant Now = Timers.now();
+  if (!isLate() || Now - RenewalsCheckedAt < Options.RenewalCheckInterval)
+    return;
+  RenewalsCheckedAt = Now;
+  for (auto &[Key, Worker] : Table.all()) {
+    // An unreachable worker's runs must end, as for polls.
+    bool MayRenew = Worker.IsSynced && Worker.IsReachable &&
+                    Worker.FailedPolls == 0 && !Worker.Runs.empty();
+    if (MayRenew && Now - Worker.RenewedAt >= Options.RenewalInterval)
+      renewLease(Worker);
+  }
+}
+
+void Dispatcher::renewLease(TrackedWorker &Worker) {
+  std::optional<int64_t> LeaseEndMs = Table.grantLease(Worker, Timers.now());
+  if (!LeaseEndMs)
+    return;
+  ++Counters.Renewals;
+  std::shared_ptr<bool> IsAlive = AliveFlag;
+  Port.renewLease(
+      Worker.Entry, {*LeaseEndMs, Token, Worker.CommittedEnds},
+      [this, IsAlive, Key = Worker.key()](const OrderResponse &Response) {
+        if (!*IsAlive)
+          return;
+        if (Response.Outcome == OrderOutcome::Fenced)
+          return onFenced(Key);
+        if (Response.Outcome == OrderOutcome::WrongIncarnation)
+          return removeWorker(Key, "wrong_life");
+        // Whether a worker is reachable is decided by its polls.
+        TrackedWorker *Renewed = Table.find(Key);
+        if (Renewed != nullptr && Response.ClockMs)
+          Table.recordClock(*Renewed, Timers.now(), *Response.ClockMs);
+      });
+}
+
 void Dispatcher::pollDueWorkers() {
   // When a poll in flight ends, it schedules the next one.
   for (TrackedWorker *Worker : Table.takeDueWorkers(Timers.now()))
@@ -70,12 +108,16 @@
   Worker.PollInFlight = true;
   ++Counters.Polls;
   std::shared_ptr<bool> IsAlive = AliveFlag;
-  Port.pollWorker(Worker.Entry, Order,
-                  [this, IsAlive, Key = Worker.key(),
-                   SentAt = Timers.now()](const PollResponse &Response) {
-                    if (*IsAlive)
-                      onPollResponse(Key, SentAt, Response);
-                  });
+  Port.pollWorker(
+      Worker.Entry, Order,
+      [this, IsAlive, Key = Worker.key(), SentAt = Timers.now(),
+       Wait = milliseconds(Order.MaxWaitMs)](const PollResponse &Response) {
+        if (!*IsAlive)
+          return;
+        if (Response.Outcome == OrderOutcome::Accepted)
+          Delay.record(Timers.now(), Timers.now() - SentAt - Wait);
+        onPollResponse(Key, SentAt, Response);
+      });
 }
 
 void Dispatcher::onPollResponse(const WorkerKey &Key, Instant SentAt,
@@ -107,12 +149,14 @@
   for (const RunningTask &Reported : Response.Running)
     updateRun(*Worker, Reported, SentAt);
   removeVanishedRuns(*Worker, Response, SentAt);
+  // The last lease of runs that another leader started may be about to end.
+  bool MustRenewNow = !Worker->IsSynced && !Worker->Runs.empty();
   if (!Worker->IsSynced)
     markSynced(*Worker);
   stopStalledRuns(*Worker);
   adjustPaces(*Worker);
   markPoolDirty(Worker->Entry.Pool);
-  schedulePollAfter(*Worker, pollInterval());
+  schedulePollAfter(*Worker, MustRenewNow ? Duration::zero() : pollInterval());
 }
 
 void Dispatcher::markSynced(TrackedWorker &Worker) {
@@ -361,8 +405,13 @@
 
 Duration Dispatcher::pollInterval() const {
   auto Workers = static_cast<int64_t>(Table.all().size());
-  return std::clamp(Options.PollIntervalPerWorker * Workers,
-                    Options.MinPollInterval, Options.MaxPollInterval);
+  Duration Interval =
+      std::clamp(Options.PollIntervalPerWorker * Workers,
+                 Options.MinPollInterval, Options.MaxPollInterval);
+  // An overloaded leader reads more ends with fewer polls.
+  if (responseDelay() > Options.Starts.TargetDelay)
+    Interval = Options.OverloadPollInterval;
+  return Interval;
 }
 
 void Dispatcher::schedulePollAfter(TrackedWorker &Worker, Duration Pause) {
@@ -448,6 +497,7 @@
   Table.addRun(Worker, Task, std::move(NewRun));
   Job.addPlacement(Task, Worker.key(), Attempt);
   ++Counters.StartOrders;
+  Starts.onStartOrdered();
   Json Fields = taskFields(Task, Attempt);
   Fields["worker"] = Worker.key().Id;
   Fields["free_cpu"] = Worker.freeResources().Cpu;
@@ -457,8 +507,10 @@
   Port.startRun(Worker.Entry, Order,
                 [this, IsAlive, Key = Worker.key(), Task,
                  Attempt](const OrderResponse &Response) {
-                  if (*IsAlive)
-                    onStartResponse(Key, Task, Attempt, Response);
+                  if (!*IsAlive)
+                    return;
+                  Starts.onStartAnswered();
+                  onStartResponse(Key, Task, Attempt, Response);
                 });
 }
 
--- a/Source/Workers/WorkerPort.h
+++ b/Source/Workers/WorkerPort.h
@@ -64,6 +64,14 @@
   int64_t MaxWaitMs = 0;
 };
 
+/// Renews the lease of all runs on a worker and reads nothing.
+struct RenewOrder {
+  int64_t LeaseEndMs = 0; // By the worker's clock.
+  uint64_t Token = 0;
+  /// As in PollOrder, since the worker takes both in one call.
+  uint64_t AcknowledgedEnds = 0;
+};
+
 struct OrderResponse {
   OrderOutcome Outcome = OrderOutcome::Unanswered;
   std::optional<int64_t> ClockMs;
@@ -132,6 +140,8 @@
                        OrderCallback Done) = 0;
   virtual void pollWorker(const WorkerEntry &To, const PollOrder &Order,
                           PollCallback Done) = 0;
+  virtual void renewLease(const WorkerEntry &To, const RenewOrder &Order,
+                          OrderCallback Done) = 0;
   /// Asks the advice service which of \p Workers may run a step. \p Step names
   /// any task of the step.
   virtual void requestAdvice(const TaskId &Step,
--- a/Tests/Fleet/CarrierTest.cpp
+++ b/Tests/Fleet/CarrierTest.cpp
@@ -40,6 +40,11 @@
     Polls.push_back(Order);
     answer([Done, this] { Done(Response); });
   }
+  void renewLease(const WorkerEntry &, const RenewOrder &Order,
+                  OrderCallback Done) override {
+    Renewals.push_back(Order);
+    answer([Done, this] { Done({Response.Outcome, Response.ClockMs}); });
+  }
   void requestAdvice(const TaskId &, const std::vector<std::string> &,
                      AdviceCallback) override {}
 
@@ -49,6 +54,7 @@
   std::vector<StopOrder> Stops;
   std::vector<PaceOrder> Paces;
   std::vector<PollOrder> Polls;
+  std::vector<RenewOrder> Renewals;
 
 private:
   void answer(std::function<void()> Respond) {
@@ -130,7 +136,12 @@
   auto Count = [&](const OrderResponse &) { ++Answers; };
   Env.Leader.stopRun(Env.Worker, {Env.Order.Task, 4, 6}, Count);
   Env.Leader.setPace(Env.Worker, {Env.Order.Task, 4, 55, 6}, Count);
-  Env.runUntil([&] { return Answers == 2; });
+  Env.Leader.renewLease(Env.Worker, {7000, 6, 12}, Count);
+  Env.runUntil([&] { return Answers == 3; });
+  ASSERT_EQ(Env.CarriedTo.Renewals.size(), 1U);
+  EXPECT_EQ(Env.CarriedTo.Renewals.front().LeaseEndMs, 7000);
+  EXPECT_EQ(Env.CarriedTo.Renewals.front().Token, 6U);
+  EXPECT_EQ(Env.CarriedTo.Renewals.front().AcknowledgedEnds, 12U);
   EXPECT_TRUE(Env.DirectWorkers.Starts.empty());
   ASSERT_EQ(Env.CarriedTo.Starts.size(), 1U);
   const auto &[To, Start] = Env.CarriedTo.Starts.front();
--- a/Tests/Jobs/LeaseRenewalTest.cpp
+++ b/Tests/Jobs/LeaseRenewalTest.cpp
@@ -77,4 +77,52 @@
   EXPECT_GT(Leader.Starts, StartsSoFar + 20);
 }
 
+TEST(StartWindow, ShrinksWhileResponsesAreLateAndGrowsBack) {
+  StartWindow Window{StartWindowOptions()};
+  Instant Now{seconds(1)};
+  constexpr size_t Workers = 400;
+  auto AdjustFor = [&](Duration Time, Duration Delay) {
+    for (Duration Passed{}; Passed < Time; Passed += milliseconds(50))
+      Window.adjust(Now += milliseconds(50), Delay, Workers);
+  };
+  AdjustFor(seconds(5), milliseconds(20));
+  EXPECT_EQ(Window.size(), Workers);
+  AdjustFor(seconds(5), milliseconds(900));
+  EXPECT_EQ(Window.size(), StartWindowOptions().MinSize);
+  AdjustFor(seconds(5), milliseconds(20));
+  EXPECT_EQ(Window.size(), Workers);
+}
+
+TEST(StartWindow, CountsStartsUntilTheirResponseIsHandled) {
+  StartWindow Window{StartWindowOptions()};
+  size_t Size = Window.size();
+  for (size_t I = 0; I < Size; ++I)
+    Window.onStartOrdered();
+  EXPECT_EQ(Window.startsLeft(), 0U);
+  Window.onStartAnswered();
+  EXPECT_EQ(Window.startsLeft(), 1U);
+}
+
+TEST(StartWindow, OnlyLastingShortageIsOverload) {
+  StartWindow Window{StartWindowOptions()};
+  Instant Now{seconds(1)};
+  Window.recordPass(Now, true);
+  EXPECT_FALSE(Window.isOverloaded(Now + milliseconds(900)));
+  EXPECT_TRUE(Window.isOverloaded(Now + milliseconds(1100)));
+  Window.recordPass(Now + milliseconds(1200), false);
+  EXPECT_FALSE(Window.isOverloaded(Now + milliseconds(1300)));
+}
+
+TEST(ResponseDelay, ForgetsAfterTwoPeriods) {
+  ResponseDelay Delay;
+  Instant Now{seconds(10)};
+  Delay.record(Now, milliseconds(500));
+  EXPECT_EQ(Delay.longest(Now), milliseconds(500));
+  Delay.record(Now + milliseconds(1100), milliseconds(20));
+  EXPECT_EQ(Delay.longest(Now + milliseconds(1100)), milliseconds(500));
+  Delay.record(Now + milliseconds(2200), milliseconds(30));
+  EXPECT_EQ(Delay.longest(Now + milliseconds(2200)), milliseconds(30));
+  EXPECT_EQ(Delay.longest(Now + seconds(9)), Duration::zero());
+}
+
 } // namespace
--- a/Tests/Support/BusyLeaderPort.h
+++ b/Tests/Support/BusyLeaderPort.h
@@ -40,6 +40,11 @@
                   PollCallback Done) override {
     Inner.pollWorker(To, Order, inTurn(std::move(Done)));
   }
+  void renewLease(const WorkerEntry &To, const RenewOrder &Order,
+                  OrderCallback Done) override {
+    ++Renewals;
+    Inner.renewLease(To, Order, inTurn(std::move(Done)));
+  }
   void requestAdvice(const TaskId &Step,
                      const std::vector<std::string> &Workers,
                      AdviceCallback Done) override {
@@ -53,6 +58,7 @@
   }
 
   int Starts = 0;
+  int Renewals = 0;
 
 private:
   template <class Response>
--- a/Tests/Support/VirtualWorkers.cpp
+++ b/Tests/Support/VirtualWorkers.cpp
@@ -252,6 +252,38 @@
   return Answer;
 }
 
+void VirtualWorkers::acceptLease(VirtualWorker &Worker,
+                                 uint64_t AcknowledgedEnds,
+                                 std::optional<int64_t> LeaseEndMs) {
+  std::erase_if(Worker.Finished, [&](const FinishedRun &End) {
+    return End.Number <= AcknowledgedEnds;
+  });
+  if (!LeaseEndMs)
+    return;
+  Instant Until = Worker.StartedAt + milliseconds(*LeaseEndMs);
+  Until = std::min(Until, Timers.now() + LongestLease);
+  Worker.LeaseEnd = std::max(Worker.LeaseEnd, Until);
+}
+
+OrderOutcome VirtualWorkers::handleRenewal(VirtualWorker &Worker,
+                                           const RenewOrder &Order) {
+  if (Order.Token < Worker.Token)
+    return OrderOutcome::Fenced;
+  Worker.Token = Order.Token;
+  acceptLease(Worker, Order.AcknowledgedEnds, Order.LeaseEndMs);
+  return OrderOutcome::Accepted;
+}
+
+void VirtualWorkers::renewLease(const WorkerEntry &To, const RenewOrder &Order,
+                                OrderCallback Done) {
+  deliverOrder(
+      To,
+      [this, Id = To.Key.Id, Order] {
+        return handleRenewal(Workers.at(Id), Order);
+      },
+      Done);
+}
+
 void VirtualWorkers::pollWorker(const WorkerEntry &To, const PollOrder &Order,
                                 PollCallback Done) {
   VirtualWorker *Target = find(To);
@@ -268,14 +300,7 @@
     if (Order.Token < Worker.Token)
       return Done({OrderOutcome::Fenced, std::nullopt, {}, {}});
     Worker.Token = Order.Token;
-    std::erase_if(Worker.Finished, [&](const FinishedRun &End) {
-      return End.Number <= Order.AcknowledgedEnds;
-    });
-    if (Order.LeaseEndMs) {
-      Instant Until = Worker.StartedAt + milliseconds(*Order.LeaseEndMs);
-      Until = std::min(Until, Timers.now() + LongestLease);
-      Worker.LeaseEnd = std::max(Worker.LeaseEnd, Until);
-    }
+    acceptLease(Worker, Order.AcknowledgedEnds, Order.LeaseEndMs);
     auto Answered = std::make_shared<bool>(false);
     auto Answer = [this, To, Done, Answered] {
       if (std::exchange(*Answered, true))
--- a/Tests/Support/VirtualWorkers.h
+++ b/Tests/Support/VirtualWorkers.h
@@ -79,6 +79,8 @@
                OrderCallback Done) override;
   void pollWorker(const WorkerEntry &To, const PollOrder &Order,
                   PollCallback Done) override;
+  void renewLease(const WorkerEntry &To, const RenewOrder &Order,
+                  OrderCallback Done) override;
   void requestAdvice(const TaskId &Step,
                      const std::vector<std::string> &Workers,
                      AdviceCallback Done) override;
@@ -101,6 +103,10 @@
   void deliverOrder(const WorkerEntry &To, std::function<OrderOutcome()> Run,
                     const OrderCallback &Done);
   OrderOutcome handleStart(VirtualWorker &Worker, const StartOrder &Order);
+  OrderOutcome handleRenewal(VirtualWorker &Worker, const RenewOrder &Order);
+  /// Forgets acknowledged ends and extends the lease, if there is one.
+  void acceptLease(VirtualWorker &Worker, uint64_t AcknowledgedEnds,
+                   std::optional<int64_t> LeaseEndMs);
   OrderOutcome handleStop(VirtualWorker &Worker, const StopOrder &Order);
   void endRun(VirtualWorker &Worker, const TaskId &Task, EndKind How);
   void onTick();
