Links: what the end of a turn sends leaves in that turn

Cause: heartbeats and order batches are sent at the end of the event loop's turn, but a request starts in a deferred task, and those ran only after the input of the next turn.

Test failed before.

--- a/Source/Links/EventLoop.cpp
+++ b/Source/Links/EventLoop.cpp
@@ -94,6 +94,9 @@
   MayHaveWritten |= runDeferredTasks();
   if (IterationEndCallback)
     MayHaveWritten |= IterationEndCallback();
+  // Requests that the callback has sent leave now, not after the input of the
+  // next iteration, which may take long.
+  MayHaveWritten |= runDeferredTasks();
   Load.LongestTurn = std::max(Load.LongestTurn, bootNow() - TurnStart);
   ++Load.Iterations;
 }
--- a/Tests/Links/LoopTest.cpp
+++ b/Tests/Links/LoopTest.cpp
@@ -55,6 +55,20 @@
   EXPECT_EQ(TimerThread, Expected);
 }
 
+// A heartbeat that is sent at the end of a turn must not wait for the input of
+// the next one.
+TEST(Loops, WhatATurnDefersRunsBeforeTheNextInput) {
+  auto *Http = new EventLoop();
+  bool HasRun = false;
+  Http->onTurn([&] {
+    Http->defer([&] { HasRun = true; });
+    return true;
+  });
+  Http->timers().scheduleEvery(milliseconds(1), [] {});
+  Http->runOnce();
+  EXPECT_TRUE(HasRun);
+}
+
 TEST(Timers, APeriodicCallbackRunsOnceAfterALongPause) {
   TimerService Timers{Instant(seconds(1))};
   int Runs = 0;
