Workers, Scheduling: late responses no longer shorten leases; a larger start window

Cause: the leader computes the end of a lease by an estimate of the worker's clock, taken from the time at which it handled a response. A response handled over 500 ms late, or any after 2 s, replaced the estimate and put it back by its delay, and all leases after it were shorter by as much: the busier the leader, the shorter its leases. Now a sample is a lower bound of the clock that ages by the 2% by which the clock may be slow, and only a sample that shows that the clock has stood still replaces a better one. The bound until which runs may go on no longer depends on the sample's age.

--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -243,7 +243,8 @@
   void startRun(JobProgress &Job, const TaskId &Task, TrackedWorker &Worker,
                 uint32_t Attempt);
   void onStartResponse(const WorkerKey &Key, const TaskId &Task,
-                       uint32_t Attempt, const OrderResponse &Response);
+                       uint32_t Attempt, Instant SentAt,
+                       const OrderResponse &Response);
   void stopRun(TrackedWorker &Worker, const TaskId &Task);
   void sendStop(TrackedWorker &Worker, const TaskId &Task);
   void removeRun(TrackedWorker &Worker, const TaskId &Task);
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -70,20 +70,21 @@
     return;
   ++Counters.Renewals;
   std::shared_ptr<bool> IsAlive = AliveFlag;
-  Port.renewLease(
-      Worker.Entry, {*LeaseEndMs, Token, Worker.CommittedEnds},
-      [this, IsAlive, Key = Worker.key()](const OrderResponse &Response) {
-        if (!*IsAlive)
-          return;
-        if (Response.Outcome == OrderOutcome::Fenced)
-          return onFenced(Key);
-        if (Response.Outcome == OrderOutcome::WrongIncarnation)
-          return removeWorker(Key, "wrong_life");
-        // Whether a worker is reachable is decided by its polls.
-        TrackedWorker *Renewed = Table.find(Key);
-        if (Renewed != nullptr && Response.ClockMs)
-          Table.recordClock(*Renewed, Timers.now(), *Response.ClockMs);
-      });
+  Port.renewLease(Worker.Entry, {*LeaseEndMs, Token, Worker.CommittedEnds},
+                  [this, IsAlive, Key = Worker.key(),
+                   SentAt = Timers.now()](const OrderResponse &Response) {
+                    if (!*IsAlive)
+                      return;
+                    if (Response.Outcome == OrderOutcome::Fenced)
+                      return onFenced(Key);
+                    if (Response.Outcome == OrderOutcome::WrongIncarnation)
+                      return removeWorker(Key, "wrong_life");
+                    // Whether a worker is reachable is decided by its polls.
+                    TrackedWorker *Renewed = Table.find(Key);
+                    if (Renewed != nullptr && Response.ClockMs)
+                      Table.recordClock(*Renewed, SentAt, Timers.now(),
+                                        *Response.ClockMs);
+                  });
 }
 
 void Dispatcher::pollDueWorkers() {
@@ -143,7 +144,7 @@
     Hooks.LogEvent("worker_in_touch", {{"worker", Key.Id}});
   Worker->IsReachable = true;
   if (Response.ClockMs)
-    Table.recordClock(*Worker, Timers.now(), *Response.ClockMs);
+    Table.recordClock(*Worker, SentAt, Timers.now(), *Response.ClockMs);
   for (const FinishedRun &End : Response.Finished)
     handleRunEnd(*Worker, End);
   for (const RunningTask &Reported : Response.Running)
@@ -505,23 +506,23 @@
   Hooks.LogEvent("run_start", Fields);
   std::shared_ptr<bool> IsAlive = AliveFlag;
   Port.startRun(Worker.Entry, Order,
-                [this, IsAlive, Key = Worker.key(), Task,
-                 Attempt](const OrderResponse &Response) {
+                [this, IsAlive, Key = Worker.key(), Task, Attempt,
+                 SentAt = Timers.now()](const OrderResponse &Response) {
                   if (!*IsAlive)
                     return;
                   Starts.onStartAnswered();
-                  onStartResponse(Key, Task, Attempt, Response);
+                  onStartResponse(Key, Task, Attempt, SentAt, Response);
                 });
 }
 
 void Dispatcher::onStartResponse(const WorkerKey &Key, const TaskId &Task,
-                                 uint32_t Attempt,
+                                 uint32_t Attempt, Instant SentAt,
                                  const OrderResponse &Response) {
   TrackedWorker *Worker = Table.find(Key);
   if (Worker == nullptr)
     return;
   if (Response.ClockMs)
-    Table.recordClock(*Worker, Timers.now(), *Response.ClockMs);
+    Table.recordClock(*Worker, SentAt, Timers.now(), *Response.ClockMs);
   auto It = Worker->Runs.find(Task);
   if (It == Worker->Runs.end() || It->second.Attempt != Attempt)
     return;
--- a/Source/Scheduling/StartWindow.cpp
+++ b/Source/Scheduling/StartWindow.cpp
@@ -10,7 +10,8 @@
   AdjustedAt = Now;
   constexpr size_t ShrinkPercent = 75;
   constexpr size_t StepsToFullSize = 16;
-  size_t FullSize = std::max(Options.MinFullSize, Workers);
+  size_t FullSize =
+      std::max(Options.MinFullSize, Options.StartsPerWorker * Workers);
   if (ResponseDelay > Options.TargetDelay)
     Size = Size * ShrinkPercent / 100;
   else
--- a/Source/Scheduling/StartWindow.h
+++ b/Source/Scheduling/StartWindow.h
@@ -15,8 +15,9 @@
 
 struct StartWindowOptions {
   /// With enough processor time, at least this many starts may be in flight,
-  /// and one for each worker if that is more.
-  size_t MinFullSize = 64;
+  /// and some for each worker if that is more.
+  size_t MinFullSize = 128;
+  size_t StartsPerWorker = 2;
   /// The window never gets smaller.
   size_t MinSize = 8;
   /// Responses that are handled later than this shrink the window.
--- a/Source/Workers/WorkerTable.cpp
+++ b/Source/Workers/WorkerTable.cpp
@@ -39,12 +39,6 @@
   return Free;
 }
 
-std::optional<int64_t> TrackedWorker::estimateClockMs(Instant Now) const {
-  if (!Clock)
-    return std::nullopt;
-  return Clock->ClockMs + toMillis(Now - Clock->At);
-}
-
 TrackedWorker *WorkerTable::find(const WorkerKey &Key) {
   auto It = Workers.find(Key);
   return It == Workers.end() ? nullptr : &It->second;
@@ -137,29 +131,38 @@
   Worker.Runs.erase(It);
 }
 
-void WorkerTable::recordClock(TrackedWorker &Worker, Instant Now,
-                              int64_t ClockMs) {
-  // Responses may arrive out of order. The one that puts the worker's clock
-  // furthest ahead had the shortest delay.
-  std::optional<int64_t> Expected = Worker.estimateClockMs(Now);
-  constexpr int64_t StaleMs = 500;
-  if (!Expected || ClockMs >= *Expected || ClockMs < *Expected - StaleMs ||
-      Now - Worker.Clock->At > seconds(2))
+std::optional<int64_t> WorkerTable::estimateClockMs(const TrackedWorker &Worker,
+                                                    Instant Now) const {
+  if (!Worker.Clock)
+    return std::nullopt;
+  Duration SinceSample = Now - Worker.Clock->At;
+  Duration SlowestProgress =
+      SinceSample * (100 - Options.MaxClockDriftPercent) / 100;
+  return Worker.Clock->ClockMs + toMillis(SlowestProgress);
+}
+
+void WorkerTable::recordClock(TrackedWorker &Worker, Instant EarliestRead,
+                              Instant Now, int64_t ClockMs) {
+  // The sample that puts the clock furthest ahead was handled with the least
+  // delay. One that is behind the bound at the earliest time at which it can
+  // have been read shows that the clock has stood still.
+  std::optional<int64_t> Expected = estimateClockMs(Worker, Now);
+  bool HasStoodStill =
+      Expected && ClockMs + 1 < *estimateClockMs(Worker, EarliestRead);
+  if (!Expected || ClockMs >= *Expected || HasStoodStill)
     Worker.Clock = ClockSample{Now, ClockMs};
 }
 
 std::optional<int64_t> WorkerTable::grantLease(TrackedWorker &Worker,
                                                Instant Now) {
-  std::optional<int64_t> Clock = Worker.estimateClockMs(Now);
+  std::optional<int64_t> Clock = estimateClockMs(Worker, Now);
   if (!Clock)
     return std::nullopt;
-  // The sample may be old, and the worker's clock may have run slow since then,
-  // so the lease is measured from the time of the sample.
-  Duration SinceSample = Now - Worker.Clock->At;
-  Duration TimeFromSample = SinceSample + Options.LeaseDuration;
+  // The bound holds if the clock has run as slowly as it may since the sample,
+  // and goes on so.
   Duration WithDrift =
-      TimeFromSample * 100 / (100 - Options.MaxClockDriftPercent);
-  Instant Ends = Worker.Clock->At + WithDrift + Options.ExpiryMargin;
+      Options.LeaseDuration * 100 / (100 - Options.MaxClockDriftPercent);
+  Instant Ends = Now + WithDrift + Options.ExpiryMargin;
   Worker.LeaseEnd = std::max(Worker.LeaseEnd, Ends);
   Worker.RenewedAt = Now;
   return *Clock + toMillis(Options.LeaseDuration);
--- a/Source/Workers/WorkerTable.h
+++ b/Source/Workers/WorkerTable.h
@@ -51,7 +51,7 @@
   int64_t TailTargetMs = 0;
 };
 
-/// The worker's clock at the time a response arrived.
+/// A lower bound of the worker's clock at some time.
 struct ClockSample {
   Instant At;
   int64_t ClockMs = 0;
@@ -90,9 +90,6 @@
 
   const WorkerKey &key() const { return Entry.Key; }
   Resources freeResources() const;
-  /// Returns an estimate of the worker's clock, behind by at most the one-way
-  /// network delay, or nothing if no sample exists.
-  std::optional<int64_t> estimateClockMs(Instant Now) const;
 };
 
 struct LeaseOptions {
@@ -135,7 +132,14 @@
   /// schedulePoll() makes a worker due once.
   std::vector<TrackedWorker *> takeDueWorkers(Instant Now);
 
-  void recordClock(TrackedWorker &Worker, Instant Now, int64_t ClockMs);
+  /// Records that the worker's clock read \p ClockMs at some time between
+  /// \p EarliestRead and \p Now.
+  void recordClock(TrackedWorker &Worker, Instant EarliestRead, Instant Now,
+                   int64_t ClockMs);
+  /// Returns a lower bound of the worker's clock, or nothing if no sample
+  /// exists.
+  std::optional<int64_t> estimateClockMs(const TrackedWorker &Worker,
+                                         Instant Now) const;
   /// Returns the end of a lease that begins now, by the worker's clock, and
   /// extends LeaseEnd to cover it. Returns nothing if the worker's clock is
   /// unknown.
