Agreement, Fleet: the loop rests while proposals wait for other members

Cause: a turn counted as having work while any proposal waited to be committed, so the event loop polled without a pause, up to 16,000 turns a second, each with four rounds.

--- a/Source/Agreement/Replica.h
+++ b/Source/Agreement/Replica.h
@@ -93,6 +93,8 @@
   size_t pendingProposals() const {
     return QueuedProposals.size() + PendingProposals.size();
   }
+  /// Returns true if pump() has something to propose, write, send or apply.
+  bool hasWork() const { return !QueuedProposals.empty() || Log.hasOutput(); }
   /// The first disk error; the replica stops writing and leading after one.
   std::error_code storeError() const { return StoreError; }
   /// Sets the function that runs when the Raft role changes, after committed
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -259,10 +259,12 @@
       beginLeadership();
     if (Scheduler)
       Scheduler->processDueWork();
-    bool HasOutput = Group->pendingProposals() > 0 || Group->log().hasOutput();
+    // Proposals that only wait for other members are no work: the loop would
+    // turn without a pause until they commit.
+    bool HasWork = Group->hasWork();
     Group->pump();
-    DidWork |= Transport.sendPending() || HasOutput;
-    if (!HasOutput)
+    DidWork |= Transport.sendPending() || HasWork;
+    if (!HasWork)
       break;
   }
   if (Group->storeError())
