--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -179,23 +179,28 @@
   if (ProcessedEnds.empty())
     return;
   std::shared_ptr<bool> IsAlive = AliveFlag;
-  auto OnCommitted = [this, IsAlive, ProcessedEnds](bool Committed) {
+  std::vector<RunResult> Proposed = std::exchange(PendingResults, {});
+  auto OnCommitted = [this, IsAlive, ProcessedEnds, Proposed](bool Committed) {
     if (!*IsAlive)
       return;
     ProposalInFlight = false;
-    if (!Committed)
+    if (!Committed) {
+      // They may be committed twice, which changes nothing, but the ends must
+      // not be acknowledged without them.
+      PendingResults.insert(PendingResults.begin(), Proposed.begin(),
+                            Proposed.end());
       return;
+    }
     for (const auto &[Key, Number] : ProcessedEnds)
       if (TrackedWorker *Worker = Table.find(Key))
         Worker->CommittedEnds = std::max(Worker->CommittedEnds, Number);
     for (auto It = Jobs.begin(); It != Jobs.end();)
       removeJobIfFinished((It++)->first);
   };
-  if (PendingResults.empty())
+  if (Proposed.empty())
     return OnCommitted(true);
   ProposalInFlight = true;
-  Hooks.Propose(RecordRunResults{std::exchange(PendingResults, {})},
-                OnCommitted);
+  Hooks.Propose(RecordRunResults{Proposed}, OnCommitted);
 }
 
 void Dispatcher::removeJobIfFinished(const JobId &Job) {
--- a/Tests/Jobs/LeaderChangeTest.cpp
+++ b/Tests/Jobs/LeaderChangeTest.cpp
@@ -39,6 +39,27 @@
     EXPECT_EQ(Count, 1);
 }
 
+// Results whose commit failed must not be acknowledged: the worker would forget
+// an end that no later leader knows.
+TEST(LeaderChange, ResultsThatWereNotCommittedAreProposedAgain) {
+  SchedulerHarness Harness;
+  Harness.addPool("p", 2, 8);
+  Harness.beginLeadership();
+  Harness.advanceTime(milliseconds(100));
+  Harness.submitJob("a", "p", makeChainSpec(1, 4, 1000, 200));
+  Harness.advanceTime(milliseconds(100));
+  Harness.FailsProposals = true;
+  Harness.advanceTime(seconds(1));
+  EXPECT_EQ(Harness.jobState("a"), JobState::Queued);
+  Harness.FailsProposals = false;
+  Harness.beginLeadership();
+  Harness.advanceTime(seconds(1));
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  for (const auto &[Task, Count] : Harness.Workers.StartCounts)
+    EXPECT_EQ(Count, 1) << Task.Index;
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
 TEST(LeaderChange, InheritedTasksWaitUntilEveryWorkerIsPolled) {
   SchedulerHarness Harness;
   Harness.addPool("p", 3, 8);
--- a/Tests/Jobs/LeaseRenewalTest.cpp
+++ b/Tests/Jobs/LeaseRenewalTest.cpp
@@ -61,6 +61,29 @@
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
+// A change of leader costs up to half of a lease; the next leader must not let
+// the rest run out while it is busy with the work that has waited for it.
+TEST(LeaseRenewal, TasksDoNotLapseWhenABusyLeaderIsReplaced) {
+  SchedulerHarness Harness;
+  BusyLeaderPort Leader(Harness.Timers, Harness.Workers, Duration(6250));
+  Harness.LeaderPort = &Leader;
+  Harness.addPool("p", 60, 16);
+  Harness.beginLeadership();
+  Harness.advanceTime(seconds(1));
+  Harness.submitJob("lasting", "p", makeLongRunningSpec());
+  Harness.advanceTime(seconds(2));
+  for (int Change = 0; Change < 5; ++Change) {
+    submitJobsFor(Harness, seconds(4));
+    Harness.Scheduler.reset();
+    submitJobsFor(Harness, milliseconds(1000));
+    Harness.beginLeadership();
+  }
+  submitJobsFor(Harness, seconds(4));
+  for (uint32_t I = 0; I < LongRunningTasks; ++I)
+    EXPECT_EQ((Harness.Workers.StartCounts[{"lasting", 0, 0, I}]), 1) << I;
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
 // What the leader cannot do in time it must not begin: its backlog stays below
 // the lease however much work there is, and short jobs go on.
 TEST(LeaseRenewal, AnOverloadedLeaderStartsLess) {
--- a/Tests/Support/SchedulerHarness.cpp
+++ b/Tests/Support/SchedulerHarness.cpp
@@ -77,6 +77,8 @@
   Hooks.Propose = [this](const JobCommand &Command,
                          const std::function<void(bool)> &Done) {
     Timers.scheduleAt(Timers.now() + CommitDelay, [this, Command, Done] {
+      if (FailsProposals)
+        return Done(false);
       commitCommand(Command);
       Done(true);
     });
--- a/Tests/Support/SchedulerHarness.h
+++ b/Tests/Support/SchedulerHarness.h
@@ -50,6 +50,7 @@
   WorkerPort *LeaderPort = &Workers;
   std::unique_ptr<Dispatcher> Scheduler;
   bool MayIssueOrders = true;
+  bool FailsProposals = false; // Nothing is committed, and the leader hears so.
   bool WasDeposed = false;
   std::vector<std::pair<std::string, Json>> LoggedEvents;
 
