Scheduling: a VM is not taken away before its results are committed

Not a matter of load: any leader that fails between a VM order and the commit of the results does this; a starved one has 0.7 s for it in place of some 20 ms.

Mend: a worker counts as idle, for moves and maintenance, only once the ends that it listed are committed. The test failed before.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -338,7 +338,10 @@
   // Until its lists have been read, the worker may have runs of an earlier
   // leader.
   bool ListsAreKnown = Worker.IsSynced || Timers.now() >= Worker.LeaseEnd;
-  return ListsAreKnown && Worker.Runs.empty();
+  // Its ended runs are gone with it, and only committed results outlive this
+  // leader.
+  bool HasUncommittedEnds = Worker.ProcessedEnds > Worker.CommittedEnds;
+  return ListsAreKnown && Worker.Runs.empty() && !HasUncommittedEnds;
 }
 
 bool Dispatcher::drainVm(const std::string &Vm) {
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -170,10 +170,10 @@
   /// or a move.
   void setCordoned(const std::string &Vm, bool On);
   /// Stops each long-running task on the VM that its step can do without for
-  /// now. Returns true if nothing can be running there any more.
+  /// now. Returns true once its workers are idle, as by isKnownIdle().
   bool drainVm(const std::string &Vm);
   /// Returns true if nothing can be running on the worker, including runs that
-  /// an earlier leader started.
+  /// an earlier leader started, and the results of all that ended are committed.
   bool isKnownIdle(const TrackedWorker &Worker) const;
   /// Returns when the VM's worker started, in Unix milliseconds, or zero if the
   /// VM has no known worker.
--- a/Tests/Jobs/LeaderChangeTest.cpp
+++ b/Tests/Jobs/LeaderChangeTest.cpp
@@ -60,6 +60,27 @@
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
+// A VM order ends the worker and the ends that it lists. A leader that fails
+// before it has committed them must not have taken the VM away: the tasks would
+// run again.
+TEST(LeaderChange, AWorkerIsNotIdleUntilItsResultsAreCommitted) {
+  SchedulerHarness Harness;
+  Harness.addPool("p", 1, 8);
+  Harness.beginLeadership();
+  Harness.advanceTime(milliseconds(100));
+  Harness.submitJob("a", "p", makeChainSpec(1, 4, 1000, 200));
+  Harness.advanceTime(milliseconds(100));
+  Harness.FailsProposals = true;
+  Harness.advanceTime(seconds(1));
+  const TrackedWorker &Worker =
+      Harness.Scheduler->workers().all().begin()->second;
+  ASSERT_TRUE(Worker.Runs.empty());
+  EXPECT_FALSE(Harness.Scheduler->isKnownIdle(Worker));
+  Harness.FailsProposals = false;
+  Harness.advanceTime(milliseconds(300));
+  EXPECT_TRUE(Harness.Scheduler->isKnownIdle(Worker));
+}
+
 TEST(LeaderChange, InheritedTasksWaitUntilEveryWorkerIsPolled) {
   SchedulerHarness Harness;
   Harness.addPool("p", 3, 8);
