Fleet: a new leader reads the workers through carriers from its first poll

Control VMs that have replied to the log within 300 ms carry from the first poll; an order for one that is gone after all goes directly, as before (test).

--- a/Source/Fleet/CarriedWorkerPort.cpp
+++ b/Source/Fleet/CarriedWorkerPort.cpp
@@ -53,10 +53,12 @@
   return Result;
 }
 
-void CarriedWorkerPort::setCarriers(const std::vector<std::string> &Addresses,
-                                    uint64_t NewTerm) {
+void CarriedWorkerPort::setCarriers(
+    const std::vector<CarrierAddress> &Addresses, uint64_t NewTerm) {
   Term = NewTerm;
-  std::set<std::string> Wanted(Addresses.begin(), Addresses.end());
+  std::map<std::string, bool> Wanted;
+  for (const CarrierAddress &Item : Addresses)
+    Wanted[Item.Internal] = Item.IsKnownAlive;
   std::vector<std::string> Removed;
   for (const auto &[Address, Entry] : Carriers)
     if (!Wanted.count(Address))
@@ -65,10 +67,15 @@
     abandonCarrier(Address, "removed");
     Carriers.erase(Address);
   }
-  for (const std::string &Address : Wanted)
-    if (!Carriers.count(Address))
-      if (auto Added = makeCarrier(Address))
-        Carriers[Address] = std::move(Added);
+  for (const auto &[Address, IsKnownAlive] : Wanted) {
+    if (Carriers.count(Address))
+      continue;
+    std::unique_ptr<Carrier> Added = makeCarrier(Address);
+    if (Added == nullptr)
+      continue;
+    Added->IsUsable = IsKnownAlive;
+    Carriers[Address] = std::move(Added);
+  }
 }
 
 size_t CarriedWorkerPort::usableCarriers() const {
--- a/Source/Fleet/CarriedWorkerPort.h
+++ b/Source/Fleet/CarriedWorkerPort.h
@@ -21,6 +21,15 @@
 /// Each order gets exactly one response. Orders whose carrier fails are
 /// Unanswered, since the carrier may still carry them out. Those of a batch
 /// that was refused or never sent go to their workers directly.
+/// A control VM that may carry orders.
+struct CarrierAddress {
+  std::string Internal; // Its internal address.
+  /// It has responded lately and is used at once; others only once they have
+  /// taken a batch.
+  bool IsKnownAlive = false;
+  auto operator<=>(const CarrierAddress &) const = default; // NOLINT
+};
+
 class CarriedWorkerPort : public WorkerPort {
 public:
   using EventLogger = std::function<void(const char *Kind, Json Fields)>;
@@ -33,9 +42,9 @@
   CarriedWorkerPort(const CarriedWorkerPort &) = delete;
   CarriedWorkerPort &operator=(const CarriedWorkerPort &) = delete;
 
-  /// Sets the control VMs that carry orders from now on, by internal address,
-  /// and the term of this leadership. With an empty list all orders are direct.
-  void setCarriers(const std::vector<std::string> &Addresses, uint64_t Term);
+  /// Sets the control VMs that carry orders from now on and the term of this
+  /// leadership. With an empty list all orders are direct.
+  void setCarriers(const std::vector<CarrierAddress> &Addresses, uint64_t Term);
   /// Handles a carrier's request body. Returns false if it cannot be read.
   bool handleResults(const std::string &Body);
 
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -17,6 +17,8 @@
 constexpr Duration OfferInterval = milliseconds(100);
 constexpr Duration CarriersInterval = milliseconds(200);
 constexpr Duration LoadInterval = seconds(1);
+/// A control VM that has replied within this time can carry orders.
+constexpr Duration RecentReplyAge = milliseconds(300);
 /// Two heartbeats between control VMs. Less is usual and not logged.
 constexpr Duration LoggedLateness = milliseconds(200);
 /// With fewer workers the leader's processor suffices, and its orders take the
@@ -346,6 +348,8 @@
         [this](const std::string &Vm) {
           return WaveMaintenance->isUnderMaintenance(Vm);
         });
+    // All workers are about to be read, which is most of a new leader's work.
+    updateCarriers();
     Events.log("leads", {{"token", State.leaderships()},
                          {"term", ProposedTerm},
                          {"jobs", Scheduler->activeJobCount()}});
@@ -363,10 +367,19 @@
 }
 
 void SchedulerDaemon::updateCarriers() {
-  std::vector<std::string> Addresses;
-  if (Scheduler && Scheduler->workers().all().size() >= MinWorkersForCarriers)
-    Addresses = memberAddresses();
-  std::erase(Addresses, Settings.InternalListen.text());
+  std::vector<CarrierAddress> Addresses;
+  bool UsesCarriers =
+      Scheduler && Scheduler->workers().all().size() >= MinWorkersForCarriers;
+  const Membership &Members = Group->membership();
+  for (const auto *List : {&Members.Voters, &Members.Learners})
+    for (const Member &Peer : *List) {
+      if (!UsesCarriers || Peer.Address == Settings.InternalListen.text())
+        continue;
+      std::optional<Instant> LastReply = Group->log().lastReplyTime(Peer.Disk);
+      bool IsKnownAlive =
+          LastReply && Loop.timers().now() - *LastReply < RecentReplyAge;
+      Addresses.push_back({Peer.Address, IsKnownAlive});
+    }
   CarriedWorkers.setCarriers(Addresses, Group->log().term());
 }
 
--- a/Tests/Fleet/CarrierTest.cpp
+++ b/Tests/Fleet/CarrierTest.cpp
@@ -81,7 +81,7 @@
   }
 
   void useCarrier() {
-    Leader.setCarriers({CarrierAddress.text()}, LeaderTerm);
+    Leader.setCarriers({{CarrierAddress.text(), false}}, LeaderTerm);
     runUntil([this] { return Leader.usableCarriers() == 1; });
   }
 
@@ -188,12 +188,28 @@
 
 TEST(Carrier, WithoutAUsableCarrierOrdersAreDirect) {
   CarrierHarness &Env = *new CarrierHarness();
-  Env.Leader.setCarriers({freeAddress().text()}, Env.LeaderTerm);
+  Env.Leader.setCarriers({{freeAddress().text(), false}}, Env.LeaderTerm);
   EXPECT_EQ(Env.start(Env.Order), OrderOutcome::Accepted);
   EXPECT_EQ(Env.DirectWorkers.Starts.size(), 1U);
   EXPECT_EQ(Env.Leader.carriedOrders(), 0U);
 }
 
+TEST(Carrier, ACarrierThatIsKnownToBeAliveIsUsedAtOnce) {
+  CarrierHarness &Env = *new CarrierHarness();
+  Env.Leader.setCarriers({{Env.CarrierAddress.text(), true}}, Env.LeaderTerm);
+  EXPECT_EQ(Env.start(Env.Order), OrderOutcome::Accepted);
+  EXPECT_EQ(Env.CarriedTo.Starts.size(), 1U);
+  EXPECT_TRUE(Env.DirectWorkers.Starts.empty());
+}
+
+TEST(Carrier, ACarrierWronglyTakenForAliveLosesNoOrder) {
+  CarrierHarness &Env = *new CarrierHarness();
+  Env.Leader.setCarriers({{freeAddress().text(), true}}, Env.LeaderTerm);
+  EXPECT_EQ(Env.start(Env.Order), OrderOutcome::Accepted);
+  EXPECT_EQ(Env.DirectWorkers.Starts.size(), 1U);
+  EXPECT_EQ(Env.Leader.usableCarriers(), 0U);
+}
+
 TEST(Carrier, ABatchOfAnOldTermIsRefusedAndItsOrdersGoDirect) {
   CarrierHarness &Env = *new CarrierHarness();
   Env.useCarrier();
