Scheduling: drains ask for a recent view, and an overloaded leader drains nothing

A sibling counts only by a response of the last 1.3 s, and nothing is drained while responses are handled over 600 ms late, but for workers that leave anyway.

Both tests failed before (one stop each).

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -344,9 +344,37 @@
   return ListsAreKnown && Worker.Runs.empty() && !HasUncommittedEnds;
 }
 
+bool Dispatcher::isServing(const StepProgress &Step, const TaskId &Task) const {
+  constexpr int32_t ServingPercent = 100;
+  const std::vector<WorkerKey> &At = Step.Tasks[Task.Index].Workers;
+  const TrackedWorker *Worker = At.empty() ? nullptr : Table.find(At.front());
+  if (Worker == nullptr || !Worker->IsReachable ||
+      Timers.now() - Worker->LastResponseAt > Options.MaxViewAge)
+    return false;
+  auto It = Worker->Runs.find(Task);
+  return It != Worker->Runs.end() && It->second.State == RunState::Running &&
+         It->second.ProgressPercent >= ServingPercent;
+}
+
+bool Dispatcher::mayDrain(const TaskId &Task) const {
+  auto Job = Jobs.find(Task.Job);
+  if (Job == Jobs.end() || Job->second->HasEnded)
+    return false;
+  const StepSpec &Spec = Job->second->stepSpec(Task.Step);
+  const StepProgress &Step = *Job->second->findStep(Task);
+  uint32_t Unavailable = 0;
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
+    TaskId Sibling = Task;
+    Sibling.Index = I;
+    Unavailable += I == Task.Index || isServing(Step, Sibling) ? 0 : 1;
+  }
+  return Spec.MaxUnavailable == 0 || Unavailable < Spec.MaxUnavailable;
+}
+
 bool Dispatcher::drainVm(const std::string &Vm) {
   bool IsIdle = true;
-  constexpr int32_t ServingPercent = 100;
+  // A leader that is behind would not start elsewhere soon what it stops.
+  bool IsBehind = responseDelay() > Options.Starts.TargetDelay;
   for (auto &[Key, Worker] : Table.all()) {
     if (Worker.Entry.Vm != Vm || Vm.empty())
       continue;
@@ -355,32 +383,10 @@
       if (!CurrentRun.LongRunning || CurrentRun.State != RunState::Running)
         continue;
       auto Job = Jobs.find(Task.Job);
-      if (Job == Jobs.end() || Job->second->HasEnded)
-        continue;
-      const StepSpec &Spec = Job->second->stepSpec(Task.Step);
-      uint32_t Unavailable = 0;
-      const StepProgress &Step = *Job->second->findStep(Task);
-      for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
-        if (I == Task.Index)
-          continue;
-        const std::vector<WorkerKey> &At = Step.Tasks[I].Workers;
-        const TrackedWorker *SiblingWorker =
-            At.empty() ? nullptr : Table.find(At.front());
-        TaskId Sibling = Task;
-        Sibling.Index = I;
-        auto OtherRun = SiblingWorker == nullptr
-                            ? Worker.Runs.end()
-                            : SiblingWorker->Runs.find(Sibling);
-        bool IsServing = SiblingWorker != nullptr &&
-                         SiblingWorker->IsReachable &&
-                         OtherRun != SiblingWorker->Runs.end() &&
-                         OtherRun->second.State == RunState::Running &&
-                         OtherRun->second.ProgressPercent >= ServingPercent;
-        Unavailable += IsServing ? 0 : 1;
-      }
-      bool MayStop = Spec.MaxUnavailable == 0 ||
-                     Unavailable < Spec.MaxUnavailable || Worker.Entry.Leaving;
-      if (MayStop)
+      bool IsWanted = Job != Jobs.end() && !Job->second->HasEnded;
+      // A worker that leaves ends its runs in any case.
+      bool MayStop = Worker.Entry.Leaving || (!IsBehind && mayDrain(Task));
+      if (IsWanted && MayStop)
         stopRun(Worker, Task);
     }
   }
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -60,6 +60,9 @@
   Duration RenewalInterval = milliseconds(600);
   Duration RenewalCheckInterval = milliseconds(100);
   StartWindowOptions Starts;
+  /// A task counts as serving by responses that are no older: two polls of a
+  /// busy worker.
+  Duration MaxViewAge = milliseconds(1300);
   /// A task without progress for this long is restarted on another worker.
   Duration StallTimeout = milliseconds(1800);
   Duration StopRetryInterval = milliseconds(250);
@@ -173,7 +176,8 @@
   /// now. Returns true once its workers are idle, as by isKnownIdle().
   bool drainVm(const std::string &Vm);
   /// Returns true if nothing can be running on the worker, including runs that
-  /// an earlier leader started, and the results of all that ended are committed.
+  /// an earlier leader started, and the results of all that ended are
+  /// committed.
   bool isKnownIdle(const TrackedWorker &Worker) const;
   /// Returns when the VM's worker started, in Unix milliseconds, or zero if the
   /// VM has no known worker.
@@ -215,6 +219,11 @@
   }
   void onTick();
 
+  /// Returns true if, by a recent response, the task does its full work.
+  bool isServing(const StepProgress &Step, const TaskId &Task) const;
+  /// Returns true if the task's step can do without it now.
+  bool mayDrain(const TaskId &Task) const;
+
   // Polling of workers.
   void pollDueWorkers();
   void pollWorker(TrackedWorker &Worker);
--- a/Tests/Jobs/PoolsTest.cpp
+++ b/Tests/Jobs/PoolsTest.cpp
@@ -4,6 +4,7 @@
 #include "Pools/PoolMover.h"
 #include "Pools/PoolPlanner.h"
 #include "Pools/WavePace.h"
+#include "Support/BusyLeaderPort.h"
 #include "Support/SchedulerHarness.h"
 
 #include <gtest/gtest.h>
@@ -307,6 +308,53 @@
   EXPECT_TRUE(Harness.Fleet.Store.waves().at(1).isCompleted());
 }
 
+// A sibling counts as serving only by a view that is not old: here its worker
+// has not answered for 1.6 s, which is too short for it to count as silent.
+TEST(Maintenance, DoesNotDrainByAnOldView) {
+  SchedulerHarness Fleet;
+  Fleet.addPool("p", 4, 8);
+  Fleet.beginLeadership();
+  Fleet.advanceTime(milliseconds(100));
+  JobSpec Spec = makeChainSpec(1, 4, 1000, 3600000);
+  Spec.Steps[0].LongRunning = true;
+  Spec.Steps[0].MaxUnavailable = 1;
+  Spec.Steps[0].MaxPerWorker = 1;
+  Fleet.submitJob("serves", "p", Spec);
+  Fleet.advanceTime(seconds(2));
+  Fleet.Workers.at("p-0").Faults.IsUnreachable = true;
+  Fleet.advanceTime(milliseconds(1600));
+  ASSERT_EQ(Fleet.Scheduler->counters().StopOrders, 0U);
+  Fleet.Scheduler->drainVm("vm-p-1");
+  EXPECT_EQ(Fleet.Scheduler->counters().StopOrders, 0U);
+}
+
+// A leader that is behind with its work would not start elsewhere what it
+// stops.
+TEST(Maintenance, AnOverloadedLeaderDrainsNothing) {
+  SchedulerHarness Fleet;
+  BusyLeaderPort Leader(Fleet.Timers, Fleet.Workers, milliseconds(1));
+  Fleet.LeaderPort = &Leader;
+  Fleet.addPool("p", 8, 8);
+  Fleet.beginLeadership();
+  Fleet.advanceTime(seconds(3));
+  JobSpec Spec = makeChainSpec(1, 4, 1000, 3600000);
+  Spec.Steps[0].LongRunning = true;
+  Spec.Steps[0].MaxUnavailable = 1;
+  Spec.Steps[0].MaxPerWorker = 1;
+  Fleet.submitJob("serves", "p", Spec);
+  Fleet.advanceTime(seconds(3));
+  Leader.TimePerResponse = milliseconds(200);
+  Fleet.advanceTime(seconds(5));
+  size_t Drained = 0;
+  for (const auto &[Id, Worker] : Fleet.Workers.all()) {
+    ASSERT_LE(Worker.Runs.size(), 1U);
+    Fleet.Scheduler->drainVm(Worker.Entry.Vm);
+    Drained += Worker.Runs.size();
+  }
+  ASSERT_EQ(Drained, 4U);
+  EXPECT_EQ(Fleet.Scheduler->counters().StopOrders, 0U);
+}
+
 TEST(Maintenance, AWorkerThatANewLeaderHasNotReadIsNotEmpty) {
   MaintenanceHarness Harness(4, 4, seconds(1000));
   Harness.Fleet.advanceTime(seconds(12));
--- a/Tests/Support/BusyLeaderPort.h
+++ b/Tests/Support/BusyLeaderPort.h
@@ -21,7 +21,7 @@
   /// \p TimePerResponse is the leader's processor time for one response.
   BusyLeaderPort(TimerService &Timers, WorkerPort &Inner,
                  Duration TimePerResponse)
-      : Timers(Timers), Inner(Inner), TimePerResponse(TimePerResponse) {}
+      : TimePerResponse(TimePerResponse), Timers(Timers), Inner(Inner) {}
 
   void startRun(const WorkerEntry &To, const StartOrder &Order,
                 OrderCallback Done) override {
@@ -57,6 +57,7 @@
     return std::max(FreeAt - Timers.now(), Duration::zero());
   }
 
+  Duration TimePerResponse; // Applies to responses from now on.
   int Starts = 0;
   int Renewals = 0;
 
@@ -72,7 +73,6 @@
 
   TimerService &Timers;
   WorkerPort &Inner;
-  const Duration TimePerResponse;
   Instant FreeAt; // When all responses received so far are handled.
 };
 
