--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -271,6 +271,9 @@
   /// Schedules the pools that changed, unless the last pass was too recent; the
   /// event loop is woken for the next one then.
   void scheduleDirtyPools();
+  /// Schedules the pools until the start window is used up, beginning behind
+  /// the pool at which the last pass ended so.
+  void schedulePools(const std::set<std::string> &Pools);
   void schedulePool(const std::string &Pool);
   std::vector<JobRank> rankJobs(const std::string &Pool,
                                 std::vector<JobProgress *> &List) const;
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -70,12 +70,25 @@
   ++Counters.SchedulingPasses;
   UnlocatedUsage = computeUnlocatedUsage();
   // Pools that become dirty during scheduling wait for the next pass.
-  std::set<std::string> Pools = std::exchange(DirtyPools, {});
-  auto First = Pools.upper_bound(LastCutShortPool);
-  std::for_each(First, Pools.end(), [this](const auto &P) { schedulePool(P); });
-  std::for_each(Pools.begin(), First,
-                [this](const auto &P) { schedulePool(P); });
-  Starts.recordPass(Timers.now(), Starts.startsLeft() == 0);
+  schedulePools(std::exchange(DirtyPools, {}));
+}
+
+void Dispatcher::schedulePools(const std::set<std::string> &Pools) {
+  std::vector<std::string> Order(Pools.upper_bound(LastCutShortPool),
+                                 Pools.end());
+  Order.insert(Order.end(), Pools.begin(), Pools.upper_bound(LastCutShortPool));
+  bool IsCutShort = false;
+  for (const std::string &Pool : Order) {
+    if (IsCutShort) {
+      markPoolDirty(Pool);
+      continue;
+    }
+    schedulePool(Pool);
+    IsCutShort = Starts.startsLeft() == 0;
+    if (IsCutShort)
+      LastCutShortPool = Pool;
+  }
+  Starts.recordPass(Timers.now(), IsCutShort);
 }
 
 void Dispatcher::schedulePool(const std::string &Pool) {
@@ -88,10 +101,8 @@
   std::vector<JobRank> Ranks = rankJobs(Pool, List);
   orderJobs(Options.JobOrderPolicy, Timers.now(), MeanJobCoreMs, Ranks);
   for (const JobRank &Rank : Ranks) {
-    if (Starts.startsLeft() == 0) {
-      LastCutShortPool = Pool;
+    if (Starts.startsLeft() == 0)
       return markPoolDirty(Pool);
-    }
     scheduleJob(*List[Rank.Index], Pass);
   }
 }
--- a/Tests/Jobs/LeaseRenewalTest.cpp
+++ b/Tests/Jobs/LeaseRenewalTest.cpp
@@ -160,6 +160,32 @@
   EXPECT_LE(Worker.LeaseEnd, Now + seconds(3));
 }
 
+// The pools share what an overloaded leader may start: none is always last.
+TEST(LeaseRenewal, EveryPoolOfAnOverloadedLeaderGetsStarts) {
+  SchedulerHarness Harness;
+  BusyLeaderPort Leader(Harness.Timers, Harness.Workers, milliseconds(25));
+  Harness.LeaderPort = &Leader;
+  const std::vector<std::string> Pools = {"a", "b", "c", "d"};
+  for (const std::string &Pool : Pools)
+    Harness.addPool(Pool, 12, 16);
+  Harness.beginLeadership();
+  Harness.advanceTime(seconds(3));
+  constexpr int JobsPerPool = 60;
+  for (int I = 0; I < JobsPerPool; ++I)
+    for (const std::string &Pool : Pools)
+      Harness.submitJob(Pool + std::to_string(I), Pool,
+                        makeChainSpec(1, 8, 1000, 300));
+  Harness.advanceTime(seconds(15));
+  std::map<char, int> StartsByPool;
+  for (const auto &[Task, Count] : Harness.Workers.StartCounts)
+    StartsByPool[Task.Job.front()] += Count;
+  int Most = 0;
+  for (const auto &[Pool, Count] : StartsByPool)
+    Most = std::max(Most, Count);
+  for (const std::string &Pool : Pools)
+    EXPECT_GT(StartsByPool[Pool.front()] * 3, Most) << Pool;
+}
+
 TEST(StartWindow, ShrinksWhileResponsesAreLateAndGrowsBack) {
   StartWindow Window{StartWindowOptions()};
   Instant Now{seconds(1)};
