--- a/Tests/Jobs/LeaseRenewalTest.cpp
+++ b/Tests/Jobs/LeaseRenewalTest.cpp
@@ -120,7 +120,8 @@
     ASSERT_TRUE(LeaseEndMs);
     int64_t GrantedMs = *LeaseEndMs - toMillis(Handled - Start);
     // The clock may run 2% slow, so the estimate loses that much.
-    EXPECT_GE(GrantedMs, toMillis(Options.LeaseDuration) - 20 * Second - 20);
+    EXPECT_GE(GrantedMs,
+              toMillis(Options.LeaseDuration) - int64_t{20} * Second - 20);
     EXPECT_LE(GrantedMs, toMillis(Options.LeaseDuration));
   }
 }
@@ -154,8 +155,8 @@
   Instant Now = Start + seconds(60);
   std::optional<int64_t> LeaseEndMs = Table.grantLease(Worker, Now);
   ASSERT_TRUE(LeaseEndMs);
-  constexpr double SlowestRate = 0.98;
-  auto LatestEndMs = static_cast<int64_t>(*LeaseEndMs / SlowestRate);
+  constexpr int64_t SlowestPercent = 98;
+  int64_t LatestEndMs = *LeaseEndMs * 100 / SlowestPercent;
   EXPECT_GE(Worker.LeaseEnd, Start + milliseconds(LatestEndMs));
   EXPECT_LE(Worker.LeaseEnd, Now + seconds(3));
 }
