--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -195,7 +195,7 @@
   const DispatcherCounters &counters() const { return Counters; }
   size_t activeJobCount() const { return Jobs.size(); }
   /// Returns how late responses of workers were handled lately.
-  Duration responseDelay() const { return Delay.longest(Timers.now()); }
+  Duration responseDelay() const { return Delay.mean(Timers.now()); }
   /// Returns true while tasks that have room wait for this leader's processor,
   /// so that new jobs would only make all of them late.
   bool isOverloaded() const { return Starts.isOverloaded(Timers.now()); }
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -79,7 +79,9 @@
                       return onFenced(Key);
                     if (Response.Outcome == OrderOutcome::WrongIncarnation)
                       return removeWorker(Key, "wrong_life");
-                    // Whether a worker is reachable is decided by its polls.
+                    if (Response.Outcome == OrderOutcome::Accepted)
+          Delay.record(Timers.now(), Timers.now() - SentAt);
+        // Whether a worker is reachable is decided by its polls.
                     TrackedWorker *Renewed = Table.find(Key);
                     if (Renewed != nullptr && Response.ClockMs)
                       Table.recordClock(*Renewed, SentAt, Timers.now(),
@@ -115,7 +117,9 @@
        Wait = milliseconds(Order.MaxWaitMs)](const PollResponse &Response) {
         if (!*IsAlive)
           return;
-        if (Response.Outcome == OrderOutcome::Accepted)
+        // A response that carries ends was not kept for the time.
+        if (Response.Outcome == OrderOutcome::Accepted &&
+            Response.Finished.empty())
           Delay.record(Timers.now(), Timers.now() - SentAt - Wait);
         onPollResponse(Key, SentAt, Response);
       });
@@ -511,6 +515,8 @@
                   if (!*IsAlive)
                     return;
                   Starts.onStartAnswered();
+                  if (Response.Outcome == OrderOutcome::Accepted)
+                    Delay.record(Timers.now(), Timers.now() - SentAt);
                   onStartResponse(Key, Task, Attempt, SentAt, Response);
                 });
 }
--- a/Source/Scheduling/ResponseDelay.cpp
+++ b/Source/Scheduling/ResponseDelay.cpp
@@ -1,34 +1,33 @@
 #include "Scheduling/ResponseDelay.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace mimosashunt {
 
 namespace {
 
-constexpr Duration Period = seconds(1);
+constexpr Duration PeriodLength = seconds(1);
+/// A mean over fewer responses says nothing of the leader.
+constexpr int64_t MinCount = 4;
 
 } // namespace
 
-void ResponseDelay::startPeriod(Instant Now) {
-  if (Now - PeriodStart < Period)
-    return;
-  bool IsNext = Now - PeriodStart < 2 * Period;
-  InPeriodBefore = IsNext ? InPeriod : Duration::zero();
-  InPeriod = Duration::zero();
-  PeriodStart = Now;
-}
-
 void ResponseDelay::record(Instant Now, Duration Delay) {
-  startPeriod(Now);
-  InPeriod = std::max(InPeriod, Delay);
+  if (Now - PresentSince >= PeriodLength) {
+    bool IsNext = Now - PresentSince < 2 * PeriodLength;
+    Last = IsNext ? Present : Period();
+    Present = Period();
+    PresentSince = Now;
+  }
+  Present.Sum += Delay;
+  ++Present.Count;
 }
 
-Duration ResponseDelay::longest(Instant Now) const {
-  if (Now - PeriodStart >= 2 * Period)
+Duration ResponseDelay::mean(Instant Now) const {
+  if (Now - PresentSince >= 2 * PeriodLength)
     return Duration::zero();
-  return std::max(InPeriod, InPeriodBefore);
+  Duration Longer = Last.Count < MinCount ? Duration::zero() : Last.mean();
+  return Present.Count < MinCount ? Longer : std::max(Longer, Present.mean());
 }
 
 } // namespace mimosashunt
