--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -80,8 +80,8 @@
                     if (Response.Outcome == OrderOutcome::WrongIncarnation)
                       return removeWorker(Key, "wrong_life");
                     if (Response.Outcome == OrderOutcome::Accepted)
-          Delay.record(Timers.now(), Timers.now() - SentAt);
-        // Whether a worker is reachable is decided by its polls.
+                      Delay.record(Timers.now(), Timers.now() - SentAt);
+                    // Whether a worker is reachable is decided by its polls.
                     TrackedWorker *Renewed = Table.find(Key);
                     if (Renewed != nullptr && Response.ClockMs)
                       Table.recordClock(*Renewed, SentAt, Timers.now(),
