--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -2,7 +2,6 @@
 
 #include "Agreement/RaftCodec.h"
 
-#include <algorithm>
 #include <chrono>
 #include <random>
 #include <utility>
@@ -595,12 +594,9 @@
   if (State.findJob(Request.Job) != nullptr)
     return Respond({JobRequestOutcome::Done, JobState::Queued, 0, {}});
   const QueueConfiguration *Queue = Configuration.findQueue(Request.Queue);
-  bool IsLongRunning =
-      std::any_of(Request.Spec.Steps.begin(), Request.Spec.Steps.end(),
-                  [](const StepSpec &Step) { return Step.LongRunning; });
   bool Refused = Queue == nullptr ||
                  Group->pendingProposals() > MaxPendingProposals ||
-                 (Scheduler->isOverloaded() && !IsLongRunning);
+                 (Scheduler->isOverloaded() && !Request.Spec.isLongRunning());
   if (Refused) {
     Events.log("job_refused", {{"job", Request.Job}, {"queue", Request.Queue}});
     return Respond(
