--- a/Tests/Jobs/LeaseRenewalTest.cpp
+++ b/Tests/Jobs/LeaseRenewalTest.cpp
@@ -29,6 +29,12 @@
                     [&](const auto &Event) { return Event.first == Kind; }));
 }
 
+/// Expects that each task of "lasting" was started exactly once.
+void expectLastingTasksStartedOnce(SchedulerHarness &Harness) {
+  for (uint32_t I = 0; I < LongRunningTasks; ++I)
+    EXPECT_EQ((Harness.Workers.StartCounts[{"lasting", 0, 0, I}]), 1) << I;
+}
+
 /// Submits 20 short jobs of eight tasks a second for this long.
 void submitJobsFor(SchedulerHarness &Harness, Duration For) {
   constexpr Duration Interval = milliseconds(50);
@@ -54,8 +60,7 @@
   Harness.advanceTime(seconds(2));
   ASSERT_EQ(Harness.Workers.StartCounts.size(), LongRunningTasks);
   submitJobsFor(Harness, seconds(20));
-  for (uint32_t I = 0; I < LongRunningTasks; ++I)
-    EXPECT_EQ((Harness.Workers.StartCounts[{"lasting", 0, 0, I}]), 1) << I;
+  expectLastingTasksStartedOnce(Harness);
   EXPECT_EQ(countEvents(Harness, "lease_not_renewed"), 0U);
   EXPECT_EQ(countEvents(Harness, "worker_lapsed"), 0U);
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
@@ -79,8 +84,7 @@
     Harness.beginLeadership();
   }
   submitJobsFor(Harness, seconds(4));
-  for (uint32_t I = 0; I < LongRunningTasks; ++I)
-    EXPECT_EQ((Harness.Workers.StartCounts[{"lasting", 0, 0, I}]), 1) << I;
+  expectLastingTasksStartedOnce(Harness);
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
