Scheduling: runs lost with their worker are logged one by one

Cause: worker_silent and worker_gone have a count of runs only, so the log could not tell which tasks go with which workers, how old they were, and whether a restart followed a silence or a certain crash.

--- a/Source/Fleet/SchedulerMetrics.cpp
+++ b/Source/Fleet/SchedulerMetrics.cpp
@@ -62,6 +62,8 @@
            Counters.StalledRuns);
   SetGauge("mimosashunt_runs_lapsed", "Runs given up with their worker's lease",
            Counters.ExpiredRuns);
+  SetGauge("mimosashunt_runs_lost", "Runs given up with their worker",
+           Counters.LostRuns);
   SetGauge("mimosashunt_runs_not_renewed",
            "Runs whose lease ran out on a worker in touch",
            Counters.UnrenewedRuns);
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -124,6 +124,8 @@
   uint64_t OtherEndedRuns = 0;
   uint64_t StalledRuns = 0;
   uint64_t ExpiredRuns = 0;
+  /// Runs given up with their worker for any reason.
+  uint64_t LostRuns = 0;
   /// Runs whose lease ran out on a worker that answered this leader's polls.
   uint64_t UnrenewedRuns = 0;
   /// Renewals apart from polls.
@@ -242,6 +244,8 @@
   void removeVanishedRuns(TrackedWorker &Worker, const PollResponse &Response,
                           Instant SentAt);
   void handleRunEnd(TrackedWorker &Worker, const FinishedRun &End);
+  /// Logs each run on a worker that fell silent or is given up.
+  void reportLostRuns(const TrackedWorker &Worker, const char *Why);
   void reportUnrenewedRun(const TrackedWorker &Worker, const FinishedRun &End);
   void handleFailedPoll(TrackedWorker &Worker, bool Lost);
   void expireLease(TrackedWorker &Worker);
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -399,15 +399,29 @@
     Table.schedulePoll(Worker, Timers.now());
     return;
   }
-  if (Worker.IsReachable)
+  if (Worker.IsReachable) {
     Hooks.LogEvent("worker_silent", {{"worker", Worker.key().Id},
                                      {"lost", Lost},
                                      {"runs", Worker.Runs.size()}});
+    reportLostRuns(Worker, "silent");
+  }
   Worker.IsReachable = false;
   ++Worker.FailedPolls;
   schedulePollAfter(Worker, Options.UnreachablePollInterval);
 }
 
+void Dispatcher::reportLostRuns(const TrackedWorker &Worker, const char *Why) {
+  for (const auto &[Task, CurrentRun] : Worker.Runs) {
+    Json Fields = taskFields(Task, CurrentRun.Attempt);
+    Fields["worker"] = Worker.key().Id;
+    Fields["born"] = Worker.key().Incarnation;
+    Fields["why"] = Why;
+    Fields["age_ms"] = toMillis(Timers.now() - CurrentRun.OrderedAt);
+    Fields["beside"] = Worker.Runs.size() - 1;
+    Hooks.LogEvent("run_lost", Fields);
+  }
+}
+
 Duration Dispatcher::pollInterval() const {
   auto Workers = static_cast<int64_t>(Table.all().size());
   Duration Interval =
@@ -433,7 +447,9 @@
     return;
   Hooks.LogEvent("worker_lapsed",
                  {{"worker", Worker.key().Id}, {"runs", Worker.Runs.size()}});
+  reportLostRuns(Worker, "lapsed");
   Counters.ExpiredRuns += Worker.Runs.size();
+  Counters.LostRuns += Worker.Runs.size();
   // The worker's lists must be read again before it gets new tasks.
   Worker.IsSynced = false;
   while (!Worker.Runs.empty())
@@ -447,6 +463,8 @@
   Hooks.LogEvent(
       "worker_gone",
       {{"worker", Key.Id}, {"why", Reason}, {"runs", Worker->Runs.size()}});
+  reportLostRuns(*Worker, Reason);
+  Counters.LostRuns += Worker->Runs.size();
   while (!Worker->Runs.empty())
     removeRun(*Worker, Worker->Runs.begin()->first);
   for (auto &[Pool, Keys] : UnsyncedWorkers)
