--- /dev/null
+++ b/Tests/Jobs/CrashingTasksTest.cpp
@@ -0,0 +1,263 @@
+// Tests with tasks that crash each worker that starts them, beside busy
+// innocent ones. VirtualWorkers counts starts as the rule BUDGET does.
+
+#include "Support/SchedulerHarness.h"
+
+#include <gtest/gtest.h>
+#include <random>
+
+using namespace mimosashunt;
+using namespace mimosashunt::test;
+
+namespace {
+
+constexpr size_t PoolSize = 10;
+constexpr int64_t Cores = 16;
+
+enum class Kind { Copied, Plain, Gang, LongRunning };
+
+JobSpec makeSpec(Kind Which, uint32_t Width) {
+  constexpr int64_t ShortMs = 600;
+  constexpr int64_t HourMs = 3600000;
+  JobSpec Spec = makeChainSpec(1, Width, 1000,
+                               Which == Kind::LongRunning ? HourMs : ShortMs);
+  Spec.Steps[0].Speculative = Which == Kind::Copied;
+  Spec.Steps[0].Gang = Which == Kind::Gang;
+  Spec.Steps[0].LongRunning = Which == Kind::LongRunning;
+  return Spec;
+}
+
+/// A pool in which the tasks of jobs named "killer..." crash their workers.
+struct Scene {
+  Scene() {
+    Harness.addPool("p", PoolSize, Cores);
+    Harness.Workers.CrashDelayOf =
+        [this](const TaskId &Task) -> std::optional<Duration> {
+      bool IsKiller = Task.Job.rfind("killer", 0) == 0 &&
+                      (!KillingIndex || Task.Index == *KillingIndex);
+      return IsKiller ? std::optional(CrashDelay) : std::nullopt;
+    };
+    Harness.beginLeadership();
+    Harness.advanceTime(seconds(1));
+  }
+
+  /// Submits an innocent job of eight tasks each 100 ms for this long.
+  void work(Duration For, Kind Which = Kind::Copied) {
+    constexpr Duration Interval = milliseconds(100);
+    for (Duration Passed{}; Passed < For; Passed += Interval) {
+      Harness.submitJob("innocent" + std::to_string(++Innocents), "p",
+                        makeSpec(Which, 8));
+      Harness.advanceTime(Interval);
+    }
+  }
+
+  void expectNoInnocentFailed() {
+    for (const auto &[Id, Record] : Harness.Store.jobs()) {
+      bool IsInnocent = Id.rfind("killer", 0) != 0;
+      EXPECT_FALSE(IsInnocent && Record.State == JobState::Failed) << Id;
+    }
+  }
+
+  void expectInnocentsCompleted() {
+    for (const auto &[Id, Record] : Harness.Store.jobs()) {
+      bool IsInnocent = Id.rfind("innocent", 0) == 0;
+      EXPECT_TRUE(!IsInnocent || Record.State == JobState::Completed) << Id;
+    }
+  }
+
+  SchedulerHarness Harness;
+  Duration CrashDelay = milliseconds(10);
+  std::optional<uint32_t> KillingIndex; // Nothing for all tasks.
+  int Innocents = 0;
+};
+
+const std::vector<std::string> None;
+
+// The incident BUDGET of 2026-12-04: copies were started as soon as a worker
+// fell silent, so one task took down a pool within a second.
+TEST(CrashingTasks, ATaskWithCopiesIsNotStartedOnAfterItsThirdCrash) {
+  Scene S;
+  S.work(seconds(2));
+  S.KillingIndex = 0;
+  S.Harness.submitJob("killer", "p", makeSpec(Kind::Copied, 6));
+  S.work(seconds(15));
+  S.Harness.advanceTime(seconds(10));
+  EXPECT_EQ(S.Harness.Workers.Violations, None);
+  EXPECT_EQ(S.Harness.jobState("killer"), JobState::Failed);
+  EXPECT_LE(S.Harness.Workers.TotalCrashes, 3);
+  S.expectInnocentsCompleted();
+}
+
+TEST(CrashingTasks, ATaskWithoutCopiesIsNotStartedOnAfterItsThirdCrash) {
+  Scene S;
+  S.work(seconds(2), Kind::Plain);
+  S.KillingIndex = 0;
+  S.Harness.submitJob("killer", "p", makeSpec(Kind::Plain, 6));
+  S.work(seconds(25), Kind::Plain);
+  S.Harness.advanceTime(seconds(10));
+  EXPECT_EQ(S.Harness.Workers.Violations, None);
+  EXPECT_EQ(S.Harness.jobState("killer"), JobState::Failed);
+  EXPECT_LE(S.Harness.Workers.TotalCrashes, 3);
+  S.expectInnocentsCompleted();
+}
+
+// All tasks of the step are alike: each of them crashing its own workers must
+// not take down the pool.
+TEST(CrashingTasks, AStepWhoseTasksAllCrashTheirWorkersTakesDownFewWorkers) {
+  Scene S;
+  S.work(seconds(2));
+  S.Harness.submitJob("killer", "p", makeSpec(Kind::Copied, 12));
+  S.work(seconds(15));
+  S.Harness.advanceTime(seconds(10));
+  EXPECT_EQ(S.Harness.Workers.Violations, None);
+  EXPECT_EQ(S.Harness.jobState("killer"), JobState::Failed);
+  EXPECT_LE(S.Harness.Workers.TotalCrashes, 5);
+  S.expectInnocentsCompleted();
+}
+
+TEST(CrashingTasks, ALongRunningTaskIsNotStartedOnAfterItsThirdCrash) {
+  Scene S;
+  S.KillingIndex = 1;
+  S.Harness.submitJob("killer", "p", makeSpec(Kind::LongRunning, 4));
+  S.Harness.submitJob("lasting", "p", makeSpec(Kind::LongRunning, 10));
+  S.work(seconds(25));
+  S.Harness.advanceTime(seconds(10));
+  EXPECT_EQ(S.Harness.Workers.Violations, None);
+  EXPECT_EQ(S.Harness.jobState("killer"), JobState::Failed);
+  S.expectNoInnocentFailed();
+}
+
+TEST(CrashingTasks, AGangIsNotStartedOnAfterItsThirdCrash) {
+  Scene S;
+  S.work(seconds(2));
+  S.KillingIndex = 1;
+  S.Harness.submitJob("killer", "p", makeSpec(Kind::Gang, 5));
+  S.work(seconds(30));
+  S.Harness.advanceTime(seconds(10));
+  EXPECT_EQ(S.Harness.Workers.Violations, None);
+  EXPECT_EQ(S.Harness.jobState("killer"), JobState::Failed);
+  S.expectInnocentsCompleted();
+}
+
+// The users' day kills the leader; what is known of a crash must outlive it.
+TEST(CrashingTasks, ChangesOfLeaderDoNotRenewTheCountOfCrashes) {
+  for (Kind Which : {Kind::Copied, Kind::Plain, Kind::LongRunning}) {
+    Scene S;
+    S.KillingIndex = 0;
+    S.Harness.submitJob("killer", "p", makeSpec(Which, 3));
+    int Seen = 0;
+    for (int I = 0; I < 300; ++I) {
+      S.work(milliseconds(100));
+      // A new leader once each crash has been noticed.
+      if (S.Harness.Workers.TotalCrashes == Seen || Seen >= 8)
+        continue;
+      Seen = S.Harness.Workers.TotalCrashes;
+      S.work(milliseconds(300));
+      S.Harness.beginLeadership();
+    }
+    S.Harness.advanceTime(seconds(10));
+    EXPECT_EQ(S.Harness.Workers.Violations, None);
+    EXPECT_EQ(S.Harness.jobState("killer"), JobState::Failed);
+    S.expectInnocentsCompleted();
+  }
+}
+
+// Several at once leave most of the pool to the others.
+TEST(CrashingTasks, SeveralLeaveMostOfThePoolToTheOthers) {
+  Scene S;
+  S.KillingIndex = 0;
+  for (int I = 0; I < 4; ++I) {
+    S.work(milliseconds(1500));
+    S.Harness.submitJob("killer" + std::to_string(I), "p",
+                        makeSpec(Kind::Copied, 6));
+  }
+  S.work(seconds(20));
+  S.Harness.advanceTime(seconds(10));
+  EXPECT_EQ(S.Harness.Workers.Violations, None);
+  EXPECT_LE(S.Harness.Workers.TotalCrashes, 12);
+  for (int I = 0; I < 4; ++I)
+    EXPECT_EQ(S.Harness.jobState("killer" + std::to_string(I)),
+              JobState::Failed);
+  S.expectInnocentsCompleted();
+}
+
+// A worker that was cut off and answers again has not crashed.
+TEST(CrashingTasks, ACutOffWorkerIsNoCrash) {
+  Scene S;
+  S.Harness.submitJob("lasting", "p", makeSpec(Kind::LongRunning, 20));
+  S.Harness.advanceTime(seconds(2));
+  for (int I = 0; I < 8; ++I) {
+    for (size_t W = 0; W < PoolSize; W += 2)
+      S.Harness.Workers.at("p-" + std::to_string(W)).Faults.IsUnreachable =
+          true;
+    S.work(seconds(4));
+    for (size_t W = 0; W < PoolSize; W += 2)
+      S.Harness.Workers.at("p-" + std::to_string(W)).Faults.IsUnreachable =
+          false;
+    S.work(seconds(2));
+  }
+  S.Harness.advanceTime(seconds(10));
+  EXPECT_EQ(S.Harness.Workers.Violations, None);
+  S.expectNoInnocentFailed();
+  S.expectInnocentsCompleted();
+}
+
+/// Half of the pool crashes each five seconds, without any killer.
+TEST(CrashingTasks, NoJobIsGivenUpForCrashesOfItsWorkersAlone) {
+  Scene S;
+  S.Harness.submitJob("lasting", "p", makeSpec(Kind::LongRunning, 20));
+  std::mt19937 Random(20261204);
+  for (int I = 0; I < 10; ++I) {
+    S.work(milliseconds(3500), I % 2 == 0 ? Kind::Copied : Kind::Plain);
+    for (size_t W = 0; W < PoolSize; ++W)
+      if (Random() % 2 == 0)
+        S.Harness.Workers.crash("p-" + std::to_string(W));
+    S.work(milliseconds(1500));
+  }
+  S.Harness.advanceTime(seconds(15));
+  EXPECT_EQ(S.Harness.Workers.Violations, None);
+  S.expectNoInnocentFailed();
+  S.expectInnocentsCompleted();
+}
+
+/// Submits innocents and killers of all kinds while workers crash for reasons
+/// of their own and leaders change.
+void playMix(uint32_t Seed) {
+  Scene S;
+  std::mt19937 Random(Seed);
+  S.CrashDelay = milliseconds(1 + Random() % 60);
+  S.KillingIndex = 0;
+  S.Harness.submitJob("lasting", "p", makeSpec(Kind::LongRunning, 12));
+  std::vector<JobId> Killers;
+  for (int I = 0; I < 300; ++I) {
+    Kind Which = static_cast<Kind>(Random() % 3);
+    S.Harness.submitJob("innocent" + std::to_string(++S.Innocents), "p",
+                        makeSpec(Which, 1 + Random() % 8));
+    if (Random() % 75 == 0) {
+      Killers.push_back("killer" + std::to_string(I));
+      S.Harness.submitJob(Killers.back(), "p",
+                          makeSpec(static_cast<Kind>(Random() % 4), 4));
+    }
+    // Each worker crashes about once in 20 s.
+    if (Random() % 20 == 0)
+      S.Harness.Workers.crash("p-" + std::to_string(Random() % PoolSize));
+    if (Random() % 100 == 0)
+      S.Harness.beginLeadership();
+    S.Harness.advanceTime(milliseconds(100));
+  }
+  S.Harness.advanceTime(seconds(40));
+  EXPECT_EQ(S.Harness.Workers.Violations, None);
+  for (const JobId &Killer : Killers)
+    EXPECT_EQ(S.Harness.jobState(Killer), JobState::Failed) << Killer;
+  S.expectNoInnocentFailed();
+  S.expectInnocentsCompleted();
+}
+
+TEST(CrashingTasks, KillersAreToldFromInnocentsBesideUnrelatedCrashes) {
+  for (uint32_t Seed = 1; Seed <= 20; ++Seed) {
+    SCOPED_TRACE(Seed);
+    playMix(Seed);
+  }
+}
+
+} // namespace
--- a/Tests/Support/SchedulerHarness.cpp
+++ b/Tests/Support/SchedulerHarness.cpp
@@ -98,7 +98,7 @@
 void SchedulerHarness::sendHeartbeats() {
   ++Sequence;
   for (const auto &[Id, Worker] : Workers.all())
-    if (!Worker.Faults.IsUnreachable)
+    if (!Worker.Faults.IsUnreachable && !Worker.Faults.IsDown)
       Scheduler->handleReport(
           {Worker.Entry, Sequence, toMillis(Timers.now() - Worker.StartedAt)},
           [](bool) {});
--- a/Tests/Support/VirtualWorkers.cpp
+++ b/Tests/Support/VirtualWorkers.cpp
@@ -10,6 +10,10 @@
 constexpr Duration OneWayDelay = milliseconds(1);
 constexpr Duration ResponseTimeout = milliseconds(700);
 constexpr Duration LongestLease = seconds(6);
+/// The rule BUDGET: a task that crashes its workers may be started this often
+/// less one after the third crash.
+constexpr int CrashesBeforeBudget = 3;
+constexpr int StartsThatBreakBudget = 3;
 
 } // namespace
 
@@ -36,16 +40,68 @@
 void VirtualWorkers::restart(const std::string &Id) {
   VirtualWorker &Worker = Workers.at(Id);
   WorkerEntry Entry = Worker.Entry;
-  for (const auto &[Task, CurrentRun] : Worker.Runs)
-    if (const JobRecord *Record = Store.findJob(Task.Job))
-      RunningByOrganisation[Record->Job.Organisation] -=
-          Record->Job.Spec.Steps[Task.Step].TaskResources;
+  forgetRuns(Worker);
   ++Entry.Key.Incarnation;
   Worker = {};
   Worker.Entry = Entry;
   Worker.StartedAt = Timers.now();
 }
 
+void VirtualWorkers::forgetRuns(VirtualWorker &Worker) {
+  for (const auto &[Task, CurrentRun] : Worker.Runs)
+    if (const JobRecord *Record = Store.findJob(Task.Job))
+      RunningByOrganisation[Record->Job.Organisation] -=
+          Record->Job.Spec.Steps[Task.Step].TaskResources;
+  Worker.Runs.clear();
+}
+
+void VirtualWorkers::crash(const std::string &Id) {
+  VirtualWorker &Worker = Workers.at(Id);
+  if (Worker.Faults.IsDown)
+    return;
+  ++TotalCrashes;
+  for (const auto &[Task, CurrentRun] : Worker.Runs)
+    ++CrashCounts[Task];
+  // Results that were not committed before the crash are lost with it.
+  for (const FinishedRun &End : Worker.Finished)
+    CompletedTasks.erase(End.Task);
+  forgetRuns(Worker);
+  Worker.Faults.IsDown = true;
+  for (auto &Wake : std::exchange(Worker.WaitingPolls, {}))
+    Wake();
+  if (RestartDelay)
+    Timers.scheduleAt(Timers.now() + *RestartDelay,
+                      [this, Id] { restart(Id); });
+}
+
+void VirtualWorkers::scheduleCrash(const VirtualWorker &Worker,
+                                   const StartOrder &Order) {
+  std::optional<Duration> Delay =
+      CrashDelayOf ? CrashDelayOf(Order.Task) : std::nullopt;
+  if (!Delay)
+    return;
+  Timers.scheduleAt(Timers.now() + *Delay, [this, Key = Worker.Entry.Key,
+                                            Task = Order.Task,
+                                            Attempt = Order.Attempt] {
+    VirtualWorker &Host = Workers.at(Key.Id);
+    auto It = Host.Runs.find(Task);
+    bool IsStillThere = Host.Entry.Key == Key && It != Host.Runs.end() &&
+                        It->second.Attempt == Attempt;
+    if (IsStillThere)
+      crash(Key.Id);
+  });
+}
+
+void VirtualWorkers::checkCrashBudget(const StartOrder &Order,
+                                      const std::string &Name) {
+  bool CrashesWorkers = CrashDelayOf && CrashDelayOf(Order.Task);
+  if (!CrashesWorkers || CrashCounts[Order.Task] < CrashesBeforeBudget)
+    return;
+  if (++StartsAfterThirdCrash[Order.Task] == StartsThatBreakBudget)
+    Violations.push_back(Name + " was started three times more after three "
+                                "workers had crashed under it");
+}
+
 VirtualWorker *VirtualWorkers::find(const WorkerEntry &To) {
   auto It = Workers.find(To.Key.Id);
   return It == Workers.end() ? nullptr : &It->second;
@@ -63,6 +119,12 @@
     Timers.scheduleAt(Timers.now() + ResponseTimeout, [Done] { Done({}); });
     return;
   }
+  if (Worker->Faults.IsDown) {
+    Timers.scheduleAt(Timers.now() + OneWayDelay, [Done] {
+      Done({OrderOutcome::NotSent, std::nullopt});
+    });
+    return;
+  }
   if (Worker->Faults.DelayedOrderCount > 0) {
     --Worker->Faults.DelayedOrderCount;
     Timers.scheduleAt(Timers.now() + Worker->Faults.OrderDelay,
@@ -73,11 +135,18 @@
   Timers.scheduleAt(Timers.now() + OneWayDelay, [this, To, Run, Done] {
     VirtualWorker *Receiver = find(To);
     OrderResponse Answer;
-    Answer.Outcome =
-        Receiver->Entry.Key == To.Key ? Run() : OrderOutcome::WrongIncarnation;
-    Answer.ClockMs = workerClockMs(*Receiver);
-    Timers.scheduleAt(Timers.now() + OneWayDelay,
-                      [Done, Answer] { Done(Answer); });
+    if (Receiver->Faults.IsDown) {
+      Answer.Outcome = OrderOutcome::NotSent;
+    } else {
+      Answer.Outcome = Receiver->Entry.Key == To.Key
+                           ? Run()
+                           : OrderOutcome::WrongIncarnation;
+      Answer.ClockMs = workerClockMs(*Receiver);
+    }
+    Timers.scheduleAt(Timers.now() + OneWayDelay, [this, To, Done, Answer] {
+      // The connection is reset with the worker's process.
+      Done(find(To)->Faults.IsDown ? OrderResponse{} : Answer);
+    });
   });
 }
 
@@ -153,6 +222,7 @@
                              Worker.StartedAt + milliseconds(Order.LeaseEndMs));
   RunningByOrganisation[Record->Job.Organisation] += Spec.TaskResources;
   ++StartCounts[Order.Task];
+  scheduleCrash(Worker, Order);
   return OrderOutcome::Accepted;
 }
 
@@ -166,6 +236,7 @@
       Violations.push_back(Name + " runs twice at once");
   if (CompletedTasks.count(Order.Task) && !Spec.Speculative)
     Violations.push_back(Name + " was started after it was done");
+  checkCrashBudget(Order, Name);
   const JobRecord *Record = Store.findJob(Order.Task.Job);
   for (uint32_t Earlier : Spec.DependsOn)
     for (uint32_t I = 0; I < Record->Job.Spec.Steps[Earlier].Count; ++I)
@@ -295,6 +366,8 @@
   }
   Timers.scheduleAt(Timers.now() + OneWayDelay, [this, To, Order, Done] {
     VirtualWorker &Worker = *find(To);
+    if (Worker.Faults.IsDown)
+      return Done({OrderOutcome::NotSent, std::nullopt, {}, {}});
     if (Worker.Entry.Key != To.Key)
       return Done({OrderOutcome::WrongIncarnation, std::nullopt, {}, {}});
     if (Order.Token < Worker.Token)
@@ -310,6 +383,10 @@
         return Timers.scheduleAt(Timers.now() + ResponseTimeout,
                                  [Done] { Done({}); }),
                void();
+      if (Receiver.Faults.IsDown)
+        return Timers.scheduleAt(Timers.now() + OneWayDelay,
+                                 [Done] { Done({}); }),
+               void();
       PollResponse Lists = makePollResponse(Receiver);
       if (Receiver.Entry.Key != To.Key)
         Lists = {OrderOutcome::WrongIncarnation, std::nullopt, {}, {}};
--- a/Tests/Support/VirtualWorkers.h
+++ b/Tests/Support/VirtualWorkers.h
@@ -23,7 +23,9 @@
 /// The faults that one worker shows.
 struct WorkerFaults {
   bool IsUnreachable = false; // No messages arrive at or come from the worker.
-  bool FailsAllRuns = false;  // Each run fails after 50 ms.
+  /// The worker's process has ended; connections to it are refused.
+  bool IsDown = false;
+  bool FailsAllRuns = false; // Each run fails after 50 ms.
   bool StallsAllRuns = false;
   /// The next DelayedOrderCount orders are carried out this much later and are
   /// not answered.
@@ -69,6 +71,9 @@
   VirtualWorker &at(const std::string &Id) { return Workers.at(Id); }
   /// Restarts the worker under the same id, without its earlier state.
   void restart(const std::string &Id);
+  /// Ends the worker's process and all runs on it; it restarts after
+  /// RestartDelay.
+  void crash(const std::string &Id);
   const std::map<std::string, VirtualWorker> &all() const { return Workers; }
 
   void startRun(const WorkerEntry &To, const StartOrder &Order,
@@ -94,6 +99,14 @@
   std::map<std::string, Resources> RunningByOrganisation;
   /// All pace orders received, in order.
   std::vector<PaceOrder> PaceOrders;
+  /// Returns how long after its start a task crashes its worker, or nothing if
+  /// it does not.
+  std::function<std::optional<Duration>(const TaskId &)> CrashDelayOf;
+  /// How long a crashed worker is down; nothing for good.
+  std::optional<Duration> RestartDelay = seconds(3);
+  /// Number of workers that crashed while they ran the task.
+  std::map<TaskId, int> CrashCounts;
+  int TotalCrashes = 0;
   /// The gauge that workers report for a task.
   std::map<TaskId, int64_t> Gauges;
 
@@ -110,6 +123,11 @@
   OrderOutcome handleStop(VirtualWorker &Worker, const StopOrder &Order);
   void endRun(VirtualWorker &Worker, const TaskId &Task, EndKind How);
   void onTick();
+  /// Ends the worker's runs without a trace on it.
+  void forgetRuns(VirtualWorker &Worker);
+  void scheduleCrash(const VirtualWorker &Worker, const StartOrder &Order);
+  /// Counts starts of a task that crashes its workers, by the rule BUDGET.
+  void checkCrashBudget(const StartOrder &Order, const std::string &Name);
   int64_t workerClockMs(const VirtualWorker &Worker) const;
   VirtualWorker *find(const WorkerEntry &To);
   void checkStartInvariants(const VirtualWorker &Worker,
@@ -120,6 +138,8 @@
   const JobStore &Store;
   const ActualDurationFn ActualDurationMs;
   std::map<std::string, VirtualWorker> Workers;
+  /// Starts of a task after the third worker crashed under it.
+  std::map<TaskId, int> StartsAfterThirdCrash;
 };
 
 } // namespace mimosashunt::test
