--- a/Source/Core/JsonFields.h
+++ b/Source/Core/JsonFields.h
@@ -21,6 +21,11 @@
   template <class T> void operator()(const char *Key, const T &Value) const {
     Out[Key] = Value;
   }
+  /// A list that is left out while it is empty.
+  template <class T> void list(const char *Key, const T &Value) const {
+    if (!Value.empty())
+      Out[Key] = Value;
+  }
 };
 
 /// Reads each described field from a JSON object. Throws
@@ -31,6 +36,10 @@
   template <class T> void operator()(const char *Key, T &Value) const {
     Value = In.at(Key).template get<T>();
   }
+  template <class T> void list(const char *Key, T &Value) const {
+    if (In.contains(Key))
+      Value = In.at(Key).template get<T>();
+  }
 };
 
 /// A type that lists its JSON fields in a static describe().
--- a/Source/Fleet/SchedulerMetrics.cpp
+++ b/Source/Fleet/SchedulerMetrics.cpp
@@ -64,6 +64,18 @@
            Counters.ExpiredRuns);
   SetGauge("mimosashunt_runs_lost", "Runs given up with their worker",
            Counters.LostRuns);
+  SetGauge("mimosashunt_workers_crashed",
+           "Workers that crashed with runs on them", Counters.CrashedWorkers);
+  SetGauge("mimosashunt_trials", "Suspects started on workers of their own",
+           Counters.Trials);
+  SetGauge("mimosashunt_trials_passed", "Trials that the worker survived",
+           Counters.PassedTrials);
+  SetGauge("mimosashunt_tasks_cleared",
+           "Long-running tasks whose losses were forgotten",
+           Counters.ClearedTasks);
+  SetGauge("mimosashunt_jobs_convicted",
+           "Jobs given up since a task crashes its workers",
+           Counters.ConvictedJobs);
   SetGauge("mimosashunt_runs_not_renewed",
            "Runs whose lease ran out on a worker in touch",
            Counters.UnrenewedRuns);
--- a/Source/Jobs/JobCommands.h
+++ b/Source/Jobs/JobCommands.h
@@ -4,6 +4,7 @@
 #define MIMOSASHUNT_JOBS_JOBCOMMANDS_H
 
 #include "Jobs/JobTypes.h"
+#include "Jobs/RunLoss.h"
 
 #include <algorithm>
 #include <map>
@@ -13,19 +14,6 @@
 
 namespace mimosashunt {
 
-/// Identifies one incarnation of a worker. The same id with another incarnation
-/// is a different worker that knows nothing of the tasks of the former.
-struct WorkerKey {
-  std::string Id;
-  int64_t Incarnation = 0; // Unix milliseconds when the worker process started.
-  auto operator<=>(const WorkerKey &) const = default; // NOLINT
-
-  static void describe(auto &Self, auto Field) {
-    Field("id", Self.Id);
-    Field("born", Self.Incarnation);
-  }
-};
-
 /// Replicated registration of a worker. It lets a new leader know every worker
 /// that may be running something.
 struct WorkerEntry {
@@ -113,6 +101,16 @@
   static void describe(auto &Self, auto Field) { Field("ends", Self.Results); }
 };
 
+/// Replaces what is recorded of the losses of tasks. A job one of whose tasks
+/// crashes its workers, by this evidence, fails.
+struct RecordLosses {
+  static constexpr const char *Kind = "losses";
+  std::vector<TaskLosses> Tasks; // Without losses if the task was cleared.
+  bool operator==(const RecordLosses &) const = default;
+
+  static void describe(auto &Self, auto Field) { Field("tasks", Self.Tasks); }
+};
+
 /// Activates a configuration if its version is higher than the present one.
 struct PutConfiguration {
   static constexpr const char *Kind = "config";
@@ -184,7 +182,8 @@
 
 using JobCommand =
     std::variant<AcceptJob, CancelJob, RecordRunResults, PutConfiguration,
-                 UpdateWorkers, StartWave, FinishMaintenance, BeginLeadership>;
+                 UpdateWorkers, StartWave, FinishMaintenance, BeginLeadership,
+                 RecordLosses>;
 
 std::string encodeJobCommand(const JobCommand &Command);
 /// Returns false if \p Bytes is not an encoded command.
--- a/Source/Jobs/JobStore.cpp
+++ b/Source/Jobs/JobStore.cpp
@@ -64,8 +64,7 @@
   auto It = Jobs.find(Command.Job);
   if (It == Jobs.end() || It->second.hasEnded())
     return false;
-  It->second.State = JobState::Cancelled;
-  It->second.Tasks.clear();
+  endJob(It->second, JobState::Cancelled);
   return true;
 }
 
@@ -85,17 +84,58 @@
   return Attempts.size();
 }
 
-bool JobStore::recordRunResult(const RunResult &Result) {
-  auto It = Jobs.find(Result.Task.Job);
+JobRecord *JobStore::findUnfinishedJob(const TaskId &Task) {
+  auto It = Jobs.find(Task.Job);
   if (It == Jobs.end() || It->second.hasEnded())
+    return nullptr;
+  const auto &Specs = It->second.Job.Spec.Steps;
+  bool Exists = Task.Occurrence < It->second.Tasks.size() &&
+                Task.Step < Specs.size() && Task.Index < Specs[Task.Step].Count;
+  return Exists ? &It->second : nullptr;
+}
+
+bool JobStore::recordTaskLosses(const TaskLosses &Recorded) {
+  const TaskId &Task = Recorded.Task;
+  JobRecord *Record = findUnfinishedJob(Task);
+  if (Record == nullptr ||
+      Record->Tasks[Task.Occurrence][Task.Step][Task.Index].Done)
     return false;
-  JobRecord &Record = It->second;
-  const auto &Specs = Record.Job.Spec.Steps;
-  if (Result.Task.Occurrence >= Record.Tasks.size() ||
-      Result.Task.Step >= Specs.size() ||
-      Result.Task.Index >= Specs[Result.Task.Step].Count)
+  std::erase_if(Record->Losses, [&](const TaskLosses &Earlier) {
+    return Earlier.Task == Task;
+  });
+  if (Recorded.Losses.empty())
+    return true;
+  Record->Losses.push_back(Recorded);
+  Record->State = JobState::Running;
+  bool Gang = Record->Job.Spec.Steps[Task.Step].Gang;
+  std::vector<RunLoss> Evidence;
+  for (const TaskLosses &Known : Record->Losses)
+    if (Gang ? Task.isOfSameStep(Known.Task) : Task == Known.Task)
+      Evidence.insert(Evidence.end(), Known.Losses.begin(), Known.Losses.end());
+  if (weighLosses(Evidence, LossWeighing::CertainOnly) >= ConvictingWeight)
+    endJob(*Record, JobState::Failed);
+  return true;
+}
+
+bool JobStore::applyCommand(const RecordLosses &Command) {
+  bool Changed = false;
+  for (const TaskLosses &Recorded : Command.Tasks)
+    Changed |= recordTaskLosses(Recorded);
+  return Changed;
+}
+
+void JobStore::endJob(JobRecord &Record, JobState State) {
+  Record.State = State;
+  Record.Tasks.clear();
+  Record.Losses.clear();
+}
+
+bool JobStore::recordRunResult(const RunResult &Result) {
+  JobRecord *Found = findUnfinishedJob(Result.Task);
+  if (Found == nullptr)
     return false;
-  const StepSpec &Spec = Specs[Result.Task.Step];
+  JobRecord &Record = *Found;
+  const StepSpec &Spec = Record.Job.Spec.Steps[Result.Task.Step];
   std::vector<TaskRecord> &Step =
       Record.Tasks[Result.Task.Occurrence][Result.Task.Step];
   TaskRecord &Task = Step[Result.Task.Index];
@@ -107,22 +147,23 @@
     if (std::find(Failed.begin(), Failed.end(), Result.Attempt) != Failed.end())
       return false;
     Failed.push_back(Result.Attempt);
-    if (failureCount(Record, Result.Task) >= Record.Job.MaxAttempts) {
-      Record.State = JobState::Failed;
-      Record.Tasks.clear();
-    }
+    if (failureCount(Record, Result.Task) >= Record.Job.MaxAttempts)
+      endJob(Record, JobState::Failed);
     return true;
   }
+  // What succeeds does not crash its worker.
+  std::erase_if(Record.Losses, [&](const TaskLosses &Known) {
+    return Spec.Gang ? Result.Task.isOfSameStep(Known.Task)
+                     : Result.Task == Known.Task;
+  });
   // The success of one member completes the whole gang.
   for (TaskRecord &Member : Step)
     if (!Member.Done && (Spec.Gang || &Member == &Task)) {
       Member.Done = true;
       --Record.UnfinishedTasks;
     }
-  if (Record.UnfinishedTasks == 0) {
-    Record.State = JobState::Completed;
-    Record.Tasks.clear();
-  }
+  if (Record.UnfinishedTasks == 0)
+    endJob(Record, JobState::Completed);
   return true;
 }
 
--- a/Source/Jobs/JobStore.h
+++ b/Source/Jobs/JobStore.h
@@ -37,6 +37,9 @@
   /// Number of tasks not yet done, over all occurrences; zero exactly for
   /// completed jobs.
   uint64_t UnfinishedTasks = 0;
+  /// Tasks that are not done and were lost with workers. Cleared when the job
+  /// has ended.
+  std::vector<TaskLosses> Losses;
   bool operator==(const JobRecord &) const = default;
 
   bool hasEnded() const {
@@ -49,6 +52,7 @@
     Field("state", Self.State);
     Field("tasks", Self.Tasks);
     Field("open", Self.UnfinishedTasks);
+    Field.list("losses", Self.Losses);
   }
 };
 
@@ -100,7 +104,13 @@
   bool applyCommand(const StartWave &Command);
   bool applyCommand(const FinishMaintenance &Command);
   bool applyCommand(const BeginLeadership &Command);
+  bool applyCommand(const RecordLosses &Command);
   bool recordRunResult(const RunResult &Result);
+  static void endJob(JobRecord &Record, JobState State);
+  bool recordTaskLosses(const TaskLosses &Recorded);
+  /// Returns the job of the task, or null if the job has ended or has no such
+  /// task.
+  JobRecord *findUnfinishedJob(const TaskId &Task);
 
   std::map<JobId, JobRecord> Jobs;
   uint64_t ConfigurationVersion = 0; // Never decreases.
--- a/Source/Jobs/JobTypes.h
+++ b/Source/Jobs/JobTypes.h
@@ -145,6 +145,12 @@
   uint32_t Index = 0;
   auto operator<=>(const TaskId &) const = default; // NOLINT
 
+  /// Returns true if both are tasks of one step in one occurrence.
+  bool isOfSameStep(const TaskId &Other) const {
+    return Job == Other.Job && Occurrence == Other.Occurrence &&
+           Step == Other.Step;
+  }
+
   static void describe(auto &Self, auto Field) {
     Field("job", Self.Job);
     Field("k", Self.Occurrence);
--- /dev/null
+++ b/Source/Scheduling/CrashSuspicion.cpp
@@ -0,0 +1,71 @@
+#include "Scheduling/CrashSuspicion.h"
+
+#include <algorithm>
+
+namespace mimosashunt {
+
+namespace {
+
+bool isSuspect(const TaskProgress &Task, const SuspicionOptions &Options) {
+  if (Task.Done || Task.Losses.size() <= Task.ReleasedLosses)
+    return false;
+  const RunLoss &First = Task.Losses.front();
+  bool HasCrashed = First.WasSudden || First.IsCertain;
+  bool IsFresh = milliseconds(First.SurvivedMs) <= Options.MaxFreshAge;
+  return Task.Losses.size() > 1 || (HasCrashed && IsFresh);
+}
+
+} // namespace
+
+StepCaution assessStep(const StepSpec &Spec, const StepProgress &Step,
+                       const SuspicionOptions &Options, Instant Now) {
+  StepCaution Caution;
+  if (!Step.HasLosses)
+    return Caution;
+  int Heaviest = 0;
+  std::vector<RunLoss> GangLosses;
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
+    const TaskProgress &Task = Step.Tasks[I];
+    if (Task.Done || Task.Losses.empty())
+      continue;
+    int Weight = weighLosses(Task.Losses, LossWeighing::WithSuspected);
+    Caution.IsHeld |= Weight >= ConvictingWeight;
+    if (Spec.Gang)
+      GangLosses.insert(GangLosses.end(), Task.Losses.begin(),
+                        Task.Losses.end());
+    if (!isSuspect(Task, Options) || Weight <= Heaviest)
+      continue;
+    Heaviest = Weight;
+    Caution.Suspect = I;
+  }
+  Caution.IsHeld |=
+      weighLosses(GangLosses, LossWeighing::WithSuspected) >= ConvictingWeight;
+  Duration MaxWait =
+      Spec.LongRunning ? Options.MaxLongRunningTrialWait : Options.MaxTrialWait;
+  Caution.NeedsTrial = Caution.Suspect && Now - Step.LastLossAt < MaxWait;
+  return Caution;
+}
+
+Duration trialDuration(const TaskProgress &Task,
+                       const SuspicionOptions &Options) {
+  int64_t LongestMs = 0;
+  for (const RunLoss &Loss : Task.Losses)
+    LongestMs = std::max(LongestMs, Loss.SurvivedMs);
+  return std::clamp(Duration(milliseconds(2 * LongestMs)),
+                    Options.MinTrialDuration, Options.MaxTrialDuration);
+}
+
+size_t maxTrials(size_t PoolSize, const SuspicionOptions &Options) {
+  constexpr size_t Percent = 100;
+  return std::max<size_t>(1, PoolSize * Options.MaxTrialPercent / Percent);
+}
+
+void releaseStep(StepProgress &Step, uint32_t Passed) {
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
+    TaskProgress &Task = Step.Tasks[I];
+    if (I == Passed || Task.Losses.size() <= 1)
+      Task.ReleasedLosses = Task.Losses.size();
+  }
+}
+
+} // namespace mimosashunt
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -63,7 +63,9 @@
           ? Work
           : MeanJobCoreMs + SmoothingFactor * (Work - MeanJobCoreMs);
   markPoolDirty(Job->Pool);
-  Jobs[Record.Job.Job] = std::move(Job);
+  JobProgress &Added = *(Jobs[Record.Job.Job] = std::move(Job));
+  if (!Record.Losses.empty())
+    loadLosses(Added);
 }
 
 void Dispatcher::onJobAccepted(const JobId &Job) {
@@ -124,7 +126,7 @@
       if (Other.Id == Key.Id || Worker.Entry.Address == Report.Entry.Address)
         Ended.push_back(Other);
     for (const WorkerKey &Other : Ended) {
-      removeWorker(Other, "superseded");
+      removeWorker(Other, "superseded", /*HasCrashed=*/true);
       Command.Removed.push_back(Other);
     }
     Tracked = &Table.add(Report.Entry, Timers.now());
@@ -238,7 +240,7 @@
       drainVm(Worker.Entry.Vm);
   }
   for (const WorkerKey &Key : Expired)
-    removeWorker(Key, "forgotten");
+    removeWorker(Key, "forgotten", /*HasCrashed=*/false);
   // Due times, objectives and advice depend on the time, so each pool with
   // unfinished jobs is scheduled again.
   PendingJobs.clear();
@@ -249,6 +251,7 @@
     PendingJobs[Job->job().Queue] += Job->HasStarted ? 0 : 1;
   }
   proposeResults();
+  proposeLosses();
 }
 
 // Queries, draining and capacity demand.
@@ -407,7 +410,7 @@
     if (Worker.Entry.Vm == Vm)
       Ended.push_back(Key);
   for (const WorkerKey &Key : Ended)
-    removeWorker(Key, "vm_ended");
+    removeWorker(Key, "vm_ended", /*HasCrashed=*/false);
 }
 
 } // namespace mimosashunt
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -9,6 +9,7 @@
 #include "Core/TimerService.h"
 #include "Jobs/JobStore.h"
 #include "Jobs/ServiceConfiguration.h"
+#include "Scheduling/CrashSuspicion.h"
 #include "Scheduling/JobOrder.h"
 #include "Scheduling/JobProgress.h"
 #include "Scheduling/Pacing.h"
@@ -18,6 +19,7 @@
 #include "Scheduling/WorkerHealth.h"
 #include "Workers/WorkerTable.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,6 +33,7 @@
 struct DispatcherOptions {
   LeaseOptions Lease;
   HealthOptions Health;
+  SuspicionOptions Suspicion;
   PacingOptions Pacing;
   OrderPolicy JobOrderPolicy = ValuePerWork{};
   /// How long a worker may hold a poll open, waiting for a run to end, while it
@@ -126,6 +129,11 @@
   uint64_t ExpiredRuns = 0;
   /// Runs given up with their worker for any reason.
   uint64_t LostRuns = 0;
+  uint64_t CrashedWorkers = 0; // Workers that crashed with runs on them.
+  uint64_t Trials = 0;         // Starts of suspects on workers of their own.
+  uint64_t PassedTrials = 0;
+  uint64_t ClearedTasks = 0; // Long-running tasks that survived for long.
+  uint64_t ConvictedJobs = 0;
   /// Runs whose lease ran out on a worker that answered this leader's polls.
   uint64_t UnrenewedRuns = 0;
   /// Renewals apart from polls.
@@ -235,7 +243,7 @@
   void renewLease(TrackedWorker &Worker);
   void schedulePollAfter(TrackedWorker &Worker, Duration Pause);
   Duration pollInterval() const;
-  void onPollResponse(const WorkerKey &Key, Instant SentAt,
+  void onPollResponse(const WorkerKey &Key, Instant SentAt, Duration MaxWait,
                       const PollResponse &Response);
   void markSynced(TrackedWorker &Worker);
   void updateRun(TrackedWorker &Worker, const RunningTask &Reported,
@@ -247,14 +255,60 @@
   /// Logs each run on a worker that fell silent or is given up.
   void reportLostRuns(const TrackedWorker &Worker, const char *Why);
   void reportUnrenewedRun(const TrackedWorker &Worker, const FinishedRun &End);
-  void handleFailedPoll(TrackedWorker &Worker, bool Lost);
+  /// \p WasSudden is false if the worker did not answer in time.
+  void handleFailedPoll(TrackedWorker &Worker, OrderOutcome Outcome,
+                        bool WasSudden);
   void expireLease(TrackedWorker &Worker);
-  void removeWorker(const WorkerKey &Key, const char *Reason);
+  /// \p HasCrashed is false if the worker's end was ordered, or is not known.
+  void removeWorker(const WorkerKey &Key, const char *Reason, bool HasCrashed);
   void onFenced(const WorkerKey &Key);
 
+  // Runs that are lost with their workers.
+  /// Returns the task of a job that still wants it to run, or null.
+  TaskProgress *findWantedTask(const TaskId &Task);
+  void onWorkerSilent(TrackedWorker &Worker, bool WasSudden);
+  /// Records the loss of each run on the worker, as suspected.
+  void recordLosses(TrackedWorker &Worker, bool WasSudden);
+  /// Returns true if only the task, or its gang, can have crashed the worker.
+  bool isAloneOn(const TrackedWorker &Worker, const TaskId &Task) const;
+  /// Makes the suspected losses with the worker certain, or removes them.
+  void resolveLosses(const WorkerKey &Key, bool HasCrashed);
+  /// Releases the tasks whose first loss came with the silence of many workers,
+  /// this one the last.
+  void releaseByCommonSilence(const WorkerKey &Last);
+  /// Returns the number of other workers, without tasks of the job, that fell
+  /// silent within \p Window of this one.
+  size_t countSilencesApart(const WorkerKey &Key, const JobId &Job,
+                            Duration Window) const;
+  /// Removes the loss of one run that never began.
+  void removeLoss(const WorkerKey &Key, const TaskId &Task, uint32_t Attempt);
+  void onLossesChanged(const TaskId &Task);
+  /// Ends the job whose task crashes its workers.
+  void convict(JobProgress &Job, const TaskId &Task);
+  /// Restores what an earlier leader knew.
+  void loadLosses(JobProgress &Job);
+  /// Returns true if what is known of the losses' workers changed them.
+  bool restoreLosses(const TaskId &Task, std::vector<RunLoss> &Losses);
+  /// Returns true if the losses of all tasks of the step are committed, which
+  /// it sees to otherwise. \p Step names any task of the step.
+  bool areLossesCommitted(const TaskId &Step);
+  void proposeLosses();
+  void onLossesProposed(const RecordLosses &Command, bool Committed);
+  /// Ends the trial of a run that has survived it, and clears a long-running
+  /// task that has survived for long.
+  void checkSurvival(TrackedWorker &Worker, const TaskId &Task,
+                     Run &CurrentRun);
+  void passTrial(TrackedWorker &Worker, const TaskId &Task, Run &CurrentRun);
+  /// Returns true if one more worker of the pool may hold a trial.
+  bool hasTrialSlot(const std::string &Pool) const;
+  /// Keeps a worker free for a trial of the task, unless one is already.
+  void reserveWorkerForTrial(const std::string &Pool,
+                             const PlacementRequest &Request,
+                             PlacementPass &Pass);
+
   // Starting and stopping of runs.
   void startRun(JobProgress &Job, const TaskId &Task, TrackedWorker &Worker,
-                uint32_t Attempt);
+                uint32_t Attempt, bool IsOnTrial);
   void onStartResponse(const WorkerKey &Key, const TaskId &Task,
                        uint32_t Attempt, Instant SentAt,
                        const OrderResponse &Response);
@@ -337,6 +391,17 @@
   std::map<std::string, Resources> UnlocatedUsage;
   // Workers, by pool, that may have runs of an earlier leader.
   std::map<std::string, std::set<WorkerKey>> UnsyncedWorkers;
+  /// Tasks with suspected losses, by the worker whose fate is open.
+  std::map<WorkerKey, std::set<TaskId>> OpenLosses;
+  /// A worker that fell silent with runs of these jobs.
+  struct Silence {
+    Instant At;
+    WorkerKey Worker;
+    std::set<JobId> Jobs;
+  };
+  std::deque<Silence> Silences; // The last ones, in order of time.
+  /// Tasks whose losses must be committed.
+  std::set<TaskId> LossesToPropose;
   std::vector<RunResult> PendingResults;
   bool ProposalInFlight = false;
   TimerId FlushTimer = 0;
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -193,9 +193,12 @@
   const StepSpec &Spec = Job.stepSpec(Step);
   StepProgress &Progress = Job.Occurrences[Occurrence].Steps[Step];
   Candidate *PreviousChoice = nullptr;
+  StepCaution Caution =
+      assessStep(Spec, Progress, Options.Suspicion, Timers.now());
   for (uint32_t I = 0; I < Spec.Count; ++I) {
     TaskProgress &TaskState = Progress.Tasks[I];
-    if (TaskState.Done || TaskState.NotBefore > Timers.now())
+    if (TaskState.Done || TaskState.NotBefore > Timers.now() ||
+        !Caution.mayStart(I))
       continue;
     // If the step is speculative, a copy of a run on unreachable workers is
     // started at once instead of after the end of their lease.
@@ -204,18 +207,33 @@
       continue;
     if (Starts.startsLeft() == 0 || !isWithinQuota(Job, Spec.TaskResources))
       return;
+    TaskId Task{Job.id(), Occurrence, Step, I};
+    if (!TaskState.AreLossesCommitted) {
+      LossesToPropose.insert(Task);
+      continue;
+    }
+    if (Caution.NeedsTrial && !hasTrialSlot(Job.Pool))
+      return;
     uint32_t Remaining = Spec.Count - Progress.DoneCount - Progress.PlacedCount;
-    Candidate *Chosen = Pass.placeTask(
-        {&Spec, &Progress, &TaskState, Job.NeedsAdvice, Timers.now(),
-         std::max<uint32_t>(Remaining, 1), PreviousChoice});
+    PlacementRequest Request{&Spec,
+                             &Progress,
+                             &TaskState,
+                             Job.NeedsAdvice,
+                             Timers.now(),
+                             std::max<uint32_t>(Remaining, 1),
+                             Caution.NeedsTrial,
+                             PreviousChoice};
+    Candidate *Chosen = Pass.placeTask(Request);
     PreviousChoice = Chosen;
     if (Chosen == nullptr) {
+      if (Caution.NeedsTrial)
+        reserveWorkerForTrial(Job.Pool, Request, Pass);
       if (Job.NeedsAdvice)
         requestAdvice(Job, Occurrence, Step, Pass.candidates());
       return;
     }
-    TaskId Task{Job.id(), Occurrence, Step, I};
-    startRun(Job, Task, *Chosen->Worker, Job.nextAttempt(Task));
+    startRun(Job, Task, *Chosen->Worker, Job.nextAttempt(Task),
+             Caution.NeedsTrial);
   }
 }
 
@@ -228,10 +246,19 @@
   if (!Progress.RunsPerWorker.empty() || Progress.DoneCount > 0 ||
       !isWithinQuota(Job, Spec.TaskResources * Spec.Count))
     return;
-  auto Chosen = Pass.placeGang({&Spec, &Progress, &Progress.Tasks.front(),
-                                Job.NeedsAdvice, Timers.now()},
-                               Spec.Count);
+  StepCaution Caution =
+      assessStep(Spec, Progress, Options.Suspicion, Timers.now());
+  if (Caution.IsHeld || !areLossesCommitted({Job.id(), Occurrence, Step, 0}))
+    return;
+  if (Caution.NeedsTrial && !hasTrialSlot(Job.Pool))
+    return;
+  PlacementRequest Request{&Spec, &Progress, &Progress.Tasks.front(),
+                           Job.NeedsAdvice, Timers.now()};
+  Request.IsTrial = Caution.NeedsTrial;
+  auto Chosen = Pass.placeGang(Request, Spec.Count);
   if (!Chosen) {
+    if (Caution.NeedsTrial)
+      reserveWorkerForTrial(Job.Pool, Request, Pass);
     if (Job.NeedsAdvice)
       requestAdvice(Job, Occurrence, Step, Pass.candidates());
     return;
@@ -239,7 +266,7 @@
   uint32_t Attempt = Job.nextAttempt({Job.id(), Occurrence, Step, 0});
   for (uint32_t I = 0; I < Spec.Count; ++I)
     startRun(Job, {Job.id(), Occurrence, Step, I}, *(*Chosen)[I]->Worker,
-             Attempt);
+             Attempt, Caution.NeedsTrial);
 }
 
 void Dispatcher::requestAdvice(JobProgress &Job, uint32_t Occurrence,
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -2,6 +2,7 @@
 // and stops runs, and processes ended runs.
 
 #include "Scheduling/Dispatcher.h"
+#include "Scheduling/LogFields.h"
 #include "Scheduling/StallDetection.h"
 
 #include <algorithm>
@@ -11,13 +12,9 @@
 
 namespace {
 
-Json taskFields(const TaskId &Task, uint32_t Attempt) {
-  return {{"job", Task.Job},
-          {"task", std::to_string(Task.Occurrence) + "." +
-                       std::to_string(Task.Step) + "." +
-                       std::to_string(Task.Index)},
-          {"attempt", Attempt}};
-}
+/// A poll that fails sooner than this after the time that the worker may take
+/// did not time out.
+constexpr Duration SuddenMargin = milliseconds(300);
 
 const char *nameOf(EndKind How) {
   switch (How) {
@@ -48,6 +45,7 @@
   renewAgingLeases();
   pollDueWorkers();
   scheduleDirtyPools();
+  proposeLosses();
 }
 
 void Dispatcher::renewAgingLeases() {
@@ -70,23 +68,23 @@
     return;
   ++Counters.Renewals;
   std::shared_ptr<bool> IsAlive = AliveFlag;
-  Port.renewLease(Worker.Entry, {*LeaseEndMs, Token, Worker.CommittedEnds},
-                  [this, IsAlive, Key = Worker.key(),
-                   SentAt = Timers.now()](const OrderResponse &Response) {
-                    if (!*IsAlive)
-                      return;
-                    if (Response.Outcome == OrderOutcome::Fenced)
-                      return onFenced(Key);
-                    if (Response.Outcome == OrderOutcome::WrongIncarnation)
-                      return removeWorker(Key, "wrong_life");
-                    if (Response.Outcome == OrderOutcome::Accepted)
-                      Delay.record(Timers.now(), Timers.now() - SentAt);
-                    // Whether a worker is reachable is decided by its polls.
-                    TrackedWorker *Renewed = Table.find(Key);
-                    if (Renewed != nullptr && Response.ClockMs)
-                      Table.recordClock(*Renewed, SentAt, Timers.now(),
-                                        *Response.ClockMs);
-                  });
+  Port.renewLease(
+      Worker.Entry, {*LeaseEndMs, Token, Worker.CommittedEnds},
+      [this, IsAlive, Key = Worker.key(),
+       SentAt = Timers.now()](const OrderResponse &Response) {
+        if (!*IsAlive)
+          return;
+        if (Response.Outcome == OrderOutcome::Fenced)
+          return onFenced(Key);
+        if (Response.Outcome == OrderOutcome::WrongIncarnation)
+          return removeWorker(Key, "wrong_life", /*HasCrashed=*/true);
+        if (Response.Outcome == OrderOutcome::Accepted)
+          Delay.record(Timers.now(), Timers.now() - SentAt);
+        // Whether a worker is reachable is decided by its polls.
+        TrackedWorker *Renewed = Table.find(Key);
+        if (Renewed != nullptr && Response.ClockMs)
+          Table.recordClock(*Renewed, SentAt, Timers.now(), *Response.ClockMs);
+      });
 }
 
 void Dispatcher::pollDueWorkers() {
@@ -106,6 +104,8 @@
     Order.LeaseEndMs = Table.grantLease(Worker, Timers.now());
     Duration Wait =
         Worker.Runs.empty() ? Options.IdlePollTimeout : Options.BusyPollTimeout;
+    if (Worker.TrialCount > 0)
+      Wait = Options.Suspicion.TrialPollTimeout;
     Order.MaxWaitMs = toMillis(Wait);
   }
   Worker.PollInFlight = true;
@@ -121,11 +121,12 @@
         if (Response.Outcome == OrderOutcome::Accepted &&
             Response.Finished.empty())
           Delay.record(Timers.now(), Timers.now() - SentAt - Wait);
-        onPollResponse(Key, SentAt, Response);
+        onPollResponse(Key, SentAt, Wait, Response);
       });
 }
 
 void Dispatcher::onPollResponse(const WorkerKey &Key, Instant SentAt,
+                                Duration MaxWait,
                                 const PollResponse &Response) {
   TrackedWorker *Worker = Table.find(Key);
   if (Worker == nullptr)
@@ -137,16 +138,17 @@
   case OrderOutcome::Fenced:
     return onFenced(Key);
   case OrderOutcome::WrongIncarnation:
-    return removeWorker(Key, "wrong_life");
+    return removeWorker(Key, "wrong_life", /*HasCrashed=*/true);
   default:
-    return handleFailedPoll(*Worker,
-                            Response.Outcome == OrderOutcome::Unanswered);
+    return handleFailedPoll(*Worker, Response.Outcome,
+                            Timers.now() - SentAt < MaxWait + SuddenMargin);
   }
   Worker->LastResponseAt = Timers.now();
   Worker->FailedPolls = 0;
   if (!Worker->IsReachable)
     Hooks.LogEvent("worker_in_touch", {{"worker", Key.Id}});
   Worker->IsReachable = true;
+  resolveLosses(Key, /*HasCrashed=*/false);
   if (Response.ClockMs)
     Table.recordClock(*Worker, SentAt, Timers.now(), *Response.ClockMs);
   for (const FinishedRun &End : Response.Finished)
@@ -193,6 +195,7 @@
     CurrentRun.ProgressChangedAt = Timers.now();
   }
   CurrentRun.Gauge = Reported.Gauge;
+  checkSurvival(Worker, Reported.Task, CurrentRun);
   if (Reported.Checkpoint.empty())
     return;
   CurrentRun.Checkpoint = Reported.Checkpoint;
@@ -296,6 +299,9 @@
                           CurrentRun->second.Attempt == End.Attempt;
   if (IsCurrentAttempt) {
     OrderedAt = CurrentRun->second.OrderedAt;
+    // Its worker has outlived it.
+    if (CurrentRun->second.IsOnTrial && End.Kind == EndKind::Done)
+      passTrial(Worker, End.Task, CurrentRun->second);
     removeRun(Worker, End.Task);
   }
   if (End.Kind == EndKind::LeaseExpired)
@@ -392,36 +398,29 @@
   return Oldest;
 }
 
-void Dispatcher::handleFailedPoll(TrackedWorker &Worker, bool Lost) {
+void Dispatcher::handleFailedPoll(TrackedWorker &Worker, OrderOutcome Outcome,
+                                  bool WasSudden) {
+  bool Lost = Outcome == OrderOutcome::Unanswered;
   // A single response may be lost in transit, so the poll is repeated at once.
   if (Lost && Worker.IsReachable && Worker.FailedPolls == 0) {
     ++Worker.FailedPolls;
     Table.schedulePoll(Worker, Timers.now());
     return;
   }
+  bool HasAnswered = !Lost && Outcome != OrderOutcome::NotSent;
   if (Worker.IsReachable) {
     Hooks.LogEvent("worker_silent", {{"worker", Worker.key().Id},
                                      {"lost", Lost},
+                                     {"sudden", WasSudden},
                                      {"runs", Worker.Runs.size()}});
-    reportLostRuns(Worker, "silent");
+    if (!HasAnswered)
+      onWorkerSilent(Worker, WasSudden);
   }
   Worker.IsReachable = false;
   ++Worker.FailedPolls;
   schedulePollAfter(Worker, Options.UnreachablePollInterval);
 }
 
-void Dispatcher::reportLostRuns(const TrackedWorker &Worker, const char *Why) {
-  for (const auto &[Task, CurrentRun] : Worker.Runs) {
-    Json Fields = taskFields(Task, CurrentRun.Attempt);
-    Fields["worker"] = Worker.key().Id;
-    Fields["born"] = Worker.key().Incarnation;
-    Fields["why"] = Why;
-    Fields["age_ms"] = toMillis(Timers.now() - CurrentRun.OrderedAt);
-    Fields["beside"] = Worker.Runs.size() - 1;
-    Hooks.LogEvent("run_lost", Fields);
-  }
-}
-
 Duration Dispatcher::pollInterval() const {
   auto Workers = static_cast<int64_t>(Table.all().size());
   Duration Interval =
@@ -456,7 +455,8 @@
     removeRun(Worker, Worker.Runs.begin()->first);
 }
 
-void Dispatcher::removeWorker(const WorkerKey &Key, const char *Reason) {
+void Dispatcher::removeWorker(const WorkerKey &Key, const char *Reason,
+                              bool HasCrashed) {
   TrackedWorker *Worker = Table.find(Key);
   if (Worker == nullptr)
     return;
@@ -465,6 +465,9 @@
       {{"worker", Key.Id}, {"why", Reason}, {"runs", Worker->Runs.size()}});
   reportLostRuns(*Worker, Reason);
   Counters.LostRuns += Worker->Runs.size();
+  if (HasCrashed)
+    recordLosses(*Worker, /*WasSudden=*/true);
+  resolveLosses(Key, HasCrashed);
   while (!Worker->Runs.empty())
     removeRun(*Worker, Worker->Runs.begin()->first);
   for (auto &[Pool, Keys] : UnsyncedWorkers)
@@ -490,7 +493,8 @@
 // Starting, stopping and pacing of runs.
 
 void Dispatcher::startRun(JobProgress &Job, const TaskId &Task,
-                          TrackedWorker &Worker, uint32_t Attempt) {
+                          TrackedWorker &Worker, uint32_t Attempt,
+                          bool IsOnTrial) {
   const StepSpec &Spec = Job.stepSpec(Task.Step);
   StepProgress &Step = *Job.findStep(Task);
   TaskProgress &TaskState = Step.Tasks[Task.Index];
@@ -517,14 +521,18 @@
   NewRun.UsesSpareCpu = Spec.UsesSpareCpu;
   NewRun.LongRunning = Spec.LongRunning;
   NewRun.TailTargetMs = Spec.TailTargetMs;
+  NewRun.IsOnTrial = IsOnTrial;
   Table.addRun(Worker, Task, std::move(NewRun));
   Job.addPlacement(Task, Worker.key(), Attempt);
   ++Counters.StartOrders;
+  Counters.Trials += IsOnTrial ? 1 : 0;
   Starts.onStartOrdered();
   Json Fields = taskFields(Task, Attempt);
   Fields["worker"] = Worker.key().Id;
   Fields["free_cpu"] = Worker.freeResources().Cpu;
   Fields["left_ms"] = toMillis(Job.Objective - Timers.now());
+  if (IsOnTrial)
+    Fields["on_trial"] = true;
   Hooks.LogEvent("run_start", Fields);
   std::shared_ptr<bool> IsAlive = AliveFlag;
   Port.startRun(Worker.Entry, Order,
@@ -564,7 +572,7 @@
   if (Response.Outcome == OrderOutcome::Fenced)
     return onFenced(Key);
   if (Response.Outcome == OrderOutcome::WrongIncarnation)
-    return removeWorker(Key, "wrong_life");
+    return removeWorker(Key, "wrong_life", /*HasCrashed=*/true);
   markPoolDirty(Worker->Entry.Pool);
   if (Response.Outcome == OrderOutcome::Unanswered) {
     ++Counters.UnansweredStarts;
@@ -575,6 +583,7 @@
     return;
   }
   ++Counters.RejectedStarts;
+  removeLoss(Key, Task, Attempt);
   bool Gang = false;
   auto Job = Jobs.find(Task.Job);
   TaskProgress *TaskState =
@@ -595,7 +604,7 @@
   if (Response.Outcome == OrderOutcome::NoCapacity ||
       Response.Outcome == OrderOutcome::LeaseExpired ||
       Response.Outcome == OrderOutcome::NotSent)
-    handleFailedPoll(*Worker, false);
+    handleFailedPoll(*Worker, Response.Outcome, /*WasSudden=*/true);
   if (!Gang)
     return;
   // The other members of the gang cannot proceed without this one.
@@ -638,7 +647,7 @@
                  if (Response.Outcome == OrderOutcome::Fenced)
                    return onFenced(Key);
                  if (Response.Outcome == OrderOutcome::WrongIncarnation)
-                   return removeWorker(Key, "wrong_life");
+                   return removeWorker(Key, "wrong_life", /*HasCrashed=*/true);
                  auto It = Target->Runs.find(Task);
                  if (It == Target->Runs.end() || It->second.Attempt != Attempt)
                    return;
--- a/Source/Scheduling/JobProgress.cpp
+++ b/Source/Scheduling/JobProgress.cpp
@@ -36,6 +36,12 @@
       }
     }
   }
+  for (const TaskLosses &Known : Record.Losses) {
+    TaskProgress &TaskState = *findTask(Known.Task);
+    TaskState.Losses = Known.Losses;
+    TaskState.WereLossesProposed = true;
+    findStep(Known.Task)->HasLosses = true;
+  }
 }
 
 bool JobProgress::isReady(uint32_t Occurrence, uint32_t Step) const {
@@ -68,6 +74,7 @@
     if (TaskState.Done || (!Gang && I != Task.Index))
       continue;
     TaskState.Done = true;
+    TaskState.Losses.clear();
     ++Step.DoneCount;
     if (!TaskState.Workers.empty())
       --Step.PlacedCount;
@@ -89,6 +96,15 @@
   return Attempts.size();
 }
 
+std::vector<RunLoss> JobProgress::lossesOf(const TaskId &Task) {
+  if (!stepSpec(Task.Step).Gang)
+    return findTask(Task)->Losses;
+  std::vector<RunLoss> Result;
+  for (const TaskProgress &Member : findStep(Task)->Tasks)
+    Result.insert(Result.end(), Member.Losses.begin(), Member.Losses.end());
+  return Result;
+}
+
 void JobProgress::addPlacement(const TaskId &Task, const WorkerKey &At,
                                uint32_t Attempt) {
   StepProgress &Step = *findStep(Task);
--- a/Source/Scheduling/JobProgress.h
+++ b/Source/Scheduling/JobProgress.h
@@ -32,6 +32,15 @@
   Instant NotBefore;
   /// When the end of the last run was received, for a long-running task.
   std::optional<Instant> EndedAt;
+  /// Its runs that were lost with their workers.
+  std::vector<RunLoss> Losses;
+  /// While no more than this many are known, it starts as any other task.
+  size_t ReleasedLosses = 0;
+  /// The store holds exactly these losses. The task does not start before, so
+  /// that a new leader knows of them.
+  bool AreLossesCommitted = true;
+  /// The store may hold losses.
+  bool WereLossesProposed = false;
 };
 
 /// The advice service's answers for one step.
@@ -52,6 +61,8 @@
   uint32_t GangAttempt = 0;
   StepAdvice Advice;
   std::map<WorkerKey, uint32_t> RunsPerWorker; // Runs on each worker.
+  bool HasLosses = false; // Some task of it was lost with a worker.
+  Instant LastLossAt;
 
   bool isDone() const { return DoneCount == Tasks.size(); }
   bool isFullyPlaced() const { return DoneCount + PlacedCount >= Tasks.size(); }
@@ -86,6 +97,8 @@
   /// Records a failed attempt and returns the number of failed attempts of the
   /// task, or of its gang.
   size_t recordFailure(const TaskId &Task, uint32_t Attempt);
+  /// Returns the losses of the task, or of its gang.
+  std::vector<RunLoss> lossesOf(const TaskId &Task);
   void addPlacement(const TaskId &Task, const WorkerKey &At, uint32_t Attempt);
   void removePlacement(const TaskId &Task, const WorkerKey &At);
   /// Returns the attempt number for the next start of the task or of its gang.
--- a/Source/Scheduling/Placement.cpp
+++ b/Source/Scheduling/Placement.cpp
@@ -25,13 +25,21 @@
          (Added == Extra.end() ? 0 : Added->second);
 }
 
-bool isAllowed(const PlacementRequest &Request, const Candidate &Target,
-               const std::map<WorkerKey, uint32_t> &Extra) {
+/// Returns false if a trial, planned or under way, keeps the task off.
+bool isAllowedByTrials(const PlacementRequest &Request, const Candidate &Target,
+                       const std::map<WorkerKey, uint32_t> &Extra) {
+  auto OwnGang = Extra.find(Target.Worker->key());
+  size_t Own = OwnGang == Extra.end() ? 0 : OwnGang->second;
+  if (Request.IsTrial)
+    return (!Target.HoldsTrial || Own > 0) &&
+           countUnproven(*Target.Worker) == 0;
+  return !Target.HoldsTrial && !Target.IsReserved;
+}
+
+/// Returns true if the task may run there, whatever else does now.
+bool isEligible(const PlacementRequest &Request, const Candidate &Target,
+                const std::map<WorkerKey, uint32_t> &Extra) {
   const StepSpec &Spec = *Request.Spec;
-  if (!Target.Free.canFit(Spec.reservedResources()))
-    return false;
-  if (Target.IsOnProbation && Target.Runs > 0)
-    return false;
   if (!Target.Worker->Entry.satisfiesLabel(Spec.RequiredLabel))
     return false;
   if (Spec.MaxPerWorker > 0 &&
@@ -44,6 +52,16 @@
   return holdsTicket(Request, Target);
 }
 
+bool isAllowed(const PlacementRequest &Request, const Candidate &Target,
+               const std::map<WorkerKey, uint32_t> &Extra) {
+  if (!Target.Free.canFit(Request.Spec->reservedResources()))
+    return false;
+  if (Target.IsOnProbation && Target.Runs > 0)
+    return false;
+  return isAllowedByTrials(Request, Target, Extra) &&
+         isEligible(Request, Target, Extra);
+}
+
 bool hasFailedThere(const PlacementRequest &Request, const Candidate &Target) {
   return Request.TaskState->AvoidedWorkers.count(Target.Worker->key().Id) > 0;
 }
@@ -85,6 +103,9 @@
                         const std::map<WorkerKey, uint32_t> &Extra) {
   bool Failed = hasFailedThere(Request, Target);
   bool Far = isFarFromData(Request, Target);
+  // A crash during a trial harms what else is there. Gangs are packed below.
+  if (Request.IsTrial && !Request.Spec->Gang)
+    return {Failed, Far, static_cast<uint32_t>(Target.Runs), Target.Free.Cpu};
   // Long-running tasks are spread, so that a lost worker costs a step few of
   // its tasks, but over workers that already run long-running tasks: the other
   // workers stay free to move to other pools.
@@ -118,14 +139,29 @@
   return Best;
 }
 
-void reserve(Candidate &Target, const StepSpec &Spec) {
+void reserve(Candidate &Target, const PlacementRequest &Request) {
+  const StepSpec &Spec = *Request.Spec;
   Target.Free -= Spec.reservedResources();
   ++Target.Runs;
+  Target.HoldsTrial |= Request.IsTrial;
   Target.LongRunningCount += Spec.LongRunning ? 1 : 0;
 }
 
 } // namespace
 
+size_t countUnproven(const TrackedWorker &Worker) {
+  constexpr Duration ProvingAge = seconds(3);
+  if (Worker.LongRunningCount == 0)
+    return Worker.Runs.size();
+  auto IsUnproven = [&](const auto &TaskAndRun) {
+    const Run &CurrentRun = TaskAndRun.second;
+    return !CurrentRun.LongRunning || CurrentRun.State != RunState::Running ||
+           Worker.LastResponseAt - CurrentRun.StartAckedAt < ProvingAge;
+  };
+  return static_cast<size_t>(
+      std::count_if(Worker.Runs.begin(), Worker.Runs.end(), IsUnproven));
+}
+
 std::vector<Candidate> findCandidates(WorkerTable &Table,
                                       const std::string &Pool,
                                       const WorkerHealth &Health, Instant Now) {
@@ -140,8 +176,8 @@
     if (!IsUsable || Health.isEjected(Key, Now))
       continue;
     Result.push_back({Worker, Worker->freeResources(), Worker->Runs.size(),
-                      Worker->LongRunningCount,
-                      Health.isOnProbation(Key, Now)});
+                      Worker->LongRunningCount, Health.isOnProbation(Key, Now),
+                      Now<Worker->ReservedUntil, Worker->TrialCount> 0});
   }
   return Result;
 }
@@ -154,10 +190,10 @@
 
 Candidate *PlacementPass::findBestCandidate(const PlacementRequest &Request) {
   const StepSpec &Spec = *Request.Spec;
-  if (isKnownUnplaceable(Spec.reservedResources()))
+  if (!Request.IsTrial && isKnownUnplaceable(Spec.reservedResources()))
     return nullptr;
   Candidate *Best = selectBest(Candidates, Request, {}, {});
-  bool DependsOnSizeOnly = Spec.RequiredLabel.empty() &&
+  bool DependsOnSizeOnly = !Request.IsTrial && Spec.RequiredLabel.empty() &&
                            Spec.MaxPerWorker == 0 && !Request.NeedsTicket &&
                            Request.TaskState->Workers.empty();
   if (Best == nullptr && DependsOnSizeOnly)
@@ -174,10 +210,34 @@
   if (!ReusePrevious)
     Chosen = findBestCandidate(Request);
   if (Chosen != nullptr)
-    reserve(*Chosen, *Request.Spec);
+    reserve(*Chosen, Request);
   return Chosen;
 }
 
+TrackedWorker *PlacementPass::chooseForTrial(const PlacementRequest &Request) {
+  TrackedWorker *Best = nullptr;
+  std::pair<size_t, size_t> Least;
+  for (const Candidate &Target : Candidates) {
+    TrackedWorker &Worker = *Target.Worker;
+    bool CouldHold =
+        Worker.Entry.Capacity.canFit(Request.Spec->reservedResources()) &&
+        !Target.HoldsTrial && !Target.IsReserved &&
+        isEligible(Request, Target, {});
+    std::pair<size_t, size_t> Load{Target.LongRunningCount,
+                                   countUnproven(Worker)};
+    if (!CouldHold || (Best != nullptr && Load >= Least))
+      continue;
+    Best = &Worker;
+    Least = Load;
+  }
+  return Best;
+}
+
+void PlacementPass::reserveForTrial(const TrackedWorker &Worker) {
+  for (Candidate &Target : Candidates)
+    Target.IsReserved |= Target.Worker == &Worker;
+}
+
 std::optional<std::vector<Candidate *>>
 PlacementPass::tryPlaceGang(const PlacementRequest &Request, size_t Count,
                             const std::string &Rack) {
@@ -194,7 +254,7 @@
                 Candidates.begin());
       return std::nullopt;
     }
-    reserve(*Chosen, *Request.Spec);
+    reserve(*Chosen, Request);
     ++Extra[Chosen->Worker->key()];
     ChosenWorkers.push_back(Chosen);
   }
@@ -203,7 +263,7 @@
 
 std::optional<std::vector<Candidate *>>
 PlacementPass::placeGang(const PlacementRequest &Request, size_t Count) {
-  if (isKnownUnplaceable(Request.Spec->reservedResources()))
+  if (!Request.IsTrial && isKnownUnplaceable(Request.Spec->reservedResources()))
     return std::nullopt;
   if (Request.Spec->RackLocal) {
     std::map<std::string, int64_t> FreeByRack;
--- a/Source/Scheduling/Placement.h
+++ b/Source/Scheduling/Placement.h
@@ -27,8 +27,14 @@
   size_t Runs = 0;
   size_t LongRunningCount = 0; // Number of long-running tasks among Runs.
   bool IsOnProbation = false;
+  bool IsReserved = false; // Only a task on trial may be placed there.
+  bool HoldsTrial = false; // Nothing may be placed there.
 };
 
+/// Returns the number of runs on the worker that may bring it down.
+/// Long-running tasks that have survived on it for some seconds do not count.
+size_t countUnproven(const TrackedWorker &Worker);
+
 /// Returns the pool's workers that may get new tasks.
 std::vector<Candidate> findCandidates(WorkerTable &Table,
                                       const std::string &Pool,
@@ -43,6 +49,9 @@
   Instant Now;
   /// Tasks of the step that have no worker yet, including this one.
   uint32_t Remaining = 1;
+  /// The worker must run nothing else, but for proven long-running tasks and
+  /// members of the same gang.
+  bool IsTrial = false;
   /// The worker chosen for the step's previous task; it is chosen again while
   /// the task fits there.
   Candidate *PreviousChoice = nullptr;
@@ -64,6 +73,12 @@
   std::optional<std::vector<Candidate *>>
   placeGang(const PlacementRequest &Request, size_t Count);
 
+  /// Returns the worker that should be kept free for a trial: the one with the
+  /// least on it of those that could hold the task, or null.
+  TrackedWorker *chooseForTrial(const PlacementRequest &Request);
+  /// Keeps other tasks off the worker in the rest of this pass.
+  void reserveForTrial(const TrackedWorker &Worker);
+
   const std::vector<Candidate> &candidates() const { return Candidates; }
 
 private:
--- a/Tests/Jobs/CrashingTasksTest.cpp
+++ b/Tests/Jobs/CrashingTasksTest.cpp
@@ -202,6 +202,35 @@
   S.expectInnocentsCompleted();
 }
 
+// Four workers at once have another cause than a task on one of them.
+TEST(CrashingTasks, TheLossOfARackMakesNoTaskASuspect) {
+  Scene S;
+  S.work(seconds(3));
+  for (const char *Id : {"p-0", "p-1", "p-2", "p-3"})
+    S.Harness.Workers.crash(Id);
+  S.work(seconds(8));
+  S.Harness.advanceTime(seconds(10));
+  EXPECT_EQ(S.Harness.Scheduler->counters().Trials, 0U);
+  EXPECT_EQ(S.Harness.Workers.Violations, None);
+  S.expectInnocentsCompleted();
+}
+
+// A second fault at the same time must not hide the killer.
+TEST(CrashingTasks, AKillerInALostRackIsStillGivenUp) {
+  Scene S;
+  S.work(seconds(3));
+  S.KillingIndex = 0;
+  S.Harness.submitJob("killer", "p", makeSpec(Kind::Copied, 6));
+  S.Harness.advanceTime(milliseconds(8));
+  for (const char *Id : {"p-4", "p-5", "p-6", "p-7"})
+    S.Harness.Workers.crash(Id);
+  S.work(seconds(20));
+  S.Harness.advanceTime(seconds(10));
+  EXPECT_EQ(S.Harness.jobState("killer"), JobState::Failed);
+  EXPECT_EQ(S.Harness.Workers.Violations, None);
+  S.expectInnocentsCompleted();
+}
+
 /// Half of the pool crashes each five seconds, without any killer.
 TEST(CrashingTasks, NoJobIsGivenUpForCrashesOfItsWorkersAlone) {
   Scene S;
--- a/Tests/Jobs/JobStoreTest.cpp
+++ b/Tests/Jobs/JobStoreTest.cpp
@@ -69,6 +69,64 @@
   EXPECT_EQ(Store.findJob("a")->State, JobState::Completed);
 }
 
+RunLoss makeLoss(uint32_t Attempt, bool WasAlone, bool IsCertain = true) {
+  RunLoss Loss;
+  Loss.Attempt = Attempt;
+  Loss.Worker = {"w" + std::to_string(Attempt), 1};
+  Loss.WasAlone = WasAlone;
+  Loss.IsCertain = IsCertain;
+  return Loss;
+}
+
+TEST(JobStore, AJobFailsWhenATaskOfItCrashesItsWorkers) {
+  JobStore Store;
+  TaskId Task{"a", 0, 0, 1};
+  Store.apply(makeJob("a", makeChainSpec(1, 2, 1, 1)));
+  Store.apply(RecordLosses{{{Task, {makeLoss(1, false), makeLoss(2, true)}}}});
+  EXPECT_EQ(Store.findJob("a")->State, JobState::Running);
+  // A silent worker convicts nobody.
+  Store.apply(RecordLosses{{{Task,
+                             {makeLoss(1, false), makeLoss(2, true),
+                              makeLoss(3, true, /*IsCertain=*/false)}}}});
+  EXPECT_EQ(Store.findJob("a")->State, JobState::Running);
+  Store.apply(RecordLosses{
+      {{Task, {makeLoss(1, false), makeLoss(2, true), makeLoss(3, true)}}}});
+  EXPECT_EQ(Store.findJob("a")->State, JobState::Failed);
+}
+
+TEST(JobStore, LossesOfDifferentTasksDoNotAddUp) {
+  JobStore Store;
+  Store.apply(makeJob("a", makeChainSpec(1, 3, 1, 1)));
+  for (uint32_t I = 0; I < 3; ++I)
+    Store.apply(RecordLosses{
+        {{{"a", 0, 0, I}, {makeLoss(1, true), makeLoss(2, true)}}}});
+  EXPECT_EQ(Store.findJob("a")->State, JobState::Running);
+  EXPECT_EQ(Store.findJob("a")->Losses.size(), 3U);
+}
+
+TEST(JobStore, ATaskThatSucceedsOrIsClearedHasNoLosses) {
+  JobStore Store;
+  Store.apply(makeJob("a", makeChainSpec(1, 3, 1, 1)));
+  for (uint32_t I = 0; I < 2; ++I)
+    Store.apply(RecordLosses{{{{"a", 0, 0, I}, {makeLoss(1, false)}}}});
+  Store.apply(RecordRunResults{{{{"a", 0, 0, 0}, 2, true}}});
+  Store.apply(RecordLosses{{{{"a", 0, 0, 1}, {}}}});
+  EXPECT_TRUE(Store.findJob("a")->Losses.empty());
+  // Late ones of a task that is done change nothing.
+  Store.apply(RecordLosses{{{{"a", 0, 0, 0}, {makeLoss(1, false)}}}});
+  EXPECT_TRUE(Store.findJob("a")->Losses.empty());
+}
+
+TEST(JobStore, LossesSurviveASnapshot) {
+  JobStore Store;
+  Store.apply(makeJob("a", makeChainSpec(1, 2, 1, 1)));
+  Store.apply(makeJob("b", makeChainSpec(1, 2, 1, 1)));
+  Store.apply(RecordLosses{{{{"a", 0, 0, 1}, {makeLoss(1, false)}}}});
+  JobStore Restored;
+  Restored.restore(Store.snapshot());
+  EXPECT_EQ(Restored.jobs(), Store.jobs());
+}
+
 TEST(JobStore, RunResultsOfUnknownTasksAreIgnored) {
   JobStore Store;
   Store.apply(makeJob("a", makeChainSpec(1, 1, 1, 1)));
--- a/Tests/Support/VirtualWorkers.cpp
+++ b/Tests/Support/VirtualWorkers.cpp
@@ -65,8 +65,11 @@
   // Results that were not committed before the crash are lost with it.
   for (const FinishedRun &End : Worker.Finished)
     CompletedTasks.erase(End.Task);
+  std::map<TaskId, WorkerRun> Lost = Worker.Runs;
   forgetRuns(Worker);
   Worker.Faults.IsDown = true;
+  for (const auto &[Task, CurrentRun] : Lost)
+    breakGang(Task, CurrentRun.Attempt);
   for (auto &Wake : std::exchange(Worker.WaitingPolls, {}))
     Wake();
   if (RestartDelay)
@@ -74,6 +77,21 @@
                       [this, Id] { restart(Id); });
 }
 
+void VirtualWorkers::breakGang(const TaskId &Task, uint32_t Attempt) {
+  const JobRecord *Record = Store.findJob(Task.Job);
+  bool Gang = Record != nullptr && Record->Job.Spec.Steps[Task.Step].Gang;
+  if (!Gang)
+    return;
+  for (auto &[Id, Other] : Workers) {
+    std::vector<TaskId> Members;
+    for (const auto &[Member, CurrentRun] : Other.Runs)
+      if (Task.isOfSameStep(Member) && CurrentRun.Attempt == Attempt)
+        Members.push_back(Member);
+    for (const TaskId &Member : Members)
+      endRun(Other, Member, EndKind::Broken);
+  }
+}
+
 void VirtualWorkers::scheduleCrash(const VirtualWorker &Worker,
                                    const StartOrder &Order) {
   std::optional<Duration> Delay =
--- a/Tests/Support/VirtualWorkers.h
+++ b/Tests/Support/VirtualWorkers.h
@@ -125,6 +125,8 @@
   void onTick();
   /// Ends the worker's runs without a trace on it.
   void forgetRuns(VirtualWorker &Worker);
+  /// Ends the other members of a gang's attempt.
+  void breakGang(const TaskId &Task, uint32_t Attempt);
   void scheduleCrash(const VirtualWorker &Worker, const StartOrder &Order);
   /// Counts starts of a task that crashes its workers, by the rule BUDGET.
   void checkCrashBudget(const StartOrder &Order, const std::string &Name);
