Scheduling: fewer innocent suspects, and the nearly convicted wait for the others

Cause: too many suspects (runs up to 200 ms old by the last poll, which says little), trials in any order, and a common cause seen where there was none. Now a sudden silence dates the crash, 150 ms is fresh, four silences within 50 ms are a common cause, and a task that one more crash convicts waits until no other holds a trial.

--- a/Source/Jobs/RunLoss.h
+++ b/Source/Jobs/RunLoss.h
@@ -30,8 +30,8 @@
 struct RunLoss {
   uint32_t Attempt = 0;
   WorkerKey Worker;
-  /// How long the worker is known to have answered after the run was ordered,
-  /// in milliseconds.
+  /// How long after the order the worker still answered, in milliseconds, or
+  /// when it fell silent if that was sudden.
   int64_t SurvivedMs = 0;
   /// Nothing else on the worker can have brought it down.
   bool WasAlone = false;
--- a/Source/Scheduling/CrashSuspicion.cpp
+++ b/Source/Scheduling/CrashSuspicion.cpp
@@ -42,6 +42,8 @@
       weighLosses(GangLosses, LossWeighing::WithSuspected) >= ConvictingWeight;
   Duration MaxWait =
       Spec.LongRunning ? Options.MaxLongRunningTrialWait : Options.MaxTrialWait;
+  constexpr int HeaviestCrash = 2;
+  Caution.IsNearlyConvicted = Heaviest + HeaviestCrash >= ConvictingWeight;
   Caution.NeedsTrial = Caution.Suspect && Now - Step.LastLossAt < MaxWait;
   return Caution;
 }
--- a/Source/Scheduling/CrashSuspicion.h
+++ b/Source/Scheduling/CrashSuspicion.h
@@ -18,7 +18,7 @@
 struct SuspicionOptions {
   /// A run that survived for longer is not suspected at its first loss: a task
   /// that crashes its workers does so when it starts.
-  Duration MaxFreshAge = milliseconds(200);
+  Duration MaxFreshAge = milliseconds(150);
   /// A run on trial has its worker to itself for twice the longest time that
   /// its task has survived before, within these bounds.
   Duration MinTrialDuration = milliseconds(300);
@@ -27,8 +27,8 @@
   Duration TrialPollTimeout = milliseconds(100);
   /// No task is suspected at its first loss when this many workers, without a
   /// job that is on all of them, fall silent within the window.
-  size_t MinCommonSilences = 3;
-  Duration CommonSilenceWindow = milliseconds(100);
+  size_t MinCommonSilences = 4; // Two or three may each have their own killer.
+  Duration CommonSilenceWindow = milliseconds(50);
   /// A run that survived for longer than MaxFreshAge is not blamed for a crash
   /// if a worker without any task of its job fell silent within this time of
   /// it.
@@ -56,6 +56,9 @@
   std::optional<uint32_t> Suspect;
   /// Nothing else may run on the suspect's worker.
   bool NeedsTrial = false;
+  /// One more crash would convict it, so it can wait for those that are more
+  /// likely to be innocent.
+  bool IsNearlyConvicted = false;
 
   bool mayStart(uint32_t Index) const {
     return !IsHeld && (!Suspect || *Suspect == Index);
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -300,7 +300,7 @@
                      Run &CurrentRun);
   void passTrial(TrackedWorker &Worker, const TaskId &Task, Run &CurrentRun);
   /// Returns true if one more worker of the pool may hold a trial.
-  bool hasTrialSlot(const std::string &Pool) const;
+  bool hasTrialSlot(const std::string &Pool, const StepCaution &Caution) const;
   /// Keeps a worker free for a trial of the task, unless one is already.
   void reserveWorkerForTrial(const std::string &Pool,
                              const PlacementRequest &Request,
--- a/Source/Scheduling/DispatcherLosses.cpp
+++ b/Source/Scheduling/DispatcherLosses.cpp
@@ -126,8 +126,9 @@
         });
     if (IsKnown)
       continue;
-    Duration Survived = std::max(Duration::zero(),
-                                 Worker.LastResponseAt - CurrentRun.OrderedAt);
+    Instant LastAlive = WasSudden ? Timers.now() : Worker.LastResponseAt;
+    Duration Survived =
+        std::max(Duration::zero(), LastAlive - CurrentRun.OrderedAt);
     RunLoss Loss;
     Loss.Attempt = CurrentRun.Attempt;
     Loss.Worker = Worker.key();
@@ -356,7 +357,8 @@
   markPoolDirty(Job->second->Pool);
 }
 
-bool Dispatcher::hasTrialSlot(const std::string &Pool) const {
+bool Dispatcher::hasTrialSlot(const std::string &Pool,
+                              const StepCaution &Caution) const {
   const std::map<WorkerKey, TrackedWorker *> &Workers =
       Table.workersInPool(Pool);
   size_t Holding = 0;
@@ -366,7 +368,10 @@
     Idle += Worker->IsReachable && Worker->Runs.empty() ? 1 : 0;
   }
   size_t Limit = maxTrials(Workers.size(), Options.Suspicion);
-  return Holding < Limit || Idle > Limit;
+  size_t SpareWorkers = Limit;
+  if (Caution.IsNearlyConvicted)
+    Limit = 1;
+  return Holding < Limit || Idle > SpareWorkers;
 }
 
 void Dispatcher::reserveWorkerForTrial(const std::string &Pool,
