Scheduling, Jobs: crashes that are noticed late count, and survival is measured by answers

Cause: where other control VMs carry the orders, a crash is noticed 150 to 500 ms after the start. Such a run passed for old, and an old run's loss was dropped whenever another worker fell silent within 0.7 s, without bound. Class: the time of noticing taken for the time of the event. In the other direction a poll from before the trial (up to 2 s on an idle worker) hid that a run survived, so that trials took 2 s.

Now a loss has two bounds: how long the worker is known to have answered after the start (answers to orders sent after it), and the run's age at silence. Evidence counts losses at the start by weight and all attempts by number, five of either convict; only losses half a second after the start are excused by other silences, three times at most.

--- a/Source/Jobs/RunLoss.cpp
+++ b/Source/Jobs/RunLoss.cpp
@@ -5,23 +5,29 @@
 
 namespace mimosashunt {
 
+bool RunLoss::isAtStart() const {
+  constexpr int64_t MaxStartMs = 100;
+  // Where other control VMs carry the orders, silence is noticed some hundred
+  // milliseconds late.
+  constexpr int64_t MaxAgeAtSilenceMs = 1000;
+  return SurvivedMs <= MaxStartMs && AgeMs <= MaxAgeAtSilenceMs;
+}
+
 int weighLosses(const std::vector<RunLoss> &Losses, LossWeighing Weighing) {
-  constexpr int HighWeight = 2;
-  constexpr int LowWeight = 1;
-  // A run that has survived for longer may as well have been there by chance.
-  constexpr int64_t MaxStartMs = 500;
+  constexpr int WeightAlone = 2;
+  constexpr int WeightBesideOthers = 1;
   std::map<uint32_t, int> WeightByAttempt;
   for (const RunLoss &Loss : Losses) {
     if (Weighing == LossWeighing::CertainOnly && !Loss.IsCertain)
       continue;
+    int Weight = Loss.WasAlone ? WeightAlone : WeightBesideOthers;
     int &Heaviest = WeightByAttempt[Loss.Attempt];
-    bool IsTelling = Loss.WasAlone && Loss.SurvivedMs <= MaxStartMs;
-    Heaviest = std::max(Heaviest, IsTelling ? HighWeight : LowWeight);
+    Heaviest = std::max(Heaviest, Loss.isAtStart() ? Weight : 0);
   }
   int Sum = 0;
   for (const auto &[Attempt, Weight] : WeightByAttempt)
     Sum += Weight;
-  return Sum;
+  return std::max(Sum, static_cast<int>(WeightByAttempt.size()));
 }
 
 } // namespace mimosashunt
--- a/Source/Jobs/RunLoss.h
+++ b/Source/Jobs/RunLoss.h
@@ -30,9 +30,10 @@
 struct RunLoss {
   uint32_t Attempt = 0;
   WorkerKey Worker;
-  /// How long after the order the worker still answered, in milliseconds, or
-  /// when it fell silent if that was sudden.
+  /// How long the run is known to have survived, and its age when the worker
+  /// fell silent, in milliseconds. The crash was between the two.
   int64_t SurvivedMs = 0;
+  int64_t AgeMs = 0;
   /// Nothing else on the worker can have brought it down.
   bool WasAlone = false;
   /// Connections to the worker broke or were refused at once, so that its
@@ -43,10 +44,14 @@
   bool IsCertain = false;
   bool operator==(const RunLoss &) const = default;
 
+  /// Returns true if the crash may have come right with the run's start.
+  bool isAtStart() const;
+
   static void describe(auto &Self, auto Field) {
     Field("try", Self.Attempt);
     Field("worker", Self.Worker);
     Field("survived", Self.SurvivedMs);
+    Field("age", Self.AgeMs);
     Field("alone", Self.WasAlone);
     Field("sudden", Self.WasSudden);
     Field("certain", Self.IsCertain);
@@ -71,12 +76,15 @@
 };
 
 /// Returns the weight of the evidence that a task, or a gang, crashes its
-/// workers: two for each attempt that was alone on a worker and went soon after
-/// its start, one for each other. Losses of one attempt count once.
+/// workers. A task that does so does it each time and right at its start, so an
+/// attempt that was lost there counts two if it was alone on its worker, and
+/// one if not. What counts at least is the number of attempts that were lost,
+/// for tasks that crash their workers later. Losses of one attempt count once.
 int weighLosses(const std::vector<RunLoss> &Losses, LossWeighing Weighing);
 
-/// A task with this much certain evidence is given up. A run beside others and
-/// two alone reach it; so do any five, which are all that BUDGET allows.
+/// A task with this much certain evidence is given up: after one start beside
+/// others and two alone, and in any case after the fifth, since BUDGET allows
+/// no more.
 constexpr int ConvictingWeight = 5;
 
 } // namespace mimosashunt
--- a/Source/Scheduling/CrashSuspicion.cpp
+++ b/Source/Scheduling/CrashSuspicion.cpp
@@ -6,13 +6,12 @@
 
 namespace {
 
-bool isSuspect(const TaskProgress &Task, const SuspicionOptions &Options) {
+bool isSuspect(const TaskProgress &Task) {
   if (Task.Done || Task.Losses.size() <= Task.ReleasedLosses)
     return false;
   const RunLoss &First = Task.Losses.front();
   bool HasCrashed = First.WasSudden || First.IsCertain;
-  bool IsFresh = milliseconds(First.SurvivedMs) <= Options.MaxFreshAge;
-  return Task.Losses.size() > 1 || (HasCrashed && IsFresh);
+  return Task.Losses.size() > 1 || (HasCrashed && First.isAtStart());
 }
 
 } // namespace
@@ -33,18 +32,21 @@
     if (Spec.Gang)
       GangLosses.insert(GangLosses.end(), Task.Losses.begin(),
                         Task.Losses.end());
-    if (!isSuspect(Task, Options) || Weight <= Heaviest)
+    if (!isSuspect(Task) || Weight <= Heaviest)
       continue;
     Heaviest = Weight;
     Caution.Suspect = I;
   }
   Caution.IsHeld |=
       weighLosses(GangLosses, LossWeighing::WithSuspected) >= ConvictingWeight;
-  Duration MaxWait =
-      Spec.LongRunning ? Options.MaxLongRunningTrialWait : Options.MaxTrialWait;
-  constexpr int HeaviestCrash = 2;
-  Caution.IsNearlyConvicted = Heaviest + HeaviestCrash >= ConvictingWeight;
-  Caution.NeedsTrial = Caution.Suspect && Now - Step.LastLossAt < MaxWait;
+  // One that is nearly convicted must not be by what happens beside it.
+  Duration MaxWait = Caution.IsNearlyConvicted ? 3 * Options.MaxTrialWait
+                                               : Options.MaxTrialWait;
+  bool HasWaitedLong =
+      Step.TrialAwaitedSince && Now - *Step.TrialAwaitedSince > MaxWait;
+  bool IsAbsentForLong =
+      Spec.LongRunning && Now - Step.LastLossAt > Options.MaxLongRunningAbsence;
+  Caution.NeedsTrial = Caution.Suspect && !HasWaitedLong && !IsAbsentForLong;
   return Caution;
 }
 
--- a/Source/Scheduling/CrashSuspicion.h
+++ b/Source/Scheduling/CrashSuspicion.h
@@ -16,36 +16,35 @@
 namespace mimosashunt {
 
 struct SuspicionOptions {
-  /// A run that survived for longer is not suspected at its first loss: a task
-  /// that crashes its workers does so when it starts.
-  Duration MaxFreshAge = milliseconds(150);
   /// A run on trial has its worker to itself for twice the longest time that
   /// its task has survived before, within these bounds.
   Duration MinTrialDuration = milliseconds(300);
   Duration MaxTrialDuration = seconds(1);
-  /// How long a poll waits at a worker with a run on trial.
-  Duration TrialPollTimeout = milliseconds(100);
   /// No task is suspected at its first loss when this many workers, without a
   /// job that is on all of them, fall silent within the window.
   size_t MinCommonSilences = 4; // Two or three may each have their own killer.
   Duration CommonSilenceWindow = milliseconds(50);
-  /// A run that survived for longer than MaxFreshAge is not blamed for a crash
-  /// if a worker without any task of its job fell silent within this time of
-  /// it.
+  /// A run that has survived for so long is not blamed for a crash if a worker
+  /// without any task of its job fell silent within the window of it, for a few
+  /// times.
+  Duration MinExcusedAge = milliseconds(500);
+  size_t MaxExcusedLosses = 3;
   Duration CommonCauseWindow = milliseconds(700);
-  /// A long-running task that has survived for this long is cleared.
-  Duration ClearingAge = seconds(3);
+  /// A long-running task that has survived for this long is cleared. Only its
+  /// start is judged: it may be there for hours before its worker crashes.
+  Duration ClearingAge = milliseconds(1500);
   /// Largest part of a pool that holds runs on trial, in percent, workers that
-  /// fell silent under one included. More may while the pool has as many
-  /// workers to spare.
+  /// fell silent under one included. More may while the pool has idle
+  /// workers.
   size_t MaxTrialPercent = 25;
   /// How long a worker gets no other tasks so that it becomes free for a trial.
   Duration ReservationDuration = seconds(2);
-  /// A suspect for which no worker becomes free is started beside others this
-  /// long after it was lost. Callers of long-running tasks must not wait for
-  /// long, while a late short job is late in any case.
-  Duration MaxTrialWait = seconds(12);
-  Duration MaxLongRunningTrialWait = seconds(5);
+  /// A suspect is started beside others if no worker becomes free for it within
+  /// this long.
+  Duration MaxTrialWait = seconds(5);
+  /// A long-running task is, too, this long after it was lost, since its
+  /// callers are without it meanwhile. A late short job is late in any case.
+  Duration MaxLongRunningAbsence = seconds(9);
 };
 
 /// What is allowed to start of a step.
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -252,6 +252,7 @@
   }
   proposeResults();
   proposeLosses();
+  probeTrials();
 }
 
 // Queries, draining and capacity demand.
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -240,6 +240,7 @@
   bool isLate() const { return responseDelay() > Options.MaxResponseDelay; }
   /// Renews leases that the polls leave too old, while responses are late.
   void renewAgingLeases();
+  bool mayRenew(const TrackedWorker &Worker) const;
   void renewLease(TrackedWorker &Worker);
   void schedulePollAfter(TrackedWorker &Worker, Duration Pause);
   Duration pollInterval() const;
@@ -273,6 +274,9 @@
   bool isAloneOn(const TrackedWorker &Worker, const TaskId &Task) const;
   /// Makes the suspected losses with the worker certain, or removes them.
   void resolveLosses(const WorkerKey &Key, bool HasCrashed);
+  /// Returns true if the crash that took the run has likely another cause.
+  bool isExcused(TaskProgress &TaskState, const TaskId &Task,
+                 const RunLoss &Loss);
   /// Releases the tasks whose first loss came with the silence of many workers,
   /// this one the last.
   void releaseByCommonSilence(const WorkerKey &Last);
@@ -298,13 +302,18 @@
   /// task that has survived for long.
   void checkSurvival(TrackedWorker &Worker, const TaskId &Task,
                      Run &CurrentRun);
+  /// Called when the worker has answered an order that was sent at \p At.
+  void onAlive(TrackedWorker &Worker, Instant At);
+  /// Asks workers with runs on trial for a sign of life. Their polls may wait
+  /// for long, in particular one from before the trial.
+  void probeTrials();
   void passTrial(TrackedWorker &Worker, const TaskId &Task, Run &CurrentRun);
   /// Returns true if one more worker of the pool may hold a trial.
   bool hasTrialSlot(const std::string &Pool, const StepCaution &Caution) const;
   /// Keeps a worker free for a trial of the task, unless one is already.
   void reserveWorkerForTrial(const std::string &Pool,
                              const PlacementRequest &Request,
-                             PlacementPass &Pass);
+                             StepProgress &Step, PlacementPass &Pass);
 
   // Starting and stopping of runs.
   void startRun(JobProgress &Job, const TaskId &Task, TrackedWorker &Worker,
@@ -399,7 +408,8 @@
     WorkerKey Worker;
     std::set<JobId> Jobs;
   };
-  std::deque<Silence> Silences; // The last ones, in order of time.
+  std::deque<Silence> Silences;     // The last ones, in order of time.
+  std::set<WorkerKey> TrialWorkers; // May hold runs on trial.
   /// Tasks whose losses must be committed.
   std::set<TaskId> LossesToPropose;
   std::vector<RunResult> PendingResults;
--- a/Source/Scheduling/DispatcherLosses.cpp
+++ b/Source/Scheduling/DispatcherLosses.cpp
@@ -126,25 +126,25 @@
         });
     if (IsKnown)
       continue;
-    Instant LastAlive = WasSudden ? Timers.now() : Worker.LastResponseAt;
-    Duration Survived =
-        std::max(Duration::zero(), LastAlive - CurrentRun.OrderedAt);
+    Duration Survived = Worker.survivedTime(CurrentRun);
+    if (CurrentRun.LongRunning && Survived >= Options.Suspicion.ClearingAge)
+      continue;
     RunLoss Loss;
     Loss.Attempt = CurrentRun.Attempt;
     Loss.Worker = Worker.key();
     Loss.SurvivedMs = toMillis(Survived);
+    Loss.AgeMs = toMillis(Timers.now() - CurrentRun.OrderedAt);
     Loss.WasAlone = isAloneOn(Worker, Task);
     Loss.WasSudden = WasSudden;
     Losses.push_back(Loss);
     StepProgress &Step = *Jobs.at(Task.Job)->findStep(Task);
     Step.HasLosses = true;
     Step.LastLossAt = Timers.now();
+    Step.TrialAwaitedSince.reset();
     OpenLosses[Worker.key()].insert(Task);
     // The next leader must know of it, too. Others are committed only before
     // the task starts again, since a cut takes many runs along.
-    bool IsTelling =
-        Losses.size() > 1 || Survived <= Options.Suspicion.MaxFreshAge;
-    if (IsTelling)
+    if (Losses.size() > 1 || Loss.isAtStart())
       LossesToPropose.insert(Task);
     onLossesChanged(Task);
   }
@@ -164,15 +164,9 @@
     TaskProgress *TaskState = findWantedTask(Task);
     if (TaskState == nullptr)
       continue;
-    bool HasAlibi = HasCrashed &&
-                    countSilencesApart(Key, Task.Job,
-                                       Options.Suspicion.CommonCauseWindow) > 0;
-    for (RunLoss &Loss : TaskState->Losses) {
-      bool IsLate =
-          milliseconds(Loss.SurvivedMs) > Options.Suspicion.MaxFreshAge;
+    for (RunLoss &Loss : TaskState->Losses)
       if (Loss.Worker == Key)
-        Loss.IsCertain = HasCrashed && !(HasAlibi && IsLate);
-    }
+        Loss.IsCertain = HasCrashed && !isExcused(*TaskState, Task, Loss);
     std::erase_if(TaskState->Losses, [&](const RunLoss &Loss) {
       return !Loss.IsCertain && Loss.Worker == Key;
     });
@@ -180,6 +174,17 @@
   }
 }
 
+bool Dispatcher::isExcused(TaskProgress &TaskState, const TaskId &Task,
+                           const RunLoss &Loss) {
+  const SuspicionOptions &Suspicion = Options.Suspicion;
+  bool IsExcused = milliseconds(Loss.SurvivedMs) >= Suspicion.MinExcusedAge &&
+                   TaskState.ExcusedLosses < Suspicion.MaxExcusedLosses &&
+                   countSilencesApart(Loss.Worker, Task.Job,
+                                      Suspicion.CommonCauseWindow) > 0;
+  TaskState.ExcusedLosses += IsExcused ? 1 : 0;
+  return IsExcused;
+}
+
 void Dispatcher::removeLoss(const WorkerKey &Key, const TaskId &Task,
                             uint32_t Attempt) {
   TaskProgress *TaskState = findWantedTask(Task);
@@ -331,7 +336,7 @@
   TaskProgress *TaskState = findWantedTask(Task);
   if (TaskState == nullptr)
     return;
-  Duration Survived = Worker.LastResponseAt - CurrentRun.StartAckedAt;
+  Duration Survived = Worker.survivedTime(CurrentRun);
   Duration Trial = trialDuration(*TaskState, Options.Suspicion);
   if (IsOnTrial && Survived >= Trial)
     passTrial(Worker, Task, CurrentRun);
@@ -346,6 +351,27 @@
   onLossesChanged(Task);
 }
 
+void Dispatcher::onAlive(TrackedWorker &Worker, Instant At) {
+  Worker.AliveAt = std::max(Worker.AliveAt, At);
+  if (Worker.TrialCount == 0)
+    return;
+  for (auto &[Task, CurrentRun] : Worker.Runs)
+    checkSurvival(Worker, Task, CurrentRun);
+}
+
+void Dispatcher::probeTrials() {
+  for (auto It = TrialWorkers.begin(); It != TrialWorkers.end();) {
+    TrackedWorker *Worker = Table.find(*It);
+    if (Worker == nullptr || Worker->TrialCount == 0) {
+      It = TrialWorkers.erase(It);
+      continue;
+    }
+    if (mayRenew(*Worker) && mayIssueOrders())
+      renewLease(*Worker);
+    ++It;
+  }
+}
+
 void Dispatcher::passTrial(TrackedWorker &Worker, const TaskId &Task,
                            Run &CurrentRun) {
   Table.endTrial(Worker, CurrentRun);
@@ -368,15 +394,17 @@
     Idle += Worker->IsReachable && Worker->Runs.empty() ? 1 : 0;
   }
   size_t Limit = maxTrials(Workers.size(), Options.Suspicion);
-  size_t SpareWorkers = Limit;
   if (Caution.IsNearlyConvicted)
     Limit = 1;
-  return Holding < Limit || Idle > SpareWorkers;
+  return Holding < Limit || Idle > 1;
 }
 
 void Dispatcher::reserveWorkerForTrial(const std::string &Pool,
                                        const PlacementRequest &Request,
+                                       StepProgress &Step,
                                        PlacementPass &Pass) {
+  if (!Step.TrialAwaitedSince)
+    Step.TrialAwaitedSince = Timers.now();
   const std::map<WorkerKey, TrackedWorker *> &Workers =
       Table.workersInPool(Pool);
   auto Taken = static_cast<size_t>(std::count_if(
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -227,7 +227,7 @@
     PreviousChoice = Chosen;
     if (Chosen == nullptr) {
       if (Caution.NeedsTrial)
-        reserveWorkerForTrial(Job.Pool, Request, Pass);
+        reserveWorkerForTrial(Job.Pool, Request, Progress, Pass);
       if (Job.NeedsAdvice)
         requestAdvice(Job, Occurrence, Step, Pass.candidates());
       return;
@@ -258,7 +258,7 @@
   auto Chosen = Pass.placeGang(Request, Spec.Count);
   if (!Chosen) {
     if (Caution.NeedsTrial)
-      reserveWorkerForTrial(Job.Pool, Request, Pass);
+      reserveWorkerForTrial(Job.Pool, Request, Progress, Pass);
     if (Job.NeedsAdvice)
       requestAdvice(Job, Occurrence, Step, Pass.candidates());
     return;
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -54,14 +54,17 @@
     return;
   RenewalsCheckedAt = Now;
   for (auto &[Key, Worker] : Table.all()) {
-    // An unreachable worker's runs must end, as for polls.
-    bool MayRenew = Worker.IsSynced && Worker.IsReachable &&
-                    Worker.FailedPolls == 0 && !Worker.Runs.empty();
-    if (MayRenew && Now - Worker.RenewedAt >= Options.RenewalInterval)
+    if (mayRenew(Worker) && Now - Worker.RenewedAt >= Options.RenewalInterval)
       renewLease(Worker);
   }
 }
 
+bool Dispatcher::mayRenew(const TrackedWorker &Worker) const {
+  // An unreachable worker's runs must end, as for polls.
+  return Worker.IsSynced && Worker.IsReachable && Worker.FailedPolls == 0 &&
+         !Worker.Runs.empty();
+}
+
 void Dispatcher::renewLease(TrackedWorker &Worker) {
   std::optional<int64_t> LeaseEndMs = Table.grantLease(Worker, Timers.now());
   if (!LeaseEndMs)
@@ -82,8 +85,12 @@
           Delay.record(Timers.now(), Timers.now() - SentAt);
         // Whether a worker is reachable is decided by its polls.
         TrackedWorker *Renewed = Table.find(Key);
-        if (Renewed != nullptr && Response.ClockMs)
+        if (Renewed == nullptr)
+          return;
+        if (Response.ClockMs)
           Table.recordClock(*Renewed, SentAt, Timers.now(), *Response.ClockMs);
+        if (Response.Outcome == OrderOutcome::Accepted)
+          onAlive(*Renewed, SentAt);
       });
 }
 
@@ -104,8 +111,6 @@
     Order.LeaseEndMs = Table.grantLease(Worker, Timers.now());
     Duration Wait =
         Worker.Runs.empty() ? Options.IdlePollTimeout : Options.BusyPollTimeout;
-    if (Worker.TrialCount > 0)
-      Wait = Options.Suspicion.TrialPollTimeout;
     Order.MaxWaitMs = toMillis(Wait);
   }
   Worker.PollInFlight = true;
@@ -145,6 +150,7 @@
   }
   Worker->LastResponseAt = Timers.now();
   Worker->FailedPolls = 0;
+  onAlive(*Worker, SentAt);
   if (!Worker->IsReachable)
     Hooks.LogEvent("worker_in_touch", {{"worker", Key.Id}});
   Worker->IsReachable = true;
@@ -184,6 +190,8 @@
   Run &CurrentRun = It->second;
   if (CurrentRun.Attempt != Reported.Attempt)
     return;
+  if (CurrentRun.ListedAt == Instant())
+    CurrentRun.ListedAt = Timers.now();
   if (CurrentRun.State == RunState::Unconfirmed)
     CurrentRun.State = RunState::Running;
   if (CurrentRun.State == RunState::Starting) {
@@ -195,7 +203,8 @@
     CurrentRun.ProgressChangedAt = Timers.now();
   }
   CurrentRun.Gauge = Reported.Gauge;
-  checkSurvival(Worker, Reported.Task, CurrentRun);
+  if (CurrentRun.LongRunning)
+    checkSurvival(Worker, Reported.Task, CurrentRun);
   if (Reported.Checkpoint.empty())
     return;
   CurrentRun.Checkpoint = Reported.Checkpoint;
@@ -210,8 +219,8 @@
   Run Adopted;
   Adopted.Attempt = Reported.Attempt;
   Adopted.State = RunState::Running;
-  Adopted.OrderedAt = Adopted.StartAckedAt = Adopted.ProgressChangedAt =
-      Timers.now();
+  Adopted.OrderedAt = Adopted.StartAckedAt = Adopted.ListedAt =
+      Adopted.ProgressChangedAt = Timers.now();
   Adopted.ProgressPercent = Reported.ProgressPercent;
   Adopted.Gauge = Reported.Gauge;
   Adopted.Checkpoint = Reported.Checkpoint;
@@ -525,7 +534,10 @@
   Table.addRun(Worker, Task, std::move(NewRun));
   Job.addPlacement(Task, Worker.key(), Attempt);
   ++Counters.StartOrders;
-  Counters.Trials += IsOnTrial ? 1 : 0;
+  if (IsOnTrial) {
+    ++Counters.Trials;
+    TrialWorkers.insert(Worker.key());
+  }
   Starts.onStartOrdered();
   Json Fields = taskFields(Task, Attempt);
   Fields["worker"] = Worker.key().Id;
--- a/Source/Scheduling/JobProgress.h
+++ b/Source/Scheduling/JobProgress.h
@@ -36,6 +36,8 @@
   std::vector<RunLoss> Losses;
   /// While no more than this many are known, it starts as any other task.
   size_t ReleasedLosses = 0;
+  /// Losses that were not counted, as other workers went at the same time.
+  size_t ExcusedLosses = 0;
   /// The store holds exactly these losses. The task does not start before, so
   /// that a new leader knows of them.
   bool AreLossesCommitted = true;
@@ -63,6 +65,8 @@
   std::map<WorkerKey, uint32_t> RunsPerWorker; // Runs on each worker.
   bool HasLosses = false; // Some task of it was lost with a worker.
   Instant LastLossAt;
+  /// Since when no worker has been free for a trial, though one may be held.
+  std::optional<Instant> TrialAwaitedSince;
 
   bool isDone() const { return DoneCount == Tasks.size(); }
   bool isFullyPlaced() const { return DoneCount + PlacedCount >= Tasks.size(); }
--- a/Source/Scheduling/Placement.cpp
+++ b/Source/Scheduling/Placement.cpp
@@ -155,8 +155,8 @@
     return Worker.Runs.size();
   auto IsUnproven = [&](const auto &TaskAndRun) {
     const Run &CurrentRun = TaskAndRun.second;
-    return !CurrentRun.LongRunning || CurrentRun.State != RunState::Running ||
-           Worker.LastResponseAt - CurrentRun.StartAckedAt < ProvingAge;
+    return !CurrentRun.LongRunning ||
+           Worker.survivedTime(CurrentRun) < ProvingAge;
   };
   return static_cast<size_t>(
       std::count_if(Worker.Runs.begin(), Worker.Runs.end(), IsUnproven));
--- a/Source/Workers/WorkerTable.cpp
+++ b/Source/Workers/WorkerTable.cpp
@@ -39,6 +39,15 @@
   return Free;
 }
 
+Duration TrackedWorker::survivedTime(const Run &CurrentRun) const {
+  Duration Survived{};
+  if (CurrentRun.StartAckedAt > Instant())
+    Survived = std::max(Survived, AliveAt - CurrentRun.StartAckedAt);
+  if (CurrentRun.ListedAt > Instant())
+    Survived = std::max(Survived, LastResponseAt - CurrentRun.ListedAt);
+  return Survived;
+}
+
 TrackedWorker *WorkerTable::find(const WorkerKey &Key) {
   auto It = Workers.find(Key);
   return It == Workers.end() ? nullptr : &It->second;
--- a/Source/Workers/WorkerTable.h
+++ b/Source/Workers/WorkerTable.h
@@ -36,6 +36,8 @@
   Instant OrderedAt;
   /// When the start was acknowledged; valid in state Running.
   Instant StartAckedAt;
+  /// When the worker first listed it as running; zero before.
+  Instant ListedAt;
   /// When a stop of this attempt was acknowledged; the worker cannot start the
   /// attempt after that.
   std::optional<Instant> StopAckedAt;
@@ -78,6 +80,8 @@
   /// covers every order ever sent to it.
   Instant LeaseEnd;
   Instant LastResponseAt;
+  /// When the last order was sent that the worker has answered.
+  Instant AliveAt;
   Instant LastReportAt;
   uint64_t LastReportSequence = 0;
   Resources UsedResources;     // Sum of ReservedResources over Runs.
@@ -95,6 +99,8 @@
 
   const WorkerKey &key() const { return Entry.Key; }
   Resources freeResources() const;
+  /// Returns for how long the run has been there for certain: a lower bound.
+  Duration survivedTime(const Run &CurrentRun) const;
 };
 
 struct LeaseOptions {
--- a/Tests/Jobs/CrashingTasksTest.cpp
+++ b/Tests/Jobs/CrashingTasksTest.cpp
@@ -1,6 +1,7 @@
 // Tests with tasks that crash each worker that starts them, beside busy
 // innocent ones. VirtualWorkers counts starts as the rule BUDGET does.
 
+#include "Support/DelayedPort.h"
 #include "Support/SchedulerHarness.h"
 
 #include <gtest/gtest.h>
@@ -181,6 +182,30 @@
   S.expectInnocentsCompleted();
 }
 
+// Where other control VMs carry the orders, a crash is noticed late: the run is
+// then older than any that crashes its worker at its start.
+TEST(CrashingTasks, ASlowWayToTheWorkersHidesNoCrash) {
+  Scene S;
+  DelayedPort Slow(S.Harness.Timers, S.Harness.Workers, milliseconds(90));
+  S.Harness.LeaderPort = &Slow;
+  S.Harness.beginLeadership();
+  S.Harness.advanceTime(seconds(1));
+  S.KillingIndex = 0;
+  for (int I = 0; I < 4; ++I) {
+    S.work(milliseconds(600), Kind::Plain);
+    S.Harness.submitJob("killer" + std::to_string(I), "p",
+                        makeSpec(Kind::Plain, 6));
+  }
+  S.work(seconds(40), Kind::Plain);
+  S.Harness.advanceTime(seconds(10));
+  EXPECT_EQ(S.Harness.Workers.Violations, None);
+  for (int I = 0; I < 4; ++I)
+    EXPECT_EQ(S.Harness.jobState("killer" + std::to_string(I)),
+              JobState::Failed);
+  S.expectInnocentsCompleted();
+  S.Harness.Scheduler.reset();
+}
+
 // A worker that was cut off and answers again has not crashed.
 TEST(CrashingTasks, ACutOffWorkerIsNoCrash) {
   Scene S;
