Tests: capacity that shrinks and grows while a worker runs (LIMIT)

The stand-in starts what it is told and judges by the capacity of the last 4.5 s (contact time and one beat). Not measured: many workers whose capacity changes at once cost one commit each.

--- a/Tests/Jobs/WorkerFaultsTest.cpp
+++ b/Tests/Jobs/WorkerFaultsTest.cpp
@@ -99,6 +99,54 @@
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
+// The rule LIMIT, with capacity that shrinks and grows while a worker runs.
+TEST(WorkerFaults, NothingIsStartedBeyondACapacityThatShrinks) {
+  SchedulerHarness Harness;
+  Harness.addPool("p", 3, 8);
+  for (const char *Id : {"p-0", "p-1", "p-2"})
+    Harness.Workers.at(Id).Faults.StartsBeyondCapacity = true;
+  Harness.beginLeadership();
+  int Jobs = 0;
+  constexpr int Changes = 8;
+  for (int Change = 0; Change < Changes; ++Change) {
+    bool Shrinks = Change % 2 == 0;
+    for (const char *Id : {"p-0", "p-1"})
+      Harness.Workers.setCapacity(
+          Id, {Shrinks ? 2000 : 8000, Shrinks ? 300 : 65536, 0});
+    for (int I = 0; I < 60; ++I) {
+      Harness.submitJob("j" + std::to_string(++Jobs), "p",
+                        makeChainSpec(1, 3, 1000, 300));
+      Harness.advanceTime(milliseconds(100));
+    }
+    // The capacity must be known to the next leader, too.
+    if (Change == 2)
+      Harness.beginLeadership();
+  }
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+  Harness.advanceTime(seconds(20));
+  EXPECT_EQ(Harness.countJobsInState(JobState::Completed),
+            static_cast<size_t>(Jobs));
+}
+
+// What shrinks below what already runs there ends nothing.
+TEST(WorkerFaults, RunsBeyondAShrunkCapacityGoOn) {
+  SchedulerHarness Harness;
+  Harness.addPool("p", 1, 8);
+  Harness.Workers.at("p-0").Faults.StartsBeyondCapacity = true;
+  Harness.beginLeadership();
+  Harness.advanceTime(milliseconds(100));
+  Harness.submitJob("a", "p", makeChainSpec(1, 8, 1000, 9000));
+  Harness.submitJob("b", "p", makeChainSpec(1, 4, 1000, 500));
+  Harness.advanceTime(milliseconds(500));
+  Harness.Workers.setCapacity("p-0", {2000, 300, 0});
+  Harness.advanceTime(seconds(15));
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  EXPECT_EQ(Harness.jobState("b"), JobState::Completed);
+  for (const auto &[Task, Count] : Harness.Workers.StartCounts)
+    EXPECT_EQ(Count, 1) << Task.Job << Task.Index;
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
 TEST(WorkerFaults, ALeavingWorkerGetsNoNewWork) {
   SchedulerHarness Harness;
   Harness.addPool("p", 2, 8);
--- a/Tests/Support/VirtualWorkers.cpp
+++ b/Tests/Support/VirtualWorkers.cpp
@@ -10,6 +10,8 @@
 constexpr Duration OneWayDelay = milliseconds(1);
 constexpr Duration ResponseTimeout = milliseconds(700);
 constexpr Duration LongestLease = seconds(6);
+/// The rule LIMIT: time for which a worker's former capacity still counts.
+constexpr Duration CapacityGrace = milliseconds(4500);
 /// The rule BUDGET: a task that crashes its workers may be started this often
 /// less one after the third crash.
 constexpr int CrashesBeforeBudget = 3;
@@ -55,6 +57,20 @@
   Worker.Runs.clear();
 }
 
+void VirtualWorkers::setCapacity(const std::string &Id, Resources Capacity) {
+  VirtualWorker &Worker = Workers.at(Id);
+  Worker.FormerCapacity = Worker.Entry.Capacity;
+  Worker.CapacityChangedAt = Timers.now();
+  Worker.Entry.Capacity = Capacity;
+}
+
+Resources VirtualWorkers::permittedCapacity(const VirtualWorker &Worker) const {
+  const Resources &Capacity = Worker.Entry.Capacity;
+  bool FormerCounts = Timers.now() - Worker.CapacityChangedAt < CapacityGrace &&
+                      Worker.FormerCapacity.canFit(Capacity);
+  return FormerCounts ? Worker.FormerCapacity : Capacity;
+}
+
 void VirtualWorkers::crash(const std::string &Id) {
   VirtualWorker &Worker = Workers.at(Id);
   if (Worker.Faults.IsDown)
@@ -217,11 +233,14 @@
     return OrderOutcome::Invalid;
   }
   const StepSpec &Spec = Record->Job.Spec.Steps[Order.Task.Step];
-  Resources Free = Worker.Entry.Capacity;
+  Resources Free = permittedCapacity(Worker);
   for (const auto &[Task, CurrentRun] : Worker.Runs)
     Free -= CurrentRun.ReservedResources;
-  if (!Free.canFit(Spec.reservedResources()))
+  bool Fits = Free.canFit(Spec.reservedResources());
+  if (!Fits && !Worker.Faults.StartsBeyondCapacity)
     return OrderOutcome::NoCapacity;
+  if (!Fits)
+    Violations.push_back(Order.Task.Job + " was started beyond the capacity");
   checkStartInvariants(Worker, Order, Spec);
   int64_t Ms = ActualDurationMs(Order.Task, Spec);
   WorkerRun NewRun{Order.Attempt,
--- a/Tests/Support/VirtualWorkers.h
+++ b/Tests/Support/VirtualWorkers.h
@@ -25,6 +25,8 @@
   bool IsUnreachable = false; // No messages arrive at or come from the worker.
   /// The worker's process has ended; connections to it are refused.
   bool IsDown = false;
+  /// It starts what it is told to start, also without free resources.
+  bool StartsBeyondCapacity = false;
   bool FailsAllRuns = false; // Each run fails after 50 ms.
   bool StallsAllRuns = false;
   /// The next DelayedOrderCount orders are carried out this much later and are
@@ -48,6 +50,8 @@
   uint64_t Token = 0;
   Instant LeaseEnd;
   Instant StartedAt;
+  Resources FormerCapacity; // Counts for a while after a change.
+  Instant CapacityChangedAt;
   std::map<TaskId, WorkerRun> Runs;
   std::map<TaskId, uint32_t> HighestEndedAttempts;
   std::vector<FinishedRun> Finished; // Kept until acknowledged.
@@ -71,6 +75,8 @@
   VirtualWorker &at(const std::string &Id) { return Workers.at(Id); }
   /// Restarts the worker under the same id, without its earlier state.
   void restart(const std::string &Id);
+  /// Changes what the worker offers; its next report tells it.
+  void setCapacity(const std::string &Id, Resources Capacity);
   /// Ends the worker's process and all runs on it; it restarts after
   /// RestartDelay.
   void crash(const std::string &Id);
@@ -116,6 +122,8 @@
   void deliverOrder(const WorkerEntry &To, std::function<OrderOutcome()> Run,
                     const OrderCallback &Done);
   OrderOutcome handleStart(VirtualWorker &Worker, const StartOrder &Order);
+  /// Returns what the rule LIMIT lets run on the worker.
+  Resources permittedCapacity(const VirtualWorker &Worker) const;
   OrderOutcome handleRenewal(VirtualWorker &Worker, const RenewOrder &Order);
   /// Forgets acknowledged ends and extends the lease, if there is one.
   void acceptLease(VirtualWorker &Worker, uint64_t AcknowledgedEnds,
