Scheduling: what is nearly convicted waits longer, and a cut commits no losses

Found by reading the diff as a newcomer: the wait of a nearly convicted task had been lost in an edit (it was always false), losses of a cut were committed one command of 256 tasks after the other before anything could start, and looking for a common cause walked all silences of 15 s for each task: 20 million look-ups when a data centre of 1,000 workers is cut off, by count, not measured.

--- a/Source/Scheduling/CrashSuspicion.cpp
+++ b/Source/Scheduling/CrashSuspicion.cpp
@@ -39,9 +39,11 @@
   }
   Caution.IsHeld |=
       weighLosses(GangLosses, LossWeighing::WithSuspected) >= ConvictingWeight;
-  // One that is nearly convicted must not be by what happens beside it.
-  Duration MaxWait = Caution.IsNearlyConvicted ? 3 * Options.MaxTrialWait
-                                               : Options.MaxTrialWait;
+  // A task that is nearly convicted must not be by what happens beside it.
+  constexpr int HeaviestAttempt = 2;
+  bool IsNearlyConvicted = Heaviest + HeaviestAttempt >= ConvictingWeight;
+  Duration MaxWait =
+      IsNearlyConvicted ? 3 * Options.MaxTrialWait : Options.MaxTrialWait;
   bool HasWaitedLong =
       Step.TrialAwaitedSince && Now - *Step.TrialAwaitedSince > MaxWait;
   bool IsAbsentForLong =
--- a/Source/Scheduling/CrashSuspicion.h
+++ b/Source/Scheduling/CrashSuspicion.h
@@ -22,7 +22,7 @@
   Duration MaxTrialDuration = seconds(1);
   /// No task is suspected at its first loss when this many workers, without a
   /// job that is on all of them, fall silent within the window.
-  size_t MinCommonSilences = 4; // Two or three may each have their own killer.
+  size_t MinCommonSilences = 4; // Fewer may each have a cause of their own.
   Duration CommonSilenceWindow = milliseconds(50);
   /// A run that has survived for so long is not blamed for a crash if a worker
   /// without any task of its job fell silent within the window of it, for a few
@@ -40,7 +40,7 @@
   /// How long a worker gets no other tasks so that it becomes free for a trial.
   Duration ReservationDuration = seconds(2);
   /// A suspect is started beside others if no worker becomes free for it within
-  /// this long.
+  /// this long, or three times as long if one more crash would convict it.
   Duration MaxTrialWait = seconds(5);
   /// A long-running task is, too, this long after it was lost, since its
   /// callers are without it meanwhile. A late short job is late in any case.
@@ -55,9 +55,6 @@
   std::optional<uint32_t> Suspect;
   /// Nothing else may run on the suspect's worker.
   bool NeedsTrial = false;
-  /// One more crash would convict it, so it can wait for those that are more
-  /// likely to be innocent.
-  bool IsNearlyConvicted = false;
 
   bool mayStart(uint32_t Index) const {
     return !IsHeld && (!Suspect || *Suspect == Index);
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -280,10 +280,10 @@
   /// Releases the tasks whose first loss came with the silence of many workers,
   /// this one the last.
   void releaseByCommonSilence(const WorkerKey &Last);
-  /// Returns the number of other workers, without tasks of the job, that fell
+  /// Returns true if so many other workers, without tasks of the job, fell
   /// silent within \p Window of this one.
-  size_t countSilencesApart(const WorkerKey &Key, const JobId &Job,
-                            Duration Window) const;
+  bool hasCommonCause(const WorkerKey &Key, const JobId &Job,
+                      size_t OtherWorkers, Duration Window) const;
   /// Removes the loss of one run that never began.
   void removeLoss(const WorkerKey &Key, const TaskId &Task, uint32_t Attempt);
   void onLossesChanged(const TaskId &Task);
@@ -309,7 +309,7 @@
   void probeTrials();
   void passTrial(TrackedWorker &Worker, const TaskId &Task, Run &CurrentRun);
   /// Returns true if one more worker of the pool may hold a trial.
-  bool hasTrialSlot(const std::string &Pool, const StepCaution &Caution) const;
+  bool hasTrialSlot(const std::string &Pool) const;
   /// Keeps a worker free for a trial of the task, unless one is already.
   void reserveWorkerForTrial(const std::string &Pool,
                              const PlacementRequest &Request,
--- a/Source/Scheduling/DispatcherLosses.cpp
+++ b/Source/Scheduling/DispatcherLosses.cpp
@@ -61,23 +61,27 @@
     JobsThere.insert(Task.Job);
   Silences.push_back({Now, Worker.key(), std::move(JobsThere)});
   recordLosses(Worker, WasSudden);
-  releaseByCommonSilence(Worker.key());
+  // A worker that does not answer may be cut off; its tasks are no suspects
+  // yet.
+  if (WasSudden)
+    releaseByCommonSilence(Worker.key());
 }
 
-size_t Dispatcher::countSilencesApart(const WorkerKey &Key, const JobId &Job,
-                                      Duration Window) const {
+bool Dispatcher::hasCommonCause(const WorkerKey &Key, const JobId &Job,
+                                size_t OtherWorkers, Duration Window) const {
   auto Own =
       std::find_if(Silences.rbegin(), Silences.rend(),
                    [&](const Silence &Other) { return Other.Worker == Key; });
   if (Own == Silences.rend())
-    return 0;
-  return static_cast<size_t>(std::count_if(
-      Silences.begin(), Silences.end(), [&](const Silence &Other) {
-        Duration Apart =
-            Other.At < Own->At ? Own->At - Other.At : Other.At - Own->At;
-        return Other.Worker != Key && Other.Jobs.count(Job) == 0 &&
-               Apart <= Window;
-      }));
+    return false;
+  size_t Found = 0;
+  for (auto It = Silences.rbegin(); It != Silences.rend(); ++It) {
+    Duration Apart = It->At < Own->At ? Own->At - It->At : It->At - Own->At;
+    bool IsApart = It->Worker != Key && Apart <= Window && !It->Jobs.count(Job);
+    if (IsApart && ++Found >= OtherWorkers)
+      return true;
+  }
+  return false;
 }
 
 void Dispatcher::releaseByCommonSilence(const WorkerKey &Last) {
@@ -101,9 +105,8 @@
       TaskProgress *TaskState = findWantedTask(Task);
       bool IsCommon =
           TaskState != nullptr && TaskState->Losses.size() == 1 &&
-          countSilencesApart(Key, Task.Job, Suspicion.CommonSilenceWindow) +
-                  1 >=
-              Suspicion.MinCommonSilences;
+          hasCommonCause(Key, Task.Job, Suspicion.MinCommonSilences - 1,
+                         Suspicion.CommonSilenceWindow);
       if (IsCommon)
         TaskState->ReleasedLosses = 1;
     }
@@ -142,11 +145,10 @@
     Step.LastLossAt = Timers.now();
     Step.TrialAwaitedSince.reset();
     OpenLosses[Worker.key()].insert(Task);
-    // The next leader must know of it, too. Others are committed only before
-    // the task starts again, since a cut takes many runs along.
-    if (Losses.size() > 1 || Loss.isAtStart())
-      LossesToPropose.insert(Task);
     onLossesChanged(Task);
+    // The next leader must know of it, too, whenever this one fails.
+    if (!TaskState->AreLossesCommitted)
+      LossesToPropose.insert(Task);
   }
 }
 
@@ -177,10 +179,10 @@
 bool Dispatcher::isExcused(TaskProgress &TaskState, const TaskId &Task,
                            const RunLoss &Loss) {
   const SuspicionOptions &Suspicion = Options.Suspicion;
-  bool IsExcused = milliseconds(Loss.SurvivedMs) >= Suspicion.MinExcusedAge &&
-                   TaskState.ExcusedLosses < Suspicion.MaxExcusedLosses &&
-                   countSilencesApart(Loss.Worker, Task.Job,
-                                      Suspicion.CommonCauseWindow) > 0;
+  bool IsExcused =
+      milliseconds(Loss.SurvivedMs) >= Suspicion.MinExcusedAge &&
+      TaskState.ExcusedLosses < Suspicion.MaxExcusedLosses &&
+      hasCommonCause(Loss.Worker, Task.Job, 1, Suspicion.CommonCauseWindow);
   TaskState.ExcusedLosses += IsExcused ? 1 : 0;
   return IsExcused;
 }
@@ -200,8 +202,11 @@
 void Dispatcher::onLossesChanged(const TaskId &Task) {
   JobProgress &Job = *Jobs.at(Task.Job);
   TaskProgress &TaskState = *Job.findTask(Task);
-  TaskState.AreLossesCommitted =
-      TaskState.Losses.empty() && !TaskState.WereLossesProposed;
+  // A single loss of an older run says little, and a cut takes many along.
+  bool IsTelling =
+      TaskState.Losses.size() > 1 ||
+      (!TaskState.Losses.empty() && TaskState.Losses.front().isAtStart());
+  TaskState.AreLossesCommitted = !IsTelling && !TaskState.WereLossesProposed;
   if (TaskState.WereLossesProposed)
     LossesToPropose.insert(Task);
   markPoolDirty(Job.Pool);
@@ -383,8 +388,7 @@
   markPoolDirty(Job->second->Pool);
 }
 
-bool Dispatcher::hasTrialSlot(const std::string &Pool,
-                              const StepCaution &Caution) const {
+bool Dispatcher::hasTrialSlot(const std::string &Pool) const {
   const std::map<WorkerKey, TrackedWorker *> &Workers =
       Table.workersInPool(Pool);
   size_t Holding = 0;
@@ -393,10 +397,7 @@
     Holding += Worker->TrialCount > 0 ? 1 : 0;
     Idle += Worker->IsReachable && Worker->Runs.empty() ? 1 : 0;
   }
-  size_t Limit = maxTrials(Workers.size(), Options.Suspicion);
-  if (Caution.IsNearlyConvicted)
-    Limit = 1;
-  return Holding < Limit || Idle > 1;
+  return Holding < maxTrials(Workers.size(), Options.Suspicion) || Idle > 1;
 }
 
 void Dispatcher::reserveWorkerForTrial(const std::string &Pool,
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -212,7 +212,7 @@
       LossesToPropose.insert(Task);
       continue;
     }
-    if (Caution.NeedsTrial && !hasTrialSlot(Job.Pool, Caution))
+    if (Caution.NeedsTrial && !hasTrialSlot(Job.Pool))
       return;
     uint32_t Remaining = Spec.Count - Progress.DoneCount - Progress.PlacedCount;
     PlacementRequest Request{&Spec,
@@ -250,7 +250,7 @@
       assessStep(Spec, Progress, Options.Suspicion, Timers.now());
   if (Caution.IsHeld || !areLossesCommitted({Job.id(), Occurrence, Step, 0}))
     return;
-  if (Caution.NeedsTrial && !hasTrialSlot(Job.Pool, Caution))
+  if (Caution.NeedsTrial && !hasTrialSlot(Job.Pool))
     return;
   PlacementRequest Request{&Spec, &Progress, &Progress.Tasks.front(),
                            Job.NeedsAdvice, Timers.now()};
--- a/Source/Scheduling/JobProgress.h
+++ b/Source/Scheduling/JobProgress.h
@@ -38,8 +38,8 @@
   size_t ReleasedLosses = 0;
   /// Losses that were not counted, as other workers went at the same time.
   size_t ExcusedLosses = 0;
-  /// The store holds exactly these losses. The task does not start before, so
-  /// that a new leader knows of them.
+  /// The store holds these losses, or they say too little. The task does not
+  /// start before, so that a new leader knows of them.
   bool AreLossesCommitted = true;
   /// The store may hold losses.
   bool WereLossesProposed = false;
