Tests: deadly tasks beside late orders, and a cut with a change of leader

Both pass on: an unanswered start that is carried out seconds later crashes its worker, and nothing is started beyond the budget; a leader that comes with part of the pool cut off goes on from the losses before.

--- a/Tests/Jobs/CrashingTasksTest.cpp
+++ b/Tests/Jobs/CrashingTasksTest.cpp
@@ -206,6 +206,47 @@
   S.Harness.Scheduler.reset();
 }
 
+// An unanswered start may be carried out seconds later, and crash its worker.
+TEST(CrashingTasks, OrdersThatAreCarriedOutLateBreakNoBudget) {
+  for (Kind Which : {Kind::Copied, Kind::Plain, Kind::LongRunning}) {
+    Scene S;
+    S.work(seconds(1), Kind::Plain);
+    S.KillingIndex = 0;
+    for (size_t W = 0; W < PoolSize; W += 2) {
+      WorkerFaults &Faults =
+          S.Harness.Workers.at("p-" + std::to_string(W)).Faults;
+      Faults.OrderDelay = seconds(3);
+      Faults.DelayedOrderCount = 10;
+    }
+    S.Harness.submitJob("killer", "p", makeSpec(Which, 4));
+    S.work(seconds(30), Kind::Plain);
+    S.Harness.advanceTime(seconds(10));
+    EXPECT_EQ(S.Harness.Workers.Violations, None);
+    EXPECT_EQ(S.Harness.jobState("killer"), JobState::Failed);
+    S.expectNoInnocentFailed();
+  }
+}
+
+// The leader and a data centre are lost while a killer is about.
+TEST(CrashingTasks, ACutWithAChangeOfLeaderBreaksNoBudget) {
+  Scene S;
+  S.work(seconds(2));
+  S.KillingIndex = 0;
+  S.Harness.submitJob("killer", "p", makeSpec(Kind::Copied, 6));
+  S.work(milliseconds(200));
+  for (const char *Id : {"p-0", "p-1", "p-2"})
+    S.Harness.Workers.at(Id).Faults.IsUnreachable = true;
+  S.Harness.beginLeadership();
+  S.work(seconds(5));
+  for (const char *Id : {"p-0", "p-1", "p-2"})
+    S.Harness.Workers.at(Id).Faults.IsUnreachable = false;
+  S.work(seconds(20));
+  S.Harness.advanceTime(seconds(10));
+  EXPECT_EQ(S.Harness.Workers.Violations, None);
+  EXPECT_EQ(S.Harness.jobState("killer"), JobState::Failed);
+  S.expectInnocentsCompleted();
+}
+
 // A worker that was cut off and answers again has not crashed.
 TEST(CrashingTasks, ACutOffWorkerIsNoCrash) {
   Scene S;
