--- a/Source/Fleet/SchedulerMetrics.cpp
+++ b/Source/Fleet/SchedulerMetrics.cpp
@@ -66,16 +66,16 @@
            Counters.LostRuns);
   SetGauge("mimosashunt_workers_crashed",
            "Workers that crashed with runs on them", Counters.CrashedWorkers);
-  SetGauge("mimosashunt_trials", "Suspects started on workers of their own",
-           Counters.Trials);
-  SetGauge("mimosashunt_trials_passed", "Trials that the worker survived",
-           Counters.PassedTrials);
+  SetGauge("mimosashunt_canaries", "Suspects started on workers of their own",
+           Counters.Canaries);
+  SetGauge("mimosashunt_canaries_passed", "Canaries that their worker survived",
+           Counters.PassedCanaries);
   SetGauge("mimosashunt_tasks_cleared",
            "Long-running tasks whose losses were forgotten",
            Counters.ClearedTasks);
-  SetGauge("mimosashunt_jobs_convicted",
+  SetGauge("mimosashunt_jobs_failed_for_crashes",
            "Jobs given up since a task crashes its workers",
-           Counters.ConvictedJobs);
+           Counters.JobsFailedForCrashes);
   SetGauge("mimosashunt_runs_not_renewed",
            "Runs whose lease ran out on a worker in touch",
            Counters.UnrenewedRuns);
--- a/Source/Jobs/JobStore.cpp
+++ b/Source/Jobs/JobStore.cpp
@@ -112,7 +112,7 @@
   for (const TaskLosses &Known : Record->Losses)
     if (Gang ? Task.isOfSameStep(Known.Task) : Task == Known.Task)
       Evidence.insert(Evidence.end(), Known.Losses.begin(), Known.Losses.end());
-  if (weighLosses(Evidence, LossWeighing::CertainOnly) >= ConvictingWeight)
+  if (weighLosses(Evidence, LossWeighing::CertainOnly) >= CrashEvidenceLimit)
     endJob(*Record, JobState::Failed);
   return true;
 }
--- a/Source/Jobs/RunLoss.h
+++ b/Source/Jobs/RunLoss.h
@@ -85,7 +85,7 @@
 /// A task with this much certain evidence is given up: after one start beside
 /// others and two alone, and in any case after the fifth, since BUDGET allows
 /// no more.
-constexpr int ConvictingWeight = 5;
+constexpr int CrashEvidenceLimit = 5;
 
 } // namespace mimosashunt
 
--- a/Source/Scheduling/CrashSuspicion.cpp
+++ b/Source/Scheduling/CrashSuspicion.cpp
@@ -28,7 +28,7 @@
     if (Task.Done || Task.Losses.empty())
       continue;
     int Weight = weighLosses(Task.Losses, LossWeighing::WithSuspected);
-    Caution.IsHeld |= Weight >= ConvictingWeight;
+    Caution.IsHeld |= Weight >= CrashEvidenceLimit;
     if (Spec.Gang)
       GangLosses.insert(GangLosses.end(), Task.Losses.begin(),
                         Task.Losses.end());
@@ -37,33 +37,33 @@
     Heaviest = Weight;
     Caution.Suspect = I;
   }
-  Caution.IsHeld |=
-      weighLosses(GangLosses, LossWeighing::WithSuspected) >= ConvictingWeight;
-  // A task that is nearly convicted must not be by what happens beside it.
+  Caution.IsHeld |= weighLosses(GangLosses, LossWeighing::WithSuspected) >=
+                    CrashEvidenceLimit;
+  // A task near the limit must not reach it by what happens beside it.
   constexpr int HeaviestAttempt = 2;
-  bool IsNearlyConvicted = Heaviest + HeaviestAttempt >= ConvictingWeight;
+  bool IsNearLimit = Heaviest + HeaviestAttempt >= CrashEvidenceLimit;
   Duration MaxWait =
-      IsNearlyConvicted ? 3 * Options.MaxTrialWait : Options.MaxTrialWait;
+      IsNearLimit ? 3 * Options.MaxCanaryWait : Options.MaxCanaryWait;
   bool HasWaitedLong =
-      Step.TrialAwaitedSince && Now - *Step.TrialAwaitedSince > MaxWait;
+      Step.CanaryAwaitedSince && Now - *Step.CanaryAwaitedSince > MaxWait;
   bool IsAbsentForLong =
       Spec.LongRunning && Now - Step.LastLossAt > Options.MaxLongRunningAbsence;
-  Caution.NeedsTrial = Caution.Suspect && !HasWaitedLong && !IsAbsentForLong;
+  Caution.NeedsCanary = Caution.Suspect && !HasWaitedLong && !IsAbsentForLong;
   return Caution;
 }
 
-Duration trialDuration(const TaskProgress &Task,
-                       const SuspicionOptions &Options) {
+Duration canaryDuration(const TaskProgress &Task,
+                        const SuspicionOptions &Options) {
   int64_t LongestMs = 0;
   for (const RunLoss &Loss : Task.Losses)
     LongestMs = std::max(LongestMs, Loss.SurvivedMs);
   return std::clamp(Duration(milliseconds(2 * LongestMs)),
-                    Options.MinTrialDuration, Options.MaxTrialDuration);
+                    Options.MinCanaryDuration, Options.MaxCanaryDuration);
 }
 
-size_t maxTrials(size_t PoolSize, const SuspicionOptions &Options) {
+size_t maxCanaries(size_t PoolSize, const SuspicionOptions &Options) {
   constexpr size_t Percent = 100;
-  return std::max<size_t>(1, PoolSize * Options.MaxTrialPercent / Percent);
+  return std::max<size_t>(1, PoolSize * Options.MaxCanaryPercent / Percent);
 }
 
 void releaseStep(StepProgress &Step, uint32_t Passed) {
--- a/Source/Scheduling/CrashSuspicion.h
+++ b/Source/Scheduling/CrashSuspicion.h
@@ -1,6 +1,7 @@
 // Decides how carefully a task is started whose earlier runs were lost with
 // their workers. Expected fault: a task that crashes each worker that starts
-// it, at once, beside twenty others whose only fault is to have been there.
+// it, at once, beside twenty others that only happened to be there. A suspect
+// runs first as a canary, alone on a worker, before the rest of its step.
 // Restraint acts on silence, since a crash is certain only seconds later; jobs
 // are given up on certain crashes alone (see Jobs/RunLoss.h).
 
@@ -16,10 +17,10 @@
 namespace mimosashunt {
 
 struct SuspicionOptions {
-  /// A run on trial has its worker to itself for twice the longest time that
-  /// its task has survived before, within these bounds.
-  Duration MinTrialDuration = milliseconds(300);
-  Duration MaxTrialDuration = seconds(1);
+  /// A canary is a run that has its worker to itself for twice the longest time
+  /// that its task has survived before, within these bounds.
+  Duration MinCanaryDuration = milliseconds(300);
+  Duration MaxCanaryDuration = seconds(1);
   /// No task is suspected at its first loss when this many workers, without a
   /// job that is on all of them, fall silent within the window.
   size_t MinCommonSilences = 4; // Fewer may each have a cause of their own.
@@ -27,21 +28,22 @@
   /// A run that has survived for so long is not blamed for a crash if a worker
   /// without any task of its job fell silent within the window of it, for a few
   /// times.
-  Duration MinExcusedAge = milliseconds(500);
-  size_t MaxExcusedLosses = 3;
+  Duration MinUnrelatedAge = milliseconds(500);
+  size_t MaxUnrelatedLosses = 3;
   Duration CommonCauseWindow = milliseconds(700);
   /// A long-running task that has survived for this long is cleared. Only its
   /// start is judged: it may be there for hours before its worker crashes.
   Duration ClearingAge = milliseconds(1500);
-  /// Largest part of a pool that holds runs on trial, in percent, workers that
-  /// fell silent under one included. More may while the pool has idle
+  /// Largest part of a pool that holds canaries, in percent, workers
+  /// that fell silent under one included. More may while the pool has idle
   /// workers.
-  size_t MaxTrialPercent = 25;
-  /// How long a worker gets no other tasks so that it becomes free for a trial.
+  size_t MaxCanaryPercent = 25;
+  /// How long a worker gets no other tasks so that it becomes free for a
+  /// canary.
   Duration ReservationDuration = seconds(2);
   /// A suspect is started beside others if no worker becomes free for it within
-  /// this long, or three times as long if one more crash would convict it.
-  Duration MaxTrialWait = seconds(5);
+  /// this long, or three times as long if one more crash reaches the limit.
+  Duration MaxCanaryWait = seconds(5);
   /// A long-running task is, too, this long after it was lost, since its
   /// callers are without it meanwhile. A late short job is late in any case.
   Duration MaxLongRunningAbsence = seconds(9);
@@ -49,12 +51,12 @@
 
 /// What is allowed to start of a step.
 struct StepCaution {
-  /// Nothing: the evidence convicts a task once its crashes are certain.
+  /// Nothing: the job fails once the suspected crashes are certain.
   bool IsHeld = false;
   /// Only this task, since the others are likely to do the same.
   std::optional<uint32_t> Suspect;
   /// Nothing else may run on the suspect's worker.
-  bool NeedsTrial = false;
+  bool NeedsCanary = false;
 
   bool mayStart(uint32_t Index) const {
     return !IsHeld && (!Suspect || *Suspect == Index);
@@ -64,15 +66,15 @@
 StepCaution assessStep(const StepSpec &Spec, const StepProgress &Step,
                        const SuspicionOptions &Options, Instant Now);
 
-/// Returns for how long the task's next run is on trial.
-Duration trialDuration(const TaskProgress &Task,
-                       const SuspicionOptions &Options);
+/// Returns for how long the task's next run is a canary.
+Duration canaryDuration(const TaskProgress &Task,
+                        const SuspicionOptions &Options);
 
-/// Returns how many workers of a pool may hold runs on trial.
-size_t maxTrials(size_t PoolSize, const SuspicionOptions &Options);
+/// Returns how many workers of a pool may hold canaries.
+size_t maxCanaries(size_t PoolSize, const SuspicionOptions &Options);
 
 /// Lets the tasks of the step start freely again, but for those that were lost
-/// more than once, after \p Passed has survived its trial.
+/// more than once, after \p Passed has survived as a canary.
 void releaseStep(StepProgress &Step, uint32_t Passed);
 
 } // namespace mimosashunt
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -252,7 +252,7 @@
   }
   proposeResults();
   proposeLosses();
-  probeTrials();
+  probeCanaries();
 }
 
 // Queries, draining and capacity demand.
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -130,10 +130,10 @@
   /// Runs given up with their worker for any reason.
   uint64_t LostRuns = 0;
   uint64_t CrashedWorkers = 0; // Workers that crashed with runs on them.
-  uint64_t Trials = 0;         // Starts of suspects on workers of their own.
-  uint64_t PassedTrials = 0;
+  uint64_t Canaries = 0;       // Starts of suspects on workers of their own.
+  uint64_t PassedCanaries = 0;
   uint64_t ClearedTasks = 0; // Long-running tasks that survived for long.
-  uint64_t ConvictedJobs = 0;
+  uint64_t JobsFailedForCrashes = 0;
   /// Runs whose lease ran out on a worker that answered this leader's polls.
   uint64_t UnrenewedRuns = 0;
   /// Renewals apart from polls.
@@ -275,8 +275,8 @@
   /// Makes the suspected losses with the worker certain, or removes them.
   void resolveLosses(const WorkerKey &Key, bool HasCrashed);
   /// Returns true if the crash that took the run has likely another cause.
-  bool isExcused(TaskProgress &TaskState, const TaskId &Task,
-                 const RunLoss &Loss);
+  bool isUnrelated(TaskProgress &TaskState, const TaskId &Task,
+                   const RunLoss &Loss);
   /// Releases the tasks whose first loss came with the silence of many workers,
   /// this one the last.
   void releaseByCommonSilence(const WorkerKey &Last);
@@ -288,7 +288,7 @@
   void removeLoss(const WorkerKey &Key, const TaskId &Task, uint32_t Attempt);
   void onLossesChanged(const TaskId &Task);
   /// Ends the job whose task crashes its workers.
-  void convict(JobProgress &Job, const TaskId &Task);
+  void failForCrashes(JobProgress &Job, const TaskId &Task);
   /// Restores what an earlier leader knew.
   void loadLosses(JobProgress &Job);
   /// Returns true if what is known of the losses' workers changed them.
@@ -298,26 +298,26 @@
   bool areLossesCommitted(const TaskId &Step);
   void proposeLosses();
   void onLossesProposed(const RecordLosses &Command, bool Committed);
-  /// Ends the trial of a run that has survived it, and clears a long-running
+  /// Ends a canary that has survived, and clears a long-running
   /// task that has survived for long.
   void checkSurvival(TrackedWorker &Worker, const TaskId &Task,
                      Run &CurrentRun);
   /// Called when the worker has answered an order that was sent at \p At.
   void onAlive(TrackedWorker &Worker, Instant At);
-  /// Asks workers with runs on trial for a sign of life. Their polls may wait
-  /// for long, in particular one from before the trial.
-  void probeTrials();
-  void passTrial(TrackedWorker &Worker, const TaskId &Task, Run &CurrentRun);
-  /// Returns true if one more worker of the pool may hold a trial.
-  bool hasTrialSlot(const std::string &Pool) const;
-  /// Keeps a worker free for a trial of the task, unless one is already.
-  void reserveWorkerForTrial(const std::string &Pool,
-                             const PlacementRequest &Request,
-                             StepProgress &Step, PlacementPass &Pass);
+  /// Asks workers with canaries for a sign of life. Their polls may
+  /// wait for long, in particular one from before the canary.
+  void probeCanaries();
+  void passCanary(TrackedWorker &Worker, const TaskId &Task, Run &CurrentRun);
+  /// Returns true if one more worker of the pool may hold a canary.
+  bool hasCanarySlot(const std::string &Pool) const;
+  /// Keeps a worker free for a canary of the task, unless one is already.
+  void reserveWorkerForCanary(const std::string &Pool,
+                              const PlacementRequest &Request,
+                              StepProgress &Step, PlacementPass &Pass);
 
   // Starting and stopping of runs.
   void startRun(JobProgress &Job, const TaskId &Task, TrackedWorker &Worker,
-                uint32_t Attempt, bool IsOnTrial);
+                uint32_t Attempt, bool IsCanary);
   void onStartResponse(const WorkerKey &Key, const TaskId &Task,
                        uint32_t Attempt, Instant SentAt,
                        const OrderResponse &Response);
@@ -408,8 +408,8 @@
     WorkerKey Worker;
     std::set<JobId> Jobs;
   };
-  std::deque<Silence> Silences;     // The last ones, in order of time.
-  std::set<WorkerKey> TrialWorkers; // May hold runs on trial.
+  std::deque<Silence> Silences;      // The last ones, in order of time.
+  std::set<WorkerKey> CanaryWorkers; // May hold canaries.
   /// Tasks whose losses must be committed.
   std::set<TaskId> LossesToPropose;
   std::vector<RunResult> PendingResults;
--- a/Source/Scheduling/DispatcherLosses.cpp
+++ b/Source/Scheduling/DispatcherLosses.cpp
@@ -122,10 +122,10 @@
     if (TaskState == nullptr || CurrentRun.State == RunState::Stopping)
       continue;
     std::vector<RunLoss> &Losses = TaskState->Losses;
-    bool IsKnown =
-        std::any_of(Losses.begin(), Losses.end(), [&](const RunLoss &Known) {
-          return Known.Attempt == CurrentRun.Attempt &&
-                 Known.Worker == Worker.key();
+    bool IsKnown = std::any_of(
+        Losses.begin(), Losses.end(),
+        [&, Attempt = CurrentRun.Attempt](const RunLoss &Known) {
+          return Known.Attempt == Attempt && Known.Worker == Worker.key();
         });
     if (IsKnown)
       continue;
@@ -143,7 +143,7 @@
     StepProgress &Step = *Jobs.at(Task.Job)->findStep(Task);
     Step.HasLosses = true;
     Step.LastLossAt = Timers.now();
-    Step.TrialAwaitedSince.reset();
+    Step.CanaryAwaitedSince.reset();
     OpenLosses[Worker.key()].insert(Task);
     onLossesChanged(Task);
     // The next leader must know of it, too, whenever this one fails.
@@ -168,7 +168,7 @@
       continue;
     for (RunLoss &Loss : TaskState->Losses)
       if (Loss.Worker == Key)
-        Loss.IsCertain = HasCrashed && !isExcused(*TaskState, Task, Loss);
+        Loss.IsCertain = HasCrashed && !isUnrelated(*TaskState, Task, Loss);
     std::erase_if(TaskState->Losses, [&](const RunLoss &Loss) {
       return !Loss.IsCertain && Loss.Worker == Key;
     });
@@ -176,15 +176,15 @@
   }
 }
 
-bool Dispatcher::isExcused(TaskProgress &TaskState, const TaskId &Task,
-                           const RunLoss &Loss) {
+bool Dispatcher::isUnrelated(TaskProgress &TaskState, const TaskId &Task,
+                             const RunLoss &Loss) {
   const SuspicionOptions &Suspicion = Options.Suspicion;
-  bool IsExcused =
-      milliseconds(Loss.SurvivedMs) >= Suspicion.MinExcusedAge &&
-      TaskState.ExcusedLosses < Suspicion.MaxExcusedLosses &&
+  bool IsUnrelated =
+      milliseconds(Loss.SurvivedMs) >= Suspicion.MinUnrelatedAge &&
+      TaskState.UnrelatedLosses < Suspicion.MaxUnrelatedLosses &&
       hasCommonCause(Loss.Worker, Task.Job, 1, Suspicion.CommonCauseWindow);
-  TaskState.ExcusedLosses += IsExcused ? 1 : 0;
-  return IsExcused;
+  TaskState.UnrelatedLosses += IsUnrelated ? 1 : 0;
+  return IsUnrelated;
 }
 
 void Dispatcher::removeLoss(const WorkerKey &Key, const TaskId &Task,
@@ -203,22 +203,23 @@
   JobProgress &Job = *Jobs.at(Task.Job);
   TaskProgress &TaskState = *Job.findTask(Task);
   // A single loss of an older run says little, and a cut takes many along.
-  bool IsTelling =
+  bool IsSignificant =
       TaskState.Losses.size() > 1 ||
       (!TaskState.Losses.empty() && TaskState.Losses.front().isAtStart());
-  TaskState.AreLossesCommitted = !IsTelling && !TaskState.WereLossesProposed;
+  TaskState.AreLossesCommitted =
+      !IsSignificant && !TaskState.WereLossesProposed;
   if (TaskState.WereLossesProposed)
     LossesToPropose.insert(Task);
   markPoolDirty(Job.Pool);
   if (weighLosses(Job.lossesOf(Task), LossWeighing::CertainOnly) >=
-      ConvictingWeight)
-    convict(Job, Task);
+      CrashEvidenceLimit)
+    failForCrashes(Job, Task);
 }
 
-void Dispatcher::convict(JobProgress &Job, const TaskId &Task) {
+void Dispatcher::failForCrashes(JobProgress &Job, const TaskId &Task) {
   if (std::exchange(Job.HasEnded, true))
     return;
-  ++Counters.ConvictedJobs;
+  ++Counters.JobsFailedForCrashes;
   Json Crashes = Json::array();
   for (const RunLoss &Loss : Job.lossesOf(Task))
     Crashes.push_back(Loss);
@@ -334,19 +335,19 @@
 
 void Dispatcher::checkSurvival(TrackedWorker &Worker, const TaskId &Task,
                                Run &CurrentRun) {
-  bool IsOnTrial = CurrentRun.IsOnTrial;
-  if ((!IsOnTrial && !CurrentRun.LongRunning) ||
+  bool IsCanary = CurrentRun.IsCanary;
+  if ((!IsCanary && !CurrentRun.LongRunning) ||
       CurrentRun.State != RunState::Running)
     return;
   TaskProgress *TaskState = findWantedTask(Task);
   if (TaskState == nullptr)
     return;
   Duration Survived = Worker.survivedTime(CurrentRun);
-  Duration Trial = trialDuration(*TaskState, Options.Suspicion);
-  if (IsOnTrial && Survived >= Trial)
-    passTrial(Worker, Task, CurrentRun);
+  Duration Canary = canaryDuration(*TaskState, Options.Suspicion);
+  if (IsCanary && Survived >= Canary)
+    passCanary(Worker, Task, CurrentRun);
   bool IsCleared = CurrentRun.LongRunning && !TaskState->Losses.empty() &&
-                   Survived >= std::max(Trial, Options.Suspicion.ClearingAge);
+                   Survived >= std::max(Canary, Options.Suspicion.ClearingAge);
   if (!IsCleared)
     return;
   ++Counters.ClearedTasks;
@@ -358,17 +359,17 @@
 
 void Dispatcher::onAlive(TrackedWorker &Worker, Instant At) {
   Worker.AliveAt = std::max(Worker.AliveAt, At);
-  if (Worker.TrialCount == 0)
+  if (Worker.CanaryCount == 0)
     return;
   for (auto &[Task, CurrentRun] : Worker.Runs)
     checkSurvival(Worker, Task, CurrentRun);
 }
 
-void Dispatcher::probeTrials() {
-  for (auto It = TrialWorkers.begin(); It != TrialWorkers.end();) {
+void Dispatcher::probeCanaries() {
+  for (auto It = CanaryWorkers.begin(); It != CanaryWorkers.end();) {
     TrackedWorker *Worker = Table.find(*It);
-    if (Worker == nullptr || Worker->TrialCount == 0) {
-      It = TrialWorkers.erase(It);
+    if (Worker == nullptr || Worker->CanaryCount == 0) {
+      It = CanaryWorkers.erase(It);
       continue;
     }
     if (mayRenew(*Worker) && mayIssueOrders())
@@ -377,10 +378,10 @@
   }
 }
 
-void Dispatcher::passTrial(TrackedWorker &Worker, const TaskId &Task,
-                           Run &CurrentRun) {
-  Table.endTrial(Worker, CurrentRun);
-  ++Counters.PassedTrials;
+void Dispatcher::passCanary(TrackedWorker &Worker, const TaskId &Task,
+                            Run &CurrentRun) {
+  Table.endCanary(Worker, CurrentRun);
+  ++Counters.PassedCanaries;
   auto Job = Jobs.find(Task.Job);
   if (Job == Jobs.end() || Job->second->findTask(Task) == nullptr)
     return;
@@ -388,38 +389,38 @@
   markPoolDirty(Job->second->Pool);
 }
 
-bool Dispatcher::hasTrialSlot(const std::string &Pool) const {
+bool Dispatcher::hasCanarySlot(const std::string &Pool) const {
   const std::map<WorkerKey, TrackedWorker *> &Workers =
       Table.workersInPool(Pool);
   size_t Holding = 0;
   size_t Idle = 0;
   for (const auto &[Key, Worker] : Workers) {
-    Holding += Worker->TrialCount > 0 ? 1 : 0;
+    Holding += Worker->CanaryCount > 0 ? 1 : 0;
     Idle += Worker->IsReachable && Worker->Runs.empty() ? 1 : 0;
   }
-  return Holding < maxTrials(Workers.size(), Options.Suspicion) || Idle > 1;
+  return Holding < maxCanaries(Workers.size(), Options.Suspicion) || Idle > 1;
 }
 
-void Dispatcher::reserveWorkerForTrial(const std::string &Pool,
-                                       const PlacementRequest &Request,
-                                       StepProgress &Step,
-                                       PlacementPass &Pass) {
-  if (!Step.TrialAwaitedSince)
-    Step.TrialAwaitedSince = Timers.now();
+void Dispatcher::reserveWorkerForCanary(const std::string &Pool,
+                                        const PlacementRequest &Request,
+                                        StepProgress &Step,
+                                        PlacementPass &Pass) {
+  if (!Step.CanaryAwaitedSince)
+    Step.CanaryAwaitedSince = Timers.now();
   const std::map<WorkerKey, TrackedWorker *> &Workers =
       Table.workersInPool(Pool);
   auto Taken = static_cast<size_t>(std::count_if(
       Workers.begin(), Workers.end(), [&](const auto &KeyAndWorker) {
         const TrackedWorker &Worker = *KeyAndWorker.second;
-        return Worker.TrialCount > 0 || Timers.now() < Worker.ReservedUntil;
+        return Worker.CanaryCount > 0 || Timers.now() < Worker.ReservedUntil;
       }));
-  if (Taken >= maxTrials(Workers.size(), Options.Suspicion))
+  if (Taken >= maxCanaries(Workers.size(), Options.Suspicion))
     return;
-  TrackedWorker *Chosen = Pass.chooseForTrial(Request);
+  TrackedWorker *Chosen = Pass.chooseForCanary(Request);
   if (Chosen == nullptr)
     return;
   Chosen->ReservedUntil = Timers.now() + Options.Suspicion.ReservationDuration;
-  Pass.reserveForTrial(*Chosen);
+  Pass.reserveForCanary(*Chosen);
 }
 
 } // namespace mimosashunt
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -212,7 +212,7 @@
       LossesToPropose.insert(Task);
       continue;
     }
-    if (Caution.NeedsTrial && !hasTrialSlot(Job.Pool))
+    if (Caution.NeedsCanary && !hasCanarySlot(Job.Pool))
       return;
     uint32_t Remaining = Spec.Count - Progress.DoneCount - Progress.PlacedCount;
     PlacementRequest Request{&Spec,
@@ -221,19 +221,19 @@
                              Job.NeedsAdvice,
                              Timers.now(),
                              std::max<uint32_t>(Remaining, 1),
-                             Caution.NeedsTrial,
+                             Caution.NeedsCanary,
                              PreviousChoice};
     Candidate *Chosen = Pass.placeTask(Request);
     PreviousChoice = Chosen;
     if (Chosen == nullptr) {
-      if (Caution.NeedsTrial)
-        reserveWorkerForTrial(Job.Pool, Request, Progress, Pass);
+      if (Caution.NeedsCanary)
+        reserveWorkerForCanary(Job.Pool, Request, Progress, Pass);
       if (Job.NeedsAdvice)
         requestAdvice(Job, Occurrence, Step, Pass.candidates());
       return;
     }
     startRun(Job, Task, *Chosen->Worker, Job.nextAttempt(Task),
-             Caution.NeedsTrial);
+             Caution.NeedsCanary);
   }
 }
 
@@ -250,15 +250,15 @@
       assessStep(Spec, Progress, Options.Suspicion, Timers.now());
   if (Caution.IsHeld || !areLossesCommitted({Job.id(), Occurrence, Step, 0}))
     return;
-  if (Caution.NeedsTrial && !hasTrialSlot(Job.Pool))
+  if (Caution.NeedsCanary && !hasCanarySlot(Job.Pool))
     return;
   PlacementRequest Request{&Spec, &Progress, &Progress.Tasks.front(),
                            Job.NeedsAdvice, Timers.now()};
-  Request.IsTrial = Caution.NeedsTrial;
+  Request.IsCanary = Caution.NeedsCanary;
   auto Chosen = Pass.placeGang(Request, Spec.Count);
   if (!Chosen) {
-    if (Caution.NeedsTrial)
-      reserveWorkerForTrial(Job.Pool, Request, Progress, Pass);
+    if (Caution.NeedsCanary)
+      reserveWorkerForCanary(Job.Pool, Request, Progress, Pass);
     if (Job.NeedsAdvice)
       requestAdvice(Job, Occurrence, Step, Pass.candidates());
     return;
@@ -266,7 +266,7 @@
   uint32_t Attempt = Job.nextAttempt({Job.id(), Occurrence, Step, 0});
   for (uint32_t I = 0; I < Spec.Count; ++I)
     startRun(Job, {Job.id(), Occurrence, Step, I}, *(*Chosen)[I]->Worker,
-             Attempt, Caution.NeedsTrial);
+             Attempt, Caution.NeedsCanary);
 }
 
 void Dispatcher::requestAdvice(JobProgress &Job, uint32_t Occurrence,
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -309,8 +309,8 @@
   if (IsCurrentAttempt) {
     OrderedAt = CurrentRun->second.OrderedAt;
     // Its worker has outlived it.
-    if (CurrentRun->second.IsOnTrial && End.Kind == EndKind::Done)
-      passTrial(Worker, End.Task, CurrentRun->second);
+    if (CurrentRun->second.IsCanary && End.Kind == EndKind::Done)
+      passCanary(Worker, End.Task, CurrentRun->second);
     removeRun(Worker, End.Task);
   }
   if (End.Kind == EndKind::LeaseExpired)
@@ -503,7 +503,7 @@
 
 void Dispatcher::startRun(JobProgress &Job, const TaskId &Task,
                           TrackedWorker &Worker, uint32_t Attempt,
-                          bool IsOnTrial) {
+                          bool IsCanary) {
   const StepSpec &Spec = Job.stepSpec(Task.Step);
   StepProgress &Step = *Job.findStep(Task);
   TaskProgress &TaskState = Step.Tasks[Task.Index];
@@ -530,21 +530,21 @@
   NewRun.UsesSpareCpu = Spec.UsesSpareCpu;
   NewRun.LongRunning = Spec.LongRunning;
   NewRun.TailTargetMs = Spec.TailTargetMs;
-  NewRun.IsOnTrial = IsOnTrial;
+  NewRun.IsCanary = IsCanary;
   Table.addRun(Worker, Task, std::move(NewRun));
   Job.addPlacement(Task, Worker.key(), Attempt);
   ++Counters.StartOrders;
-  if (IsOnTrial) {
-    ++Counters.Trials;
-    TrialWorkers.insert(Worker.key());
+  if (IsCanary) {
+    ++Counters.Canaries;
+    CanaryWorkers.insert(Worker.key());
   }
   Starts.onStartOrdered();
   Json Fields = taskFields(Task, Attempt);
   Fields["worker"] = Worker.key().Id;
   Fields["free_cpu"] = Worker.freeResources().Cpu;
   Fields["left_ms"] = toMillis(Job.Objective - Timers.now());
-  if (IsOnTrial)
-    Fields["on_trial"] = true;
+  if (IsCanary)
+    Fields["canary"] = true;
   Hooks.LogEvent("run_start", Fields);
   std::shared_ptr<bool> IsAlive = AliveFlag;
   Port.startRun(Worker.Entry, Order,
--- a/Source/Scheduling/JobProgress.h
+++ b/Source/Scheduling/JobProgress.h
@@ -37,7 +37,7 @@
   /// While no more than this many are known, it starts as any other task.
   size_t ReleasedLosses = 0;
   /// Losses that were not counted, as other workers went at the same time.
-  size_t ExcusedLosses = 0;
+  size_t UnrelatedLosses = 0;
   /// The store holds these losses, or they say too little. The task does not
   /// start before, so that a new leader knows of them.
   bool AreLossesCommitted = true;
@@ -65,8 +65,8 @@
   std::map<WorkerKey, uint32_t> RunsPerWorker; // Runs on each worker.
   bool HasLosses = false; // Some task of it was lost with a worker.
   Instant LastLossAt;
-  /// Since when no worker has been free for a trial, though one may be held.
-  std::optional<Instant> TrialAwaitedSince;
+  /// Since when no worker has been free for a canary, though one may be held.
+  std::optional<Instant> CanaryAwaitedSince;
 
   bool isDone() const { return DoneCount == Tasks.size(); }
   bool isFullyPlaced() const { return DoneCount + PlacedCount >= Tasks.size(); }
--- a/Source/Scheduling/Placement.cpp
+++ b/Source/Scheduling/Placement.cpp
@@ -25,15 +25,16 @@
          (Added == Extra.end() ? 0 : Added->second);
 }
 
-/// Returns false if a trial, planned or under way, keeps the task off.
-bool isAllowedByTrials(const PlacementRequest &Request, const Candidate &Target,
-                       const std::map<WorkerKey, uint32_t> &Extra) {
+/// Returns false if a canary, planned or running, keeps the task off.
+bool isAllowedByCanaries(const PlacementRequest &Request,
+                         const Candidate &Target,
+                         const std::map<WorkerKey, uint32_t> &Extra) {
   auto OwnGang = Extra.find(Target.Worker->key());
   size_t Own = OwnGang == Extra.end() ? 0 : OwnGang->second;
-  if (Request.IsTrial)
-    return (!Target.HoldsTrial || Own > 0) &&
+  if (Request.IsCanary)
+    return (!Target.HoldsCanary || Own > 0) &&
            countUnproven(*Target.Worker) == 0;
-  return !Target.HoldsTrial && !Target.IsReserved;
+  return !Target.HoldsCanary && !Target.IsReserved;
 }
 
 /// Returns true if the task may run there, whatever else does now.
@@ -58,7 +59,7 @@
     return false;
   if (Target.IsOnProbation && Target.Runs > 0)
     return false;
-  return isAllowedByTrials(Request, Target, Extra) &&
+  return isAllowedByCanaries(Request, Target, Extra) &&
          isEligible(Request, Target, Extra);
 }
 
@@ -103,8 +104,9 @@
                         const std::map<WorkerKey, uint32_t> &Extra) {
   bool Failed = hasFailedThere(Request, Target);
   bool Far = isFarFromData(Request, Target);
-  // A crash during a trial harms what else is there. Gangs are packed below.
-  if (Request.IsTrial && !Request.Spec->Gang)
+  // A canary that crashes its worker harms what else is there. Gangs are packed
+  // below.
+  if (Request.IsCanary && !Request.Spec->Gang)
     return {Failed, Far, static_cast<uint32_t>(Target.Runs), Target.Free.Cpu};
   // Long-running tasks are spread, so that a lost worker costs a step few of
   // its tasks, but over workers that already run long-running tasks: the other
@@ -143,7 +145,7 @@
   const StepSpec &Spec = *Request.Spec;
   Target.Free -= Spec.reservedResources();
   ++Target.Runs;
-  Target.HoldsTrial |= Request.IsTrial;
+  Target.HoldsCanary |= Request.IsCanary;
   Target.LongRunningCount += Spec.LongRunning ? 1 : 0;
 }
 
@@ -177,7 +179,7 @@
       continue;
     Result.push_back({Worker, Worker->freeResources(), Worker->Runs.size(),
                       Worker->LongRunningCount, Health.isOnProbation(Key, Now),
-                      Now<Worker->ReservedUntil, Worker->TrialCount> 0});
+                      Now<Worker->ReservedUntil, Worker->CanaryCount> 0});
   }
   return Result;
 }
@@ -190,10 +192,10 @@
 
 Candidate *PlacementPass::findBestCandidate(const PlacementRequest &Request) {
   const StepSpec &Spec = *Request.Spec;
-  if (!Request.IsTrial && isKnownUnplaceable(Spec.reservedResources()))
+  if (!Request.IsCanary && isKnownUnplaceable(Spec.reservedResources()))
     return nullptr;
   Candidate *Best = selectBest(Candidates, Request, {}, {});
-  bool DependsOnSizeOnly = !Request.IsTrial && Spec.RequiredLabel.empty() &&
+  bool DependsOnSizeOnly = !Request.IsCanary && Spec.RequiredLabel.empty() &&
                            Spec.MaxPerWorker == 0 && !Request.NeedsTicket &&
                            Request.TaskState->Workers.empty();
   if (Best == nullptr && DependsOnSizeOnly)
@@ -214,14 +216,14 @@
   return Chosen;
 }
 
-TrackedWorker *PlacementPass::chooseForTrial(const PlacementRequest &Request) {
+TrackedWorker *PlacementPass::chooseForCanary(const PlacementRequest &Request) {
   TrackedWorker *Best = nullptr;
   std::pair<size_t, size_t> Least;
   for (const Candidate &Target : Candidates) {
     TrackedWorker &Worker = *Target.Worker;
     bool CouldHold =
         Worker.Entry.Capacity.canFit(Request.Spec->reservedResources()) &&
-        !Target.HoldsTrial && !Target.IsReserved &&
+        !Target.HoldsCanary && !Target.IsReserved &&
         isEligible(Request, Target, {});
     std::pair<size_t, size_t> Load{Target.LongRunningCount,
                                    countUnproven(Worker)};
@@ -233,7 +235,7 @@
   return Best;
 }
 
-void PlacementPass::reserveForTrial(const TrackedWorker &Worker) {
+void PlacementPass::reserveForCanary(const TrackedWorker &Worker) {
   for (Candidate &Target : Candidates)
     Target.IsReserved |= Target.Worker == &Worker;
 }
@@ -263,7 +265,8 @@
 
 std::optional<std::vector<Candidate *>>
 PlacementPass::placeGang(const PlacementRequest &Request, size_t Count) {
-  if (!Request.IsTrial && isKnownUnplaceable(Request.Spec->reservedResources()))
+  if (!Request.IsCanary &&
+      isKnownUnplaceable(Request.Spec->reservedResources()))
     return std::nullopt;
   if (Request.Spec->RackLocal) {
     std::map<std::string, int64_t> FreeByRack;
--- a/Source/Scheduling/Placement.h
+++ b/Source/Scheduling/Placement.h
@@ -27,8 +27,8 @@
   size_t Runs = 0;
   size_t LongRunningCount = 0; // Number of long-running tasks among Runs.
   bool IsOnProbation = false;
-  bool IsReserved = false; // Only a task on trial may be placed there.
-  bool HoldsTrial = false; // Nothing may be placed there.
+  bool IsReserved = false;  // Only a canary may be placed there.
+  bool HoldsCanary = false; // Nothing may be placed there.
 };
 
 /// Returns the number of runs on the worker that may bring it down.
@@ -51,7 +51,7 @@
   uint32_t Remaining = 1;
   /// The worker must run nothing else, but for proven long-running tasks and
   /// members of the same gang.
-  bool IsTrial = false;
+  bool IsCanary = false;
   /// The worker chosen for the step's previous task; it is chosen again while
   /// the task fits there.
   Candidate *PreviousChoice = nullptr;
@@ -73,11 +73,11 @@
   std::optional<std::vector<Candidate *>>
   placeGang(const PlacementRequest &Request, size_t Count);
 
-  /// Returns the worker that should be kept free for a trial: the one with the
+  /// Returns the worker that should be kept free for a canary: the one with the
   /// least on it of those that could hold the task, or null.
-  TrackedWorker *chooseForTrial(const PlacementRequest &Request);
+  TrackedWorker *chooseForCanary(const PlacementRequest &Request);
   /// Keeps other tasks off the worker in the rest of this pass.
-  void reserveForTrial(const TrackedWorker &Worker);
+  void reserveForCanary(const TrackedWorker &Worker);
 
   const std::vector<Candidate> &candidates() const { return Candidates; }
 
--- a/Source/Workers/WorkerTable.cpp
+++ b/Source/Workers/WorkerTable.cpp
@@ -126,7 +126,7 @@
                          Run NewRun) {
   Worker.UsedResources += NewRun.ReservedResources;
   Worker.LongRunningCount += NewRun.LongRunning ? 1 : 0;
-  Worker.TrialCount += NewRun.IsOnTrial ? 1 : 0;
+  Worker.CanaryCount += NewRun.IsCanary ? 1 : 0;
   UsageByOrganisation[NewRun.Organisation] += NewRun.QuotaUsage;
   return Worker.Runs[Task] = std::move(NewRun);
 }
@@ -137,14 +137,14 @@
     return;
   Worker.UsedResources -= It->second.ReservedResources;
   Worker.LongRunningCount -= It->second.LongRunning ? 1 : 0;
-  endTrial(Worker, It->second);
+  endCanary(Worker, It->second);
   UsageByOrganisation[It->second.Organisation] -= It->second.QuotaUsage;
   Worker.Runs.erase(It);
 }
 
-void WorkerTable::endTrial(TrackedWorker &Worker, Run &CurrentRun) {
-  if (std::exchange(CurrentRun.IsOnTrial, false))
-    --Worker.TrialCount;
+void WorkerTable::endCanary(TrackedWorker &Worker, Run &CurrentRun) {
+  if (std::exchange(CurrentRun.IsCanary, false))
+    --Worker.CanaryCount;
 }
 
 std::optional<int64_t> WorkerTable::estimateClockMs(const TrackedWorker &Worker,
--- a/Source/Workers/WorkerTable.h
+++ b/Source/Workers/WorkerTable.h
@@ -51,7 +51,7 @@
   bool UsesSpareCpu = false;
   bool LongRunning = false;
   /// The worker takes no other task meanwhile. Changed only by WorkerTable.
-  bool IsOnTrial = false;
+  bool IsCanary = false;
   int64_t TailTargetMs = 0;
 };
 
@@ -73,7 +73,7 @@
   /// The worker gets no new tasks, since maintenance or a move is about to
   /// begin.
   bool IsCordoned = false;
-  /// Until then it gets no tasks but one on trial.
+  /// Until then it gets no tasks but a canary.
   Instant ReservedUntil;
   std::optional<ClockSample> Clock;
   /// All runs on the worker end by then unless a later poll renews their lease;
@@ -86,7 +86,7 @@
   uint64_t LastReportSequence = 0;
   Resources UsedResources;     // Sum of ReservedResources over Runs.
   size_t LongRunningCount = 0; // Number of long-running tasks among Runs.
-  size_t TrialCount = 0;       // Number of tasks on trial among Runs.
+  size_t CanaryCount = 0;      // Number of canaries among Runs.
   std::map<TaskId, Run> Runs;
   uint64_t ProcessedEnds = 0; // Ended runs up to this number were processed.
   /// Results of ended runs up to this number are committed.
@@ -136,7 +136,7 @@
 
   Run &addRun(TrackedWorker &Worker, const TaskId &Task, Run NewRun);
   void removeRun(TrackedWorker &Worker, const TaskId &Task);
-  void endTrial(TrackedWorker &Worker, Run &CurrentRun);
+  void endCanary(TrackedWorker &Worker, Run &CurrentRun);
 
   /// Sets when the worker is polled next; replaces an earlier time.
   void schedulePoll(TrackedWorker &Worker, Instant At);
--- a/Tests/Jobs/CrashingTasksTest.cpp
+++ b/Tests/Jobs/CrashingTasksTest.cpp
@@ -1,5 +1,5 @@
 // Tests with tasks that crash each worker that starts them, beside busy
-// innocent ones. VirtualWorkers counts starts as the rule BUDGET does.
+// healthy ones. VirtualWorkers counts starts as the rule BUDGET does.
 
 #include "Support/DelayedPort.h"
 #include "Support/SchedulerHarness.h"
@@ -28,48 +28,48 @@
   return Spec;
 }
 
-/// A pool in which the tasks of jobs named "killer..." crash their workers.
+/// A pool in which the tasks of jobs named "poison..." crash their workers.
 struct Scene {
   Scene() {
     Harness.addPool("p", PoolSize, Cores);
     Harness.Workers.CrashDelayOf =
         [this](const TaskId &Task) -> std::optional<Duration> {
-      bool IsKiller = Task.Job.rfind("killer", 0) == 0 &&
-                      (!KillingIndex || Task.Index == *KillingIndex);
-      return IsKiller ? std::optional(CrashDelay) : std::nullopt;
+      bool IsPoison = Task.Job.rfind("poison", 0) == 0 &&
+                      (!PoisonIndex || Task.Index == *PoisonIndex);
+      return IsPoison ? std::optional(CrashDelay) : std::nullopt;
     };
     Harness.beginLeadership();
     Harness.advanceTime(seconds(1));
   }
 
-  /// Submits an innocent job of eight tasks each 100 ms for this long.
+  /// Submits a healthy job of eight tasks each 100 ms for this long.
   void work(Duration For, Kind Which = Kind::Copied) {
     constexpr Duration Interval = milliseconds(100);
     for (Duration Passed{}; Passed < For; Passed += Interval) {
-      Harness.submitJob("innocent" + std::to_string(++Innocents), "p",
+      Harness.submitJob("healthy" + std::to_string(++HealthyJobs), "p",
                         makeSpec(Which, 8));
       Harness.advanceTime(Interval);
     }
   }
 
-  void expectNoInnocentFailed() {
+  void expectNoHealthyJobFailed() {
     for (const auto &[Id, Record] : Harness.Store.jobs()) {
-      bool IsInnocent = Id.rfind("killer", 0) != 0;
-      EXPECT_FALSE(IsInnocent && Record.State == JobState::Failed) << Id;
+      bool IsHealthy = Id.rfind("poison", 0) != 0;
+      EXPECT_FALSE(IsHealthy && Record.State == JobState::Failed) << Id;
     }
   }
 
-  void expectInnocentsCompleted() {
+  void expectHealthyJobsCompleted() {
     for (const auto &[Id, Record] : Harness.Store.jobs()) {
-      bool IsInnocent = Id.rfind("innocent", 0) == 0;
-      EXPECT_TRUE(!IsInnocent || Record.State == JobState::Completed) << Id;
+      bool IsHealthy = Id.rfind("healthy", 0) == 0;
+      EXPECT_TRUE(!IsHealthy || Record.State == JobState::Completed) << Id;
     }
   }
 
   SchedulerHarness Harness;
   Duration CrashDelay = milliseconds(10);
-  std::optional<uint32_t> KillingIndex; // Nothing for all tasks.
-  int Innocents = 0;
+  std::optional<uint32_t> PoisonIndex; // Nothing for all tasks.
+  int HealthyJobs = 0;
 };
 
 const std::vector<std::string> None;
@@ -79,27 +79,27 @@
 TEST(CrashingTasks, ATaskWithCopiesIsNotStartedOnAfterItsThirdCrash) {
   Scene S;
   S.work(seconds(2));
-  S.KillingIndex = 0;
-  S.Harness.submitJob("killer", "p", makeSpec(Kind::Copied, 6));
+  S.PoisonIndex = 0;
+  S.Harness.submitJob("poison", "p", makeSpec(Kind::Copied, 6));
   S.work(seconds(15));
   S.Harness.advanceTime(seconds(10));
   EXPECT_EQ(S.Harness.Workers.Violations, None);
-  EXPECT_EQ(S.Harness.jobState("killer"), JobState::Failed);
+  EXPECT_EQ(S.Harness.jobState("poison"), JobState::Failed);
   EXPECT_LE(S.Harness.Workers.TotalCrashes, 3);
-  S.expectInnocentsCompleted();
+  S.expectHealthyJobsCompleted();
 }
 
 TEST(CrashingTasks, ATaskWithoutCopiesIsNotStartedOnAfterItsThirdCrash) {
   Scene S;
   S.work(seconds(2), Kind::Plain);
-  S.KillingIndex = 0;
-  S.Harness.submitJob("killer", "p", makeSpec(Kind::Plain, 6));
+  S.PoisonIndex = 0;
+  S.Harness.submitJob("poison", "p", makeSpec(Kind::Plain, 6));
   S.work(seconds(25), Kind::Plain);
   S.Harness.advanceTime(seconds(10));
   EXPECT_EQ(S.Harness.Workers.Violations, None);
-  EXPECT_EQ(S.Harness.jobState("killer"), JobState::Failed);
+  EXPECT_EQ(S.Harness.jobState("poison"), JobState::Failed);
   EXPECT_LE(S.Harness.Workers.TotalCrashes, 3);
-  S.expectInnocentsCompleted();
+  S.expectHealthyJobsCompleted();
 }
 
 // All tasks of the step are alike: each of them crashing its own workers must
@@ -107,45 +107,45 @@
 TEST(CrashingTasks, AStepWhoseTasksAllCrashTheirWorkersTakesDownFewWorkers) {
   Scene S;
   S.work(seconds(2));
-  S.Harness.submitJob("killer", "p", makeSpec(Kind::Copied, 12));
+  S.Harness.submitJob("poison", "p", makeSpec(Kind::Copied, 12));
   S.work(seconds(15));
   S.Harness.advanceTime(seconds(10));
   EXPECT_EQ(S.Harness.Workers.Violations, None);
-  EXPECT_EQ(S.Harness.jobState("killer"), JobState::Failed);
+  EXPECT_EQ(S.Harness.jobState("poison"), JobState::Failed);
   EXPECT_LE(S.Harness.Workers.TotalCrashes, 5);
-  S.expectInnocentsCompleted();
+  S.expectHealthyJobsCompleted();
 }
 
 TEST(CrashingTasks, ALongRunningTaskIsNotStartedOnAfterItsThirdCrash) {
   Scene S;
-  S.KillingIndex = 1;
-  S.Harness.submitJob("killer", "p", makeSpec(Kind::LongRunning, 4));
+  S.PoisonIndex = 1;
+  S.Harness.submitJob("poison", "p", makeSpec(Kind::LongRunning, 4));
   S.Harness.submitJob("lasting", "p", makeSpec(Kind::LongRunning, 10));
   S.work(seconds(25));
   S.Harness.advanceTime(seconds(10));
   EXPECT_EQ(S.Harness.Workers.Violations, None);
-  EXPECT_EQ(S.Harness.jobState("killer"), JobState::Failed);
-  S.expectNoInnocentFailed();
+  EXPECT_EQ(S.Harness.jobState("poison"), JobState::Failed);
+  S.expectNoHealthyJobFailed();
 }
 
 TEST(CrashingTasks, AGangIsNotStartedOnAfterItsThirdCrash) {
   Scene S;
   S.work(seconds(2));
-  S.KillingIndex = 1;
-  S.Harness.submitJob("killer", "p", makeSpec(Kind::Gang, 5));
+  S.PoisonIndex = 1;
+  S.Harness.submitJob("poison", "p", makeSpec(Kind::Gang, 5));
   S.work(seconds(30));
   S.Harness.advanceTime(seconds(10));
   EXPECT_EQ(S.Harness.Workers.Violations, None);
-  EXPECT_EQ(S.Harness.jobState("killer"), JobState::Failed);
-  S.expectInnocentsCompleted();
+  EXPECT_EQ(S.Harness.jobState("poison"), JobState::Failed);
+  S.expectHealthyJobsCompleted();
 }
 
 // The users' day kills the leader; what is known of a crash must outlive it.
 TEST(CrashingTasks, ChangesOfLeaderDoNotRenewTheCountOfCrashes) {
   for (Kind Which : {Kind::Copied, Kind::Plain, Kind::LongRunning}) {
     Scene S;
-    S.KillingIndex = 0;
-    S.Harness.submitJob("killer", "p", makeSpec(Which, 3));
+    S.PoisonIndex = 0;
+    S.Harness.submitJob("poison", "p", makeSpec(Which, 3));
     int Seen = 0;
     for (int I = 0; I < 300; ++I) {
       S.work(milliseconds(100));
@@ -158,18 +158,18 @@
     }
     S.Harness.advanceTime(seconds(10));
     EXPECT_EQ(S.Harness.Workers.Violations, None);
-    EXPECT_EQ(S.Harness.jobState("killer"), JobState::Failed);
-    S.expectInnocentsCompleted();
+    EXPECT_EQ(S.Harness.jobState("poison"), JobState::Failed);
+    S.expectHealthyJobsCompleted();
   }
 }
 
 // Several at once leave most of the pool to the others.
 TEST(CrashingTasks, SeveralLeaveMostOfThePoolToTheOthers) {
   Scene S;
-  S.KillingIndex = 0;
+  S.PoisonIndex = 0;
   for (int I = 0; I < 4; ++I) {
     S.work(milliseconds(1500));
-    S.Harness.submitJob("killer" + std::to_string(I), "p",
+    S.Harness.submitJob("poison" + std::to_string(I), "p",
                         makeSpec(Kind::Copied, 6));
   }
   S.work(seconds(20));
@@ -177,9 +177,9 @@
   EXPECT_EQ(S.Harness.Workers.Violations, None);
   EXPECT_LE(S.Harness.Workers.TotalCrashes, 12);
   for (int I = 0; I < 4; ++I)
-    EXPECT_EQ(S.Harness.jobState("killer" + std::to_string(I)),
+    EXPECT_EQ(S.Harness.jobState("poison" + std::to_string(I)),
               JobState::Failed);
-  S.expectInnocentsCompleted();
+  S.expectHealthyJobsCompleted();
 }
 
 // Where other control VMs carry the orders, a crash is noticed late: the run is
@@ -190,19 +190,19 @@
   S.Harness.LeaderPort = &Slow;
   S.Harness.beginLeadership();
   S.Harness.advanceTime(seconds(1));
-  S.KillingIndex = 0;
+  S.PoisonIndex = 0;
   for (int I = 0; I < 4; ++I) {
     S.work(milliseconds(600), Kind::Plain);
-    S.Harness.submitJob("killer" + std::to_string(I), "p",
+    S.Harness.submitJob("poison" + std::to_string(I), "p",
                         makeSpec(Kind::Plain, 6));
   }
   S.work(seconds(40), Kind::Plain);
   S.Harness.advanceTime(seconds(10));
   EXPECT_EQ(S.Harness.Workers.Violations, None);
   for (int I = 0; I < 4; ++I)
-    EXPECT_EQ(S.Harness.jobState("killer" + std::to_string(I)),
+    EXPECT_EQ(S.Harness.jobState("poison" + std::to_string(I)),
               JobState::Failed);
-  S.expectInnocentsCompleted();
+  S.expectHealthyJobsCompleted();
   S.Harness.Scheduler.reset();
 }
 
@@ -211,28 +211,28 @@
   for (Kind Which : {Kind::Copied, Kind::Plain, Kind::LongRunning}) {
     Scene S;
     S.work(seconds(1), Kind::Plain);
-    S.KillingIndex = 0;
+    S.PoisonIndex = 0;
     for (size_t W = 0; W < PoolSize; W += 2) {
       WorkerFaults &Faults =
           S.Harness.Workers.at("p-" + std::to_string(W)).Faults;
       Faults.OrderDelay = seconds(3);
       Faults.DelayedOrderCount = 10;
     }
-    S.Harness.submitJob("killer", "p", makeSpec(Which, 4));
+    S.Harness.submitJob("poison", "p", makeSpec(Which, 4));
     S.work(seconds(30), Kind::Plain);
     S.Harness.advanceTime(seconds(10));
     EXPECT_EQ(S.Harness.Workers.Violations, None);
-    EXPECT_EQ(S.Harness.jobState("killer"), JobState::Failed);
-    S.expectNoInnocentFailed();
+    EXPECT_EQ(S.Harness.jobState("poison"), JobState::Failed);
+    S.expectNoHealthyJobFailed();
   }
 }
 
-// The leader and a data centre are lost while a killer is about.
+// The leader and a data centre are lost while a poison task is about.
 TEST(CrashingTasks, ACutWithAChangeOfLeaderBreaksNoBudget) {
   Scene S;
   S.work(seconds(2));
-  S.KillingIndex = 0;
-  S.Harness.submitJob("killer", "p", makeSpec(Kind::Copied, 6));
+  S.PoisonIndex = 0;
+  S.Harness.submitJob("poison", "p", makeSpec(Kind::Copied, 6));
   S.work(milliseconds(200));
   for (const char *Id : {"p-0", "p-1", "p-2"})
     S.Harness.Workers.at(Id).Faults.IsUnreachable = true;
@@ -243,8 +243,8 @@
   S.work(seconds(20));
   S.Harness.advanceTime(seconds(10));
   EXPECT_EQ(S.Harness.Workers.Violations, None);
-  EXPECT_EQ(S.Harness.jobState("killer"), JobState::Failed);
-  S.expectInnocentsCompleted();
+  EXPECT_EQ(S.Harness.jobState("poison"), JobState::Failed);
+  S.expectHealthyJobsCompleted();
 }
 
 // A worker that was cut off and answers again has not crashed.
@@ -264,8 +264,8 @@
   }
   S.Harness.advanceTime(seconds(10));
   EXPECT_EQ(S.Harness.Workers.Violations, None);
-  S.expectNoInnocentFailed();
-  S.expectInnocentsCompleted();
+  S.expectNoHealthyJobFailed();
+  S.expectHealthyJobsCompleted();
 }
 
 // Four workers at once have another cause than a task on one of them.
@@ -276,28 +276,28 @@
     S.Harness.Workers.crash(Id);
   S.work(seconds(8));
   S.Harness.advanceTime(seconds(10));
-  EXPECT_EQ(S.Harness.Scheduler->counters().Trials, 0U);
+  EXPECT_EQ(S.Harness.Scheduler->counters().Canaries, 0U);
   EXPECT_EQ(S.Harness.Workers.Violations, None);
-  S.expectInnocentsCompleted();
+  S.expectHealthyJobsCompleted();
 }
 
-// A second fault at the same time must not hide the killer.
-TEST(CrashingTasks, AKillerInALostRackIsStillGivenUp) {
+// A second fault at the same time must not hide the poison task.
+TEST(CrashingTasks, APoisonTaskInALostRackIsStillGivenUp) {
   Scene S;
   S.work(seconds(3));
-  S.KillingIndex = 0;
-  S.Harness.submitJob("killer", "p", makeSpec(Kind::Copied, 6));
+  S.PoisonIndex = 0;
+  S.Harness.submitJob("poison", "p", makeSpec(Kind::Copied, 6));
   S.Harness.advanceTime(milliseconds(8));
   for (const char *Id : {"p-4", "p-5", "p-6", "p-7"})
     S.Harness.Workers.crash(Id);
   S.work(seconds(20));
   S.Harness.advanceTime(seconds(10));
-  EXPECT_EQ(S.Harness.jobState("killer"), JobState::Failed);
+  EXPECT_EQ(S.Harness.jobState("poison"), JobState::Failed);
   EXPECT_EQ(S.Harness.Workers.Violations, None);
-  S.expectInnocentsCompleted();
+  S.expectHealthyJobsCompleted();
 }
 
-/// Half of the pool crashes each five seconds, without any killer.
+/// Half of the pool crashes each five seconds, without any poison task.
 TEST(CrashingTasks, NoJobIsGivenUpForCrashesOfItsWorkersAlone) {
   Scene S;
   S.Harness.submitJob("lasting", "p", makeSpec(Kind::LongRunning, 20));
@@ -311,26 +311,26 @@
   }
   S.Harness.advanceTime(seconds(15));
   EXPECT_EQ(S.Harness.Workers.Violations, None);
-  S.expectNoInnocentFailed();
-  S.expectInnocentsCompleted();
+  S.expectNoHealthyJobFailed();
+  S.expectHealthyJobsCompleted();
 }
 
-/// Submits innocents and killers of all kinds while workers crash for reasons
-/// of their own and leaders change.
+/// Submits healthy jobs and poison jobs of all kinds while workers crash for
+/// reasons of their own and leaders change.
 void playMix(uint32_t Seed) {
   Scene S;
   std::mt19937 Random(Seed);
   S.CrashDelay = milliseconds(1 + Random() % 60);
-  S.KillingIndex = 0;
+  S.PoisonIndex = 0;
   S.Harness.submitJob("lasting", "p", makeSpec(Kind::LongRunning, 12));
-  std::vector<JobId> Killers;
+  std::vector<JobId> PoisonJobs;
   for (int I = 0; I < 300; ++I) {
     Kind Which = static_cast<Kind>(Random() % 3);
-    S.Harness.submitJob("innocent" + std::to_string(++S.Innocents), "p",
+    S.Harness.submitJob("healthy" + std::to_string(++S.HealthyJobs), "p",
                         makeSpec(Which, 1 + Random() % 8));
     if (Random() % 75 == 0) {
-      Killers.push_back("killer" + std::to_string(I));
-      S.Harness.submitJob(Killers.back(), "p",
+      PoisonJobs.push_back("poison" + std::to_string(I));
+      S.Harness.submitJob(PoisonJobs.back(), "p",
                           makeSpec(static_cast<Kind>(Random() % 4), 4));
     }
     // Each worker crashes about once in 20 s.
@@ -342,13 +342,13 @@
   }
   S.Harness.advanceTime(seconds(40));
   EXPECT_EQ(S.Harness.Workers.Violations, None);
-  for (const JobId &Killer : Killers)
-    EXPECT_EQ(S.Harness.jobState(Killer), JobState::Failed) << Killer;
-  S.expectNoInnocentFailed();
-  S.expectInnocentsCompleted();
+  for (const JobId &PoisonJob : PoisonJobs)
+    EXPECT_EQ(S.Harness.jobState(PoisonJob), JobState::Failed) << PoisonJob;
+  S.expectNoHealthyJobFailed();
+  S.expectHealthyJobsCompleted();
 }
 
-TEST(CrashingTasks, KillersAreToldFromInnocentsBesideUnrelatedCrashes) {
+TEST(CrashingTasks, PoisonIsToldFromHealthyJobsBesideUnrelatedCrashes) {
   for (uint32_t Seed = 1; Seed <= 20; ++Seed) {
     SCOPED_TRACE(Seed);
     playMix(Seed);
--- a/Tests/Jobs/JobStoreTest.cpp
+++ b/Tests/Jobs/JobStoreTest.cpp
@@ -84,7 +84,7 @@
   Store.apply(makeJob("a", makeChainSpec(1, 2, 1, 1)));
   Store.apply(RecordLosses{{{Task, {makeLoss(1, false), makeLoss(2, true)}}}});
   EXPECT_EQ(Store.findJob("a")->State, JobState::Running);
-  // A silent worker convicts nobody.
+  // A silent worker may only be cut off.
   Store.apply(RecordLosses{{{Task,
                              {makeLoss(1, false), makeLoss(2, true),
                               makeLoss(3, true, /*IsCertain=*/false)}}}});
