Scheduling: the tasks of a long-running step do not wait for each other's canaries

Cause, by reading: of a step with suspects only one starts at a time; the 9 s after which a long-running task starts in any case began anew with each loss of its step, and even then only the suspect itself started. So a step of 24 waited for as long as losses came. Now the time runs from the first loss since a canary survived, and then all tasks of the step may start; what they may at most is bounded by the evidence as before.

--- a/Source/Scheduling/CrashSuspicion.cpp
+++ b/Source/Scheduling/CrashSuspicion.cpp
@@ -47,8 +47,12 @@
   bool HasWaitedLong =
       Step.CanaryAwaitedSince && Now - *Step.CanaryAwaitedSince > MaxWait;
   bool IsAbsentForLong =
-      Spec.LongRunning && Now - Step.LastLossAt > Options.MaxLongRunningAbsence;
+      Spec.LongRunning && Step.SuspectedSince &&
+      Now - *Step.SuspectedSince > Options.MaxLongRunningAbsence;
   Caution.NeedsCanary = Caution.Suspect && !HasWaitedLong && !IsAbsentForLong;
+  // The tasks beside it must not wait for each other, too.
+  if (IsAbsentForLong)
+    Caution.Suspect.reset();
   return Caution;
 }
 
@@ -67,6 +71,7 @@
 }
 
 void releaseStep(StepProgress &Step, uint32_t Passed) {
+  Step.SuspectedSince.reset();
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
     TaskProgress &Task = Step.Tasks[I];
     if (I == Passed || Task.Losses.size() <= 1)
--- a/Source/Scheduling/DispatcherLosses.cpp
+++ b/Source/Scheduling/DispatcherLosses.cpp
@@ -142,7 +142,8 @@
     Losses.push_back(Loss);
     StepProgress &Step = *Jobs.at(Task.Job)->findStep(Task);
     Step.HasLosses = true;
-    Step.LastLossAt = Timers.now();
+    if (!Step.SuspectedSince)
+      Step.SuspectedSince = Timers.now();
     Step.CanaryAwaitedSince.reset();
     OpenLosses[Worker.key()].insert(Task);
     onLossesChanged(Task);
@@ -210,6 +211,12 @@
       !IsSignificant && !TaskState.WereLossesProposed;
   if (TaskState.WereLossesProposed)
     LossesToPropose.insert(Task);
+  StepProgress &Step = *Job.findStep(Task);
+  Step.HasLosses = std::any_of(
+      Step.Tasks.begin(), Step.Tasks.end(),
+      [](const TaskProgress &Other) { return !Other.Losses.empty(); });
+  if (!Step.HasLosses)
+    Step.SuspectedSince.reset();
   markPoolDirty(Job.Pool);
   if (weighLosses(Job.lossesOf(Task), LossWeighing::CertainOnly) >=
       CrashEvidenceLimit)
@@ -242,7 +249,7 @@
       StepProgress &Step = Job.Occurrences[K].Steps[S];
       if (!Step.HasLosses)
         continue;
-      Step.LastLossAt = Timers.now();
+      Step.SuspectedSince = Timers.now();
       for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
         TaskId Task{Job.id(), K, S, I};
         if (restoreLosses(Task, Step.Tasks[I].Losses))
--- a/Source/Scheduling/JobProgress.h
+++ b/Source/Scheduling/JobProgress.h
@@ -64,7 +64,8 @@
   StepAdvice Advice;
   std::map<WorkerKey, uint32_t> RunsPerWorker; // Runs on each worker.
   bool HasLosses = false; // Some task of it was lost with a worker.
-  Instant LastLossAt;
+  /// When the first of the losses came since a canary of the step survived.
+  std::optional<Instant> SuspectedSince;
   /// Since when no worker has been free for a canary, though one may be held.
   std::optional<Instant> CanaryAwaitedSince;
 
--- a/Tests/Jobs/CrashingTasksTest.cpp
+++ b/Tests/Jobs/CrashingTasksTest.cpp
@@ -247,6 +247,32 @@
   S.expectHealthyJobsCompleted();
 }
 
+// The tasks of a long-running step waited for one suspect after the other, for
+// as long as new losses came.
+TEST(CrashingTasks, LongRunningTasksDoNotWaitForEachOthersCanaries) {
+  StepSpec Spec = makeSpec(Kind::LongRunning, 4).Steps[0];
+  StepProgress Step;
+  Step.Tasks.resize(Spec.Count);
+  Step.HasLosses = true;
+  Instant Now(seconds(100));
+  Step.SuspectedSince = Now - seconds(2);
+  for (uint32_t Attempt : {1, 2})
+    for (uint32_t I : {0, 1}) {
+      RunLoss Loss;
+      Loss.Attempt = Attempt;
+      Loss.WasSudden = true;
+      Step.Tasks[I].Losses.push_back(Loss);
+    }
+  StepCaution Soon = assessStep(Spec, Step, {}, Now);
+  EXPECT_TRUE(Soon.NeedsCanary);
+  EXPECT_TRUE(Soon.mayStart(0));
+  EXPECT_FALSE(Soon.mayStart(1));
+  StepCaution Later = assessStep(Spec, Step, {}, Now + seconds(8));
+  EXPECT_FALSE(Later.NeedsCanary);
+  for (uint32_t I = 0; I < Spec.Count; ++I)
+    EXPECT_TRUE(Later.mayStart(I)) << I;
+}
+
 // A worker that was cut off and answers again has not crashed.
 TEST(CrashingTasks, ACutOffWorkerIsNoCrash) {
   Scene S;
