Fleet, Scheduling, platform: evacuation of a data centre

Cause: operators of one deployment ask that nothing more is sent to a data centre's workers, and take that back; the calls were answered 404, and nothing kept the order.

Change: the order is a command of the replicated state, acknowledged after its commit and again when it is sent again. The leader places nothing on workers of an evacuated data centre, lets short tasks there end, and moves long-running ones within their disruption budget while there is capacity elsewhere. Its VMs take no part in pool moves.

--- a/Source/Fleet/Codecs.h
+++ b/Source/Fleet/Codecs.h
@@ -100,15 +100,21 @@
 struct WaveQuery {
   uint64_t Wave = 0;
 };
+/// An operator's order to evacuate a data centre, or to end its evacuation.
+struct EvacuationOrder {
+  std::string DataCentre;
+  bool Active = false;
+};
 /// A request that cannot be handled, with the reason for the sender.
 struct InvalidControlRequest {
-  bool IsNotFound = false; // Respond with 404 instead of 400.
+  enum class ReasonCode : uint8_t { Malformed, NotFound, Conflict };
+  ReasonCode Reason = ReasonCode::Malformed;
   std::string Detail;
 };
 
 using ControlRequest =
     std::variant<WorkerReport, WorkerDeregistration, ConfigurationUpload,
-                 ConfigurationQuery, StartWave, WaveQuery,
+                 ConfigurationQuery, StartWave, WaveQuery, EvacuationOrder,
                  InvalidControlRequest>;
 
 /// Translates the requests of workers and operators at control VMs.
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "Agreement/RaftCodec.h"
 
+#include <algorithm>
 #include <chrono>
 #include <random>
 #include <utility>
@@ -225,6 +226,8 @@
     Scheduler->onJobAccepted(Accepted->Job);
   if (const auto *Cancelled = std::get_if<CancelJob>(&Command))
     Scheduler->onJobCancelled(Cancelled->Job);
+  if (std::holds_alternative<SetEvacuation>(Command) && Changed)
+    Scheduler->onEvacuationChanged();
 }
 
 std::string SchedulerDaemon::snapshot() const { return State.snapshot(); }
@@ -431,11 +434,14 @@
   }
   if (const auto *Wave = std::get_if<StartWave>(&Request))
     return handleStartWave(Exchange, *Wave);
+  if (const auto *Order = std::get_if<EvacuationOrder>(&Request))
+    return handleEvacuation(Exchange, *Order);
   const auto &Query = std::get<WaveQuery>(Request);
   auto Found = State.waves().find(Query.Wave);
   if (Found == State.waves().end())
-    return Exchange->respond(
-        Ports.Control.refusalResponse({true, "no such wave was announced"}));
+    return Exchange->respond(Ports.Control.refusalResponse(
+        {InvalidControlRequest::ReasonCode::NotFound,
+         "no such wave was announced"}));
   Exchange->respond(Ports.Control.waveResponse(Found->second.isCompleted()));
 }
 
@@ -507,6 +513,43 @@
   proposeAndRespond(Exchange, StampedWave, "wave_announced");
 }
 
+bool SchedulerDaemon::isKnownDataCentre(const std::string &Name) const {
+  const std::vector<std::string> &Known = Settings.DataCentres;
+  if (!Known.empty())
+    return std::find(Known.begin(), Known.end(), Name) != Known.end();
+  const auto &Workers = State.workers();
+  return std::any_of(Workers.begin(), Workers.end(), [&](const auto &Item) {
+    return Item.second.DataCentre == Name;
+  });
+}
+
+void SchedulerDaemon::handleEvacuation(const ExchangePtr &Exchange,
+                                       const EvacuationOrder &Order) {
+  using ReasonCode = InvalidControlRequest::ReasonCode;
+  auto Refuse = [&](ReasonCode Reason, const std::string &Detail) {
+    Events.log("evacuation_refused",
+               {{"data_centre", Order.DataCentre}, {"detail", Detail}});
+    Exchange->respond(Ports.Control.refusalResponse({Reason, Detail}));
+  };
+  if (!isKnownDataCentre(Order.DataCentre))
+    return Refuse(ReasonCode::NotFound, "no such data centre");
+  // The end of an evacuation may be sent again, the end of none is a mistake.
+  if (!Order.Active && !State.evacuations().count(Order.DataCentre))
+    return Refuse(ReasonCode::Conflict,
+                  "the data centre has not been evacuated");
+  if (State.isEvacuated(Order.DataCentre) == Order.Active)
+    return Exchange->respond(Ports.Control.acknowledgement());
+  propose(SetEvacuation{Order.DataCentre, Order.Active, wallNow()},
+          [this, Exchange, Order](ProposalOutcome Outcome) {
+            bool Committed = Outcome == ProposalOutcome::Committed;
+            Events.log("evacuation", {{"data_centre", Order.DataCentre},
+                                      {"active", Order.Active},
+                                      {"committed", Committed}});
+            Exchange->respond(Committed ? Ports.Control.acknowledgement()
+                                        : Ports.Control.unavailableResponse());
+          });
+}
+
 // Requests of entry VMs and other control VMs.
 
 void SchedulerDaemon::handleInternalRequest(const ExchangePtr &Exchange) {
--- a/Source/Fleet/SchedulerDaemon.h
+++ b/Source/Fleet/SchedulerDaemon.h
@@ -90,6 +90,9 @@
   void handleConfigurationUpload(const ExchangePtr &Exchange,
                                  const ServiceConfiguration &Content);
   void handleStartWave(const ExchangePtr &Exchange, const StartWave &Wave);
+  void handleEvacuation(const ExchangePtr &Exchange,
+                        const EvacuationOrder &Order);
+  bool isKnownDataCentre(const std::string &Name) const;
   /// Proposes a command, logs \p Event with the outcome and responds.
   void proposeAndRespond(const ExchangePtr &Exchange, const JobCommand &Command,
                          const char *Event);
--- a/Source/Fleet/SchedulerMetrics.cpp
+++ b/Source/Fleet/SchedulerMetrics.cpp
@@ -2,6 +2,8 @@
 
 #include "Fleet/SchedulerDaemon.h"
 
+#include <algorithm>
+
 namespace mimosashunt {
 
 std::string SchedulerDaemon::metricsText() {
@@ -22,6 +24,14 @@
       .gauge("mimosashunt_batches_refused",
              "Batches of orders that were not carried")
       .Set(static_cast<double>(Carrier.refusedBatches()));
+  const auto &Evacuations = State.evacuations();
+  auto Evacuated =
+      std::count_if(Evacuations.begin(), Evacuations.end(),
+                    [](const auto &Item) { return Item.second.Active; });
+  Registry
+      .gauge("mimosashunt_data_centres_evacuated",
+             "Data centres in which nothing is started")
+      .Set(static_cast<double>(Evacuated));
   constexpr double MicrosPerSecond = 1e6;
   Registry
       .gauge("mimosashunt_loop_lateness_seconds",
--- a/Source/Pools/PoolMover.cpp
+++ b/Source/Pools/PoolMover.cpp
@@ -77,7 +77,9 @@
       ByVm[Worker.Entry.Vm] = &Worker;
   std::vector<PoolVm> Result;
   for (const auto &[Name, Entry] : Vms) {
-    if (InFlight.count(Name) || Entry.Phase != VmPhase::Up)
+    // In an evacuated data centre a VM is of no use to any pool.
+    if (InFlight.count(Name) || Entry.Phase != VmPhase::Up ||
+        Scheduler.isEvacuated(Entry.DataCentre))
       continue;
     PoolVm Vm{Name,
               Entry.Pool,
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -95,6 +95,11 @@
   }
 }
 
+void Dispatcher::onEvacuationChanged() {
+  for (const auto &[Key, Worker] : Table.all())
+    markPoolDirty(Worker.Entry.Pool);
+}
+
 bool Dispatcher::isReconciled(const std::string &Pool) const {
   if (Timers.now() >= StartedAt + Table.maxLeaseDuration())
     return true;
@@ -241,6 +246,7 @@
   }
   for (const WorkerKey &Key : Expired)
     removeWorker(Key, "forgotten", /*HasCrashed=*/false);
+  drainEvacuatedDataCentres();
   // Due times, objectives and advice depend on the time, so each pool with
   // unfinished jobs is scheduled again.
   PendingJobs.clear();
@@ -377,8 +383,6 @@
 
 bool Dispatcher::drainVm(const std::string &Vm) {
   bool IsIdle = true;
-  // A leader that is behind would not start elsewhere soon what it stops.
-  bool IsBehind = responseDelay() > Options.Starts.TargetDelay;
   for (auto &[Key, Worker] : Table.all()) {
     if (Worker.Entry.Vm != Vm || Vm.empty())
       continue;
@@ -389,7 +393,8 @@
       auto Job = Jobs.find(Task.Job);
       bool IsWanted = Job != Jobs.end() && !Job->second->HasEnded;
       // A worker that leaves ends its runs in any case.
-      bool MayStop = Worker.Entry.Leaving || (!IsBehind && mayDrain(Task));
+      bool MayStop =
+          Worker.Entry.Leaving || (!isTooBusyToDrain() && mayDrain(Task));
       if (IsWanted && MayStop)
         stopRun(Worker, Task);
     }
@@ -397,6 +402,49 @@
   return IsIdle;
 }
 
+void Dispatcher::drainEvacuatedDataCentres() {
+  if (isTooBusyToDrain() || !mayIssueOrders())
+    return;
+  std::set<std::string> Pools;
+  for (const auto &[Key, Worker] : Table.all())
+    if (Worker.LongRunningCount > 0 && isEvacuated(Worker.Entry.DataCentre))
+      Pools.insert(Worker.Entry.Pool);
+  for (const std::string &Pool : Pools)
+    drainEvacuatedPool(Pool);
+}
+
+void Dispatcher::drainEvacuatedPool(const std::string &Pool) {
+  PlacementPass Pass(findCandidates(Table, Pool, Health, Store, Timers.now()));
+  // One task of a step at a time, so that a step without a disruption budget
+  // is not taken down as a whole.
+  std::set<std::pair<JobId, uint32_t>> Moved;
+  for (const auto &[Key, Worker] : Table.workersInPool(Pool)) {
+    if (!Worker->IsReachable || !isEvacuated(Worker->Entry.DataCentre))
+      continue;
+    for (auto &[Task, CurrentRun] : Worker->Runs) {
+      auto Job = Jobs.find(Task.Job);
+      bool MayMove = CurrentRun.LongRunning &&
+                     CurrentRun.State == RunState::Running &&
+                     Job != Jobs.end() && !Job->second->HasEnded &&
+                     !Moved.count({Task.Job, Task.Step}) && mayDrain(Task);
+      if (!MayMove)
+        continue;
+      StepProgress &Step = *Job->second->findStep(Task);
+      PlacementRequest Request{&Job->second->stepSpec(Task.Step), &Step,
+                               &Step.Tasks[Task.Index],
+                               Job->second->NeedsAdvice, Timers.now()};
+      if (Pass.placeTask(Request) == nullptr) {
+        if (Job->second->NeedsAdvice)
+          requestAdvice(*Job->second, Task.Occurrence, Task.Step,
+                        Pass.candidates());
+        continue;
+      }
+      Moved.emplace(Task.Job, Task.Step);
+      stopRun(*Worker, Task);
+    }
+  }
+}
+
 int64_t Dispatcher::workerStartTime(const std::string &Vm) const {
   int64_t StartMs = 0;
   for (const auto &[Key, Worker] : Table.all())
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -161,6 +161,7 @@
   void onJobAccepted(const JobId &Job);
   void onJobCancelled(const JobId &Job);
   void onConfigurationChanged();
+  void onEvacuationChanged();
 
   /// Processes a worker's report. \p Acknowledge is called once the report may
   /// be answered; its argument is false if the change was not committed.
@@ -206,6 +207,9 @@
   /// them up.
   PoolDemand computeDemand(const std::string &Pool) const;
 
+  bool isEvacuated(const std::string &DataCentre) const {
+    return Store.isEvacuated(DataCentre);
+  }
   const WorkerTable &workers() const { return Table; }
   uint64_t token() const { return Token; }
   const DispatcherCounters &counters() const { return Counters; }
@@ -239,6 +243,15 @@
   bool isServing(const StepProgress &Step, const TaskId &Task) const;
   /// Returns true if the task's step can do without it now.
   bool mayDrain(const TaskId &Task) const;
+  /// Returns true if the leader is so far behind that it would not start
+  /// elsewhere soon what it stops.
+  bool isTooBusyToDrain() const {
+    return responseDelay() > Options.Starts.TargetDelay;
+  }
+  /// Stops long-running tasks in evacuated data centres for which there is
+  /// capacity elsewhere.
+  void drainEvacuatedDataCentres();
+  void drainEvacuatedPool(const std::string &Pool);
 
   // Polling of workers.
   void pollDueWorkers();
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -94,7 +94,7 @@
 void Dispatcher::schedulePool(const std::string &Pool) {
   if (Pool.empty())
     return;
-  PlacementPass Pass(findCandidates(Table, Pool, Health, Timers.now()));
+  PlacementPass Pass(findCandidates(Table, Pool, Health, Store, Timers.now()));
   if (Pass.candidates().empty())
     return;
   std::vector<JobProgress *> List;
--- a/Source/Scheduling/Placement.cpp
+++ b/Source/Scheduling/Placement.cpp
@@ -166,7 +166,8 @@
 
 std::vector<Candidate> findCandidates(WorkerTable &Table,
                                       const std::string &Pool,
-                                      const WorkerHealth &Health, Instant Now) {
+                                      const WorkerHealth &Health,
+                                      const JobStore &Store, Instant Now) {
   std::vector<Candidate> Result;
   const std::map<WorkerKey, TrackedWorker *> &Workers =
       Table.workersInPool(Pool);
@@ -174,7 +175,8 @@
   for (const auto &[Key, Worker] : Workers) {
     bool IsUsable = Worker->IsCommitted && Worker->IsSynced &&
                     Worker->IsReachable && !Worker->Entry.Leaving &&
-                    !Worker->IsCordoned;
+                    !Worker->IsCordoned &&
+                    !Store.isEvacuated(Worker->Entry.DataCentre);
     if (!IsUsable || Health.isEjected(Key, Now))
       continue;
     Result.push_back({Worker, Worker->freeResources(), Worker->Runs.size(),
--- a/Source/Scheduling/Placement.h
+++ b/Source/Scheduling/Placement.h
@@ -35,10 +35,12 @@
 /// Long-running tasks that have survived on it for some seconds do not count.
 size_t countUnproven(const TrackedWorker &Worker);
 
-/// Returns the pool's workers that may get new tasks.
+/// Returns the pool's workers that may get new tasks. \p Store tells which data
+/// centres are evacuated.
 std::vector<Candidate> findCandidates(WorkerTable &Table,
                                       const std::string &Pool,
-                                      const WorkerHealth &Health, Instant Now);
+                                      const WorkerHealth &Health,
+                                      const JobStore &Store, Instant Now);
 
 /// The requirements of one task to be placed.
 struct PlacementRequest {
--- a/Tests/Platform/CallCodecTest.cpp
+++ b/Tests/Platform/CallCodecTest.cpp
@@ -220,6 +220,36 @@
       Codec.decode(makeRequest("GET", "/mimosashunt/nothing"))));
 }
 
+TEST(ControlCalls, ReadsEvacuationOrders) {
+  ConfigurationCodec Reader;
+  ControlCalls Codec(Reader);
+  ControlRequest Read =
+      Codec.decode(makeRequest("POST", "/mimosashunt/evacuate/arusha-a/start"));
+  const auto *Order = std::get_if<EvacuationOrder>(&Read);
+  ASSERT_NE(Order, nullptr);
+  EXPECT_EQ(Order->DataCentre, "arusha-a");
+  EXPECT_TRUE(Order->Active);
+  Read = Codec.decode(
+      makeRequest("POST", "/mimosashunt/evacuate/arusha-a/finish"));
+  ASSERT_NE(std::get_if<EvacuationOrder>(&Read), nullptr);
+  EXPECT_FALSE(std::get<EvacuationOrder>(Read).Active);
+}
+
+TEST(ControlCalls, RefusesMalformedEvacuationOrders) {
+  ConfigurationCodec Reader;
+  ControlCalls Codec(Reader);
+  auto StatusOf = [&](const HttpRequest &Request) {
+    ControlRequest Read = Codec.decode(Request);
+    const auto *Invalid = std::get_if<InvalidControlRequest>(&Read);
+    return Invalid == nullptr ? 0 : Codec.refusalResponse(*Invalid).Status;
+  };
+  const std::string Prefix = "/mimosashunt/evacuate/";
+  EXPECT_EQ(StatusOf(makeRequest("POST", Prefix + "a/start", "{}")), 400);
+  for (const char *Suffix : {"a", "a/", "/start", "a/begin", "a/start/now", ""})
+    EXPECT_EQ(StatusOf(makeRequest("POST", Prefix + Suffix)), 404) << Suffix;
+  EXPECT_EQ(StatusOf(makeRequest("GET", Prefix + "a/start")), 404);
+}
+
 TEST(Fields, TaskIdRoundTrips) {
   TaskId Task{Id, 2, 1, 17};
   EXPECT_EQ(formatTaskId(Task), Id + ".2.1.17");
--- a/Tests/Support/SchedulerHarness.cpp
+++ b/Tests/Support/SchedulerHarness.cpp
@@ -67,6 +67,8 @@
     Scheduler->onJobAccepted(Accepted->Job);
   if (const auto *Cancelled = std::get_if<CancelJob>(&Command))
     Scheduler->onJobCancelled(Cancelled->Job);
+  if (std::holds_alternative<SetEvacuation>(Command))
+    Scheduler->onEvacuationChanged();
 }
 
 void SchedulerHarness::beginLeadership() {
@@ -118,6 +120,11 @@
   commitCommand(Command);
 }
 
+void SchedulerHarness::setEvacuation(const std::string &DataCentre,
+                                     bool Active) {
+  commitCommand(SetEvacuation{DataCentre, Active, wallNow()});
+}
+
 void SchedulerHarness::cancelJob(const JobId &Job) {
   commitCommand(CancelJob{Job});
 }
--- a/Tests/Support/SchedulerHarness.h
+++ b/Tests/Support/SchedulerHarness.h
@@ -33,6 +33,7 @@
   void submitJob(const JobId &Job, const std::string &Queue, JobSpec Spec,
                  const std::string &Organisation = "org");
   void cancelJob(const JobId &Job);
+  void setEvacuation(const std::string &DataCentre, bool Active);
   /// Advances virtual time in steps of one millisecond.
   void advanceTime(Duration For);
 
--- a/Tests/Support/VirtualWorkers.cpp
+++ b/Tests/Support/VirtualWorkers.cpp
@@ -331,9 +331,13 @@
     for (const auto &[Task, How] : Ended)
       endRun(Worker, Task, How);
     // A result that was not committed before the lease expired does not count.
-    if (Timers.now() >= Worker.LeaseEnd)
-      for (const FinishedRun &End : Worker.Finished)
+    // The task may be done elsewhere later, so each end is discounted once.
+    if (Timers.now() < Worker.LeaseEnd)
+      continue;
+    for (const FinishedRun &End : Worker.Finished)
+      if (End.Number > Worker.DiscountedEnds)
         CompletedTasks.erase(End.Task);
+    Worker.DiscountedEnds = Worker.LastSequenceNumber;
   }
 }
 
--- a/Tests/Support/VirtualWorkers.h
+++ b/Tests/Support/VirtualWorkers.h
@@ -56,6 +56,8 @@
   std::map<TaskId, uint32_t> HighestEndedAttempts;
   std::vector<FinishedRun> Finished; // Kept until acknowledged.
   uint64_t LastSequenceNumber = 0;
+  /// Ends up to this number were not committed before the lease expired.
+  uint64_t DiscountedEnds = 0;
   /// Polls that wait for a run to end.
   std::vector<std::function<void()>> WaitingPolls;
 };
--- a/Utilities/jobfleet.sh
+++ b/Utilities/jobfleet.sh
@@ -10,7 +10,7 @@
   local ip="127.0.$net.$2" role=""
   if [ "$3" = control ]; then
     role="\"controlListen\": \"$ip:7400\", \"dataFolder\": \"$work/disk-$1\", \"firstStart\": ${first_start:-true},
- \"platformOrdersPerSecond\": 4"
+ \"platformOrdersPerSecond\": 4${known_data_centres:+, \"dataCentres\": [$known_data_centres]}"
     mkdir -p "$work/disk-$1"
   else
     role="\"callersListen\": \"$ip:7300\", \"readyListen\": \"$ip:7301\""
