Scheduling: starts wait until their workers are on the jobs' records

Cause: starts are not committed, so a new leader must read every worker of a pool before it starts any job of an earlier leader there; one partitioned data centre holds all of them up for the longest lease.

Change: PlacementRecords keeps the start of a job with RecordsPlacements back until the pair of job and worker is committed. The run is booked at once; its order and lease follow the commit. A new leader waits, for each such job, only for the workers on its record that it has not read. Jobs without the flag are treated as before.

--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -655,6 +655,7 @@
   Command.MaxAttempts = Queue->MaxAttempts;
   Command.AcceptedAt = wallNow();
   Command.Spec = Request.Spec;
+  Command.RecordsPlacements = Settings.RecordPlacements;
   propose(Command, [this, Respond, Job = Request.Job,
                     Queue = Request.Queue](ProposalOutcome Outcome) {
     JobResponse Result;
--- a/Source/Fleet/SchedulerMetrics.cpp
+++ b/Source/Fleet/SchedulerMetrics.cpp
@@ -102,6 +102,18 @@
   SetGauge("mimosashunt_overloaded",
            "1 while new jobs are refused since the leader is behind",
            Scheduler->isOverloaded() ? 1 : 0);
+  SetGauge("mimosashunt_placements_recorded",
+           "Pairs of job and worker that were committed",
+           Counters.RecordedPlacements);
+  SetGauge("mimosashunt_starts_unrecorded",
+           "Starts that wait until their worker is on the job's record",
+           Scheduler->unrecordedStarts());
+  SetGauge("mimosashunt_starts_withdrawn",
+           "Starts that were booked and never ordered",
+           Counters.WithdrawnStarts);
+  SetGauge("mimosashunt_jobs_unlocated",
+           "Jobs that wait for workers of an earlier leader",
+           Scheduler->unlocatedJobs());
   SetGauge("mimosashunt_carriers", "Control VMs that carry orders",
            CarriedWorkers.usableCarriers());
   SetGauge("mimosashunt_orders_carried",
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -20,7 +20,8 @@
       FirstAttempt(static_cast<uint32_t>(Token - 1) *
                    Options.AttemptsPerLeadership),
       StartedAt(Timers.now()), Table(Options.Lease), Starts(Options.Starts),
-      Health(Options.Health), AliveFlag(std::make_shared<bool>(true)) {
+      Records(Store), Health(Options.Health),
+      AliveFlag(std::make_shared<bool>(true)) {
   loadStore();
   TickTimer = Timers.scheduleEvery(TickPeriod, [this] { onTick(); });
 }
@@ -56,6 +57,8 @@
   auto Job =
       std::make_unique<JobProgress>(Record, *Queue, FirstAttempt, AcceptedAt);
   Job->IsInherited = IsInherited;
+  if (IsInherited)
+    Job->InheritedWorkers = Record.Placements;
   double Work = static_cast<double>(Record.Job.Spec.totalCoreMs());
   constexpr double SmoothingFactor = 0.05;
   MeanJobCoreMs =
@@ -256,6 +259,7 @@
     markPoolDirty(Job->Pool);
     PendingJobs[Job->job().Queue] += Job->HasStarted ? 0 : 1;
   }
+  reportUnlocatedJobs();
   proposeResults();
   proposeLosses();
   probeCanaries();
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -14,6 +14,7 @@
 #include "Scheduling/JobProgress.h"
 #include "Scheduling/Pacing.h"
 #include "Scheduling/Placement.h"
+#include "Scheduling/PlacementRecords.h"
 #include "Scheduling/ResponseDelay.h"
 #include "Scheduling/StartWindow.h"
 #include "Scheduling/WorkerHealth.h"
@@ -75,8 +76,15 @@
   /// A worker that neither answers polls nor sends reports for this long is
   /// removed.
   Duration WorkerRemovalTimeout = seconds(12);
-  /// Commit on which workers a job may run before its first start there.
+  /// Rely on the record of the workers on which a job may run, for jobs that
+  /// have one. Jobs with a record are recorded in any case.
   bool RecordsPlacements = false;
+  /// How long no start is booked that needs a record after one was not
+  /// committed.
+  Duration RecordRetryInterval = milliseconds(100);
+  /// A job that waits for workers of an earlier leader is reported if it still
+  /// does so by then. Workers that answer have been read before.
+  Duration UnlocatedReportDelay = milliseconds(500);
   /// Let tasks wait for capacity near their data while that pays.
   bool WaitsForLocality = false;
   /// How many times as long a task runs far from its data.
@@ -144,6 +152,9 @@
   uint64_t UnrenewedRuns = 0;
   /// Renewals apart from polls.
   uint64_t Renewals = 0;
+  uint64_t RecordedPlacements = 0; // Pairs of job and worker.
+  /// Starts that were booked and never ordered.
+  uint64_t WithdrawnStarts = 0;
 };
 
 /// Schedules jobs onto workers while this VM is leader.
@@ -220,18 +231,32 @@
   /// so that new jobs would only make all of them late.
   bool isOverloaded() const { return Starts.isOverloaded(Timers.now()); }
   size_t startWindow() const { return Starts.size(); }
+  /// Returns how many starts wait until their workers are recorded.
+  size_t unrecordedStarts() const { return Records.waitingStarts(); }
+  /// Returns how many jobs waited at the last tick for workers on which an
+  /// earlier leader may have started them.
+  size_t unlocatedJobs() const { return UnlocatedJobs; }
   /// Returns the time since the oldest lease of a reachable worker with runs
   /// was renewed.
   Duration oldestRenewalAge() const;
-  /// Returns true once all runs in the pool that an earlier leader may have
-  /// started are known or their leases have expired.
-  bool isReconciled(const std::string &Pool) const;
 
 private:
   struct Flush {
     std::map<WorkerKey, uint64_t> ProcessedEnds;
   };
 
+  // Jobs of earlier leaders.
+  /// Returns true once all runs in the pool that an earlier leader may have
+  /// started are known or their leases have expired.
+  bool isReconciled(const std::string &Pool) const;
+  /// Returns true if the worker may have runs of an earlier leader that are not
+  /// known.
+  bool isUnread(const WorkerKey &Key) const;
+  /// Returns true if an earlier leader may have started tasks of the job that
+  /// are not known.
+  bool mayHaveUnlocatedRuns(const JobProgress &Job) const;
+  void reportUnlocatedJobs();
+
   void loadStore();
   void addJob(const JobRecord &Record, bool IsInherited);
   bool mayIssueOrders() const {
@@ -335,14 +360,34 @@
                               StepProgress &Step, PlacementPass &Pass);
 
   // Starting and stopping of runs.
-  void startRun(JobProgress &Job, const TaskId &Task, TrackedWorker &Worker,
-                uint32_t Attempt, bool IsCanary);
+  /// Returns how many more starts the window lets in, besides those that are
+  /// booked.
+  size_t startsLeft() const;
+  /// Returns false while the job's record can probably not be committed.
+  bool mayBookStarts(const JobProgress &Job) const;
+  /// Books runs and orders them to start, now or once they are recorded. Starts
+  /// nothing if not all can be started.
+  void startRuns(JobProgress &Job, const StartGroup &Group, bool IsCanary);
+  void bookRun(JobProgress &Job, const BookedStart &Start, bool IsCanary);
+  /// Returns null if the start is no longer booked.
+  Run *findBookedRun(const BookedStart &Start);
+  void sendStart(const BookedStart &Start);
+  void proposePlacements();
+  void onPlacementsProposed(bool Committed);
+  /// Returns true if what held when the start was booked holds now.
+  bool isStillPossible(const BookedStart &Start);
+  /// Removes the group's runs, none of which was ordered to start.
+  void releaseBookings(const StartGroup &Group);
+  /// Removes a run that was not ordered to start, and those that go with it.
+  void withdrawStart(TrackedWorker &Worker, const TaskId &Task);
+  void withdrawStarts(TrackedWorker &Worker);
   void onStartResponse(const WorkerKey &Key, const TaskId &Task,
                        uint32_t Attempt, Instant SentAt,
                        const OrderResponse &Response);
   void stopRun(TrackedWorker &Worker, const TaskId &Task);
   void sendStop(TrackedWorker &Worker, const TaskId &Task);
   void removeRun(TrackedWorker &Worker, const TaskId &Task);
+  void eraseRun(TrackedWorker &Worker, const TaskId &Task);
   void stopAllRuns(JobProgress &Job);
   void stopStalledRuns(TrackedWorker &Worker);
   void adjustPaces(TrackedWorker &Worker);
@@ -403,6 +448,9 @@
   ResponseDelay Delay;
   Instant RenewalsCheckedAt;
   StartWindow Starts;
+  PlacementRecords Records;
+  Instant RecordsRetriedAt; // No start that needs a record is booked before.
+  size_t UnlocatedJobs = 0;
   /// The pool whose pass the start window ended. The next pass begins behind
   /// it, so that no pool is always served last.
   std::string LastCutShortPool;
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -53,7 +53,7 @@
 void Dispatcher::scheduleDirtyPools() {
   Starts.adjust(Timers.now(), responseDelay(), Table.all().size());
   // The response to a start wakes the loop.
-  if (DirtyPools.empty() || Starts.startsLeft() == 0)
+  if (DirtyPools.empty() || startsLeft() == 0)
     return;
   Duration Interval =
       Options.PassIntervalPerWorker * static_cast<int64_t>(Table.all().size());
@@ -84,7 +84,7 @@
       continue;
     }
     schedulePool(Pool);
-    IsCutShort = Starts.startsLeft() == 0;
+    IsCutShort = startsLeft() == 0;
     if (IsCutShort)
       LastCutShortPool = Pool;
   }
@@ -101,7 +101,7 @@
   std::vector<JobRank> Ranks = rankJobs(Pool, List);
   orderJobs(Options.JobOrderPolicy, Timers.now(), MeanJobCoreMs, Ranks);
   for (const JobRank &Rank : Ranks) {
-    if (Starts.startsLeft() == 0)
+    if (startsLeft() == 0)
       return markPoolDirty(Pool);
     scheduleJob(*List[Rank.Index], Pass);
   }
@@ -126,14 +126,14 @@
 }
 
 void Dispatcher::scheduleJob(JobProgress &Job, PlacementPass &Pass) {
+  if (!mayBookStarts(Job))
+    return;
   UnixMillis Now = Hooks.WallNow();
   for (uint32_t K = 0; K < Job.Occurrences.size(); ++K)
     for (uint32_t S = 0; S < Job.Occurrences[K].Steps.size(); ++S) {
       if (!isSchedulable(Job, K, S, Now))
         continue;
-      bool MayRunUnlocated = Job.IsInherited && !isReconciled(Job.Pool) &&
-                             !Job.stepSpec(S).Speculative;
-      if (MayRunUnlocated)
+      if (!Job.stepSpec(S).Speculative && mayHaveUnlocatedRuns(Job))
         continue;
       if (Job.stepSpec(S).Gang)
         scheduleGang(Job, K, S, Pass);
@@ -147,7 +147,7 @@
   if (Timers.now() >= StartedAt + Table.maxLeaseDuration())
     return Result;
   for (const auto &[Id, Job] : Jobs) {
-    if (!Job->IsInherited || Job->HasEnded || isReconciled(Job->Pool))
+    if (Job->HasEnded || !mayHaveUnlocatedRuns(*Job))
       continue;
     Resources &Sum = Result[Job->job().Organisation];
     for (uint32_t K = 0; K < Job->Occurrences.size(); ++K)
@@ -205,7 +205,7 @@
     if (!TaskState.Workers.empty() &&
         !(Spec.Speculative && areAllWorkersUnreachable(TaskState)))
       continue;
-    if (Starts.startsLeft() == 0 || !isWithinQuota(Job, Spec.TaskResources))
+    if (startsLeft() == 0 || !isWithinQuota(Job, Spec.TaskResources))
       return;
     TaskId Task{Job.id(), Occurrence, Step, I};
     if (!TaskState.AreLossesCommitted) {
@@ -232,8 +232,8 @@
         requestAdvice(Job, Occurrence, Step, Pass.candidates());
       return;
     }
-    startRun(Job, Task, *Chosen->Worker, Job.nextAttempt(Task),
-             Caution.NeedsCanary);
+    startRuns(Job, {{Task, Chosen->Worker->key(), Job.nextAttempt(Task)}},
+              Caution.NeedsCanary);
   }
 }
 
@@ -264,9 +264,12 @@
     return;
   }
   uint32_t Attempt = Job.nextAttempt({Job.id(), Occurrence, Step, 0});
+  StartGroup Members;
   for (uint32_t I = 0; I < Spec.Count; ++I)
-    startRun(Job, {Job.id(), Occurrence, Step, I}, *(*Chosen)[I]->Worker,
-             Attempt, Caution.NeedsCanary);
+    Members.push_back({{Job.id(), Occurrence, Step, I},
+                       (*Chosen)[I]->Worker->key(),
+                       Attempt});
+  startRuns(Job, Members, Caution.NeedsCanary);
 }
 
 void Dispatcher::requestAdvice(JobProgress &Job, uint32_t Occurrence,
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -45,6 +45,7 @@
   renewAgingLeases();
   pollDueWorkers();
   scheduleDirtyPools();
+  proposePlacements();
   proposeLosses();
 }
 
@@ -185,6 +186,11 @@
 void Dispatcher::updateRun(TrackedWorker &Worker, const RunningTask &Reported,
                            Instant SentAt) {
   auto It = Worker.Runs.find(Reported.Task);
+  if (It != Worker.Runs.end() && It->second.State == RunState::Booked) {
+    // What already runs there makes the start needless.
+    withdrawStart(Worker, Reported.Task);
+    It = Worker.Runs.end();
+  }
   if (It == Worker.Runs.end())
     return adoptRun(Worker, Reported);
   Run &CurrentRun = It->second;
@@ -244,8 +250,18 @@
                                 : nullptr;
   bool IsWanted =
       TaskState != nullptr && !Job->second->HasEnded && !TaskState->Done;
-  if (IsWanted && !TaskState->Workers.empty() &&
-      !Job->second->stepSpec(Reported.Task.Step).Speculative) {
+  bool MayHaveCopies =
+      IsWanted && Job->second->stepSpec(Reported.Task.Step).Speculative;
+  if (IsWanted && !MayHaveCopies && !TaskState->Workers.empty()) {
+    // A start that was not ordered yet gives way to the run.
+    TrackedWorker *Holder = Table.find(TaskState->Workers.front());
+    bool IsBooked = Holder != nullptr &&
+                    Holder->Runs.count(Reported.Task) > 0 &&
+                    Holder->Runs.at(Reported.Task).State == RunState::Booked;
+    if (IsBooked)
+      withdrawStart(*Holder, Reported.Task);
+  }
+  if (IsWanted && !MayHaveCopies && !TaskState->Workers.empty()) {
     // The task has two runs; the one with the lower attempt is stopped.
     TrackedWorker *Other = Table.find(TaskState->Workers.front());
     if (Other != nullptr && Other->Runs.count(Reported.Task) &&
@@ -402,7 +418,7 @@
 Duration Dispatcher::oldestRenewalAge() const {
   Duration Oldest{};
   for (const auto &[Key, Worker] : Table.all())
-    if (Worker.IsSynced && Worker.IsReachable && !Worker.Runs.empty())
+    if (Worker.IsSynced && Worker.IsReachable && Worker.hasOrderedRuns())
       Oldest = std::max(Oldest, Timers.now() - Worker.RenewedAt);
   return Oldest;
 }
@@ -417,6 +433,7 @@
     return;
   }
   bool HasAnswered = !Lost && Outcome != OrderOutcome::NotSent;
+  withdrawStarts(Worker);
   if (Worker.IsReachable) {
     Hooks.LogEvent("worker_silent", {{"worker", Worker.key().Id},
                                      {"lost", Lost},
@@ -451,6 +468,7 @@
   auto It = UnsyncedWorkers.find(Worker.Entry.Pool);
   if (It != UnsyncedWorkers.end() && It->second.erase(Worker.key()))
     markPoolDirty(Worker.Entry.Pool);
+  withdrawStarts(Worker);
   if (Worker.Runs.empty())
     return;
   Hooks.LogEvent("worker_lapsed",
@@ -469,6 +487,7 @@
   TrackedWorker *Worker = Table.find(Key);
   if (Worker == nullptr)
     return;
+  withdrawStarts(*Worker);
   Hooks.LogEvent(
       "worker_gone",
       {{"worker", Key.Id}, {"why", Reason}, {"runs", Worker->Runs.size()}});
@@ -501,64 +520,6 @@
 
 // Starting, stopping and pacing of runs.
 
-void Dispatcher::startRun(JobProgress &Job, const TaskId &Task,
-                          TrackedWorker &Worker, uint32_t Attempt,
-                          bool IsCanary) {
-  const StepSpec &Spec = Job.stepSpec(Task.Step);
-  StepProgress &Step = *Job.findStep(Task);
-  TaskProgress &TaskState = Step.Tasks[Task.Index];
-  StartOrder Order{Task, Attempt, Job.spec().Payload, 0, Token, {}, {}};
-  std::optional<int64_t> Until = Table.grantLease(Worker, Timers.now());
-  if (!Until)
-    return;
-  Order.LeaseEndMs = *Until;
-  if (Spec.Checkpointing) {
-    Order.Checkpoint = TaskState.Checkpoint;
-    // All members of a gang start from the same checkpoint.
-    if (Spec.Gang)
-      Order.Checkpoint = Step.Tasks.front().Checkpoint;
-  }
-  auto Ticket = Step.Advice.TicketsByWorker.find(Worker.key().Id);
-  if (Ticket != Step.Advice.TicketsByWorker.end())
-    Order.Ticket = Ticket->second.Text;
-  Run NewRun;
-  NewRun.Attempt = Attempt;
-  NewRun.ReservedResources = Spec.reservedResources();
-  NewRun.QuotaUsage = Spec.TaskResources;
-  NewRun.Organisation = Job.job().Organisation;
-  NewRun.OrderedAt = NewRun.ProgressChangedAt = Timers.now();
-  NewRun.UsesSpareCpu = Spec.UsesSpareCpu;
-  NewRun.LongRunning = Spec.LongRunning;
-  NewRun.TailTargetMs = Spec.TailTargetMs;
-  NewRun.IsCanary = IsCanary;
-  Table.addRun(Worker, Task, std::move(NewRun));
-  Job.addPlacement(Task, Worker.key(), Attempt);
-  ++Counters.StartOrders;
-  if (IsCanary) {
-    ++Counters.Canaries;
-    CanaryWorkers.insert(Worker.key());
-  }
-  Starts.onStartOrdered();
-  Json Fields = taskFields(Task, Attempt);
-  Fields["worker"] = Worker.key().Id;
-  Fields["free_cpu"] = Worker.freeResources().Cpu;
-  Fields["left_ms"] = toMillis(Job.Objective - Timers.now());
-  if (IsCanary)
-    Fields["canary"] = true;
-  Hooks.LogEvent("run_start", Fields);
-  std::shared_ptr<bool> IsAlive = AliveFlag;
-  Port.startRun(Worker.Entry, Order,
-                [this, IsAlive, Key = Worker.key(), Task, Attempt,
-                 SentAt = Timers.now()](const OrderResponse &Response) {
-                  if (!*IsAlive)
-                    return;
-                  Starts.onStartAnswered();
-                  if (Response.Outcome == OrderOutcome::Accepted)
-                    Delay.record(Timers.now(), Timers.now() - SentAt);
-                  onStartResponse(Key, Task, Attempt, SentAt, Response);
-                });
-}
-
 void Dispatcher::onStartResponse(const WorkerKey &Key, const TaskId &Task,
                                  uint32_t Attempt, Instant SentAt,
                                  const OrderResponse &Response) {
@@ -634,6 +595,8 @@
   auto It = Worker.Runs.find(Task);
   if (It == Worker.Runs.end() || It->second.State == RunState::Stopping)
     return;
+  if (It->second.State == RunState::Booked)
+    return withdrawStart(Worker, Task);
   It->second.State = RunState::Stopping;
   sendStop(Worker, Task);
 }
@@ -673,6 +636,13 @@
 }
 
 void Dispatcher::removeRun(TrackedWorker &Worker, const TaskId &Task) {
+  auto It = Worker.Runs.find(Task);
+  if (It != Worker.Runs.end() && It->second.State == RunState::Booked)
+    return withdrawStart(Worker, Task);
+  eraseRun(Worker, Task);
+}
+
+void Dispatcher::eraseRun(TrackedWorker &Worker, const TaskId &Task) {
   auto Job = Jobs.find(Task.Job);
   if (Job != Jobs.end() && Job->second->findTask(Task) != nullptr) {
     Job->second->removePlacement(Task, Worker.key());
--- a/Source/Scheduling/JobProgress.cpp
+++ b/Source/Scheduling/JobProgress.cpp
@@ -131,6 +131,15 @@
     --Step.PlacedCount;
 }
 
+void JobProgress::reuseAttempt(const TaskId &Task, uint32_t Attempt) {
+  StepProgress &Step = *findStep(Task);
+  TaskProgress &TaskState = Step.Tasks[Task.Index];
+  if (TaskState.LastAttempt == Attempt)
+    --TaskState.LastAttempt;
+  if (Step.GangAttempt == Attempt)
+    --Step.GangAttempt;
+}
+
 uint32_t JobProgress::nextAttempt(const TaskId &Task) const {
   const StepProgress &Step = Occurrences[Task.Occurrence].Steps[Task.Step];
   uint32_t Last = stepSpec(Task.Step).Gang ? Step.GangAttempt
--- a/Source/Scheduling/JobProgress.h
+++ b/Source/Scheduling/JobProgress.h
@@ -106,6 +106,9 @@
   std::vector<RunLoss> lossesOf(const TaskId &Task);
   void addPlacement(const TaskId &Task, const WorkerKey &At, uint32_t Attempt);
   void removePlacement(const TaskId &Task, const WorkerKey &At);
+  /// Makes the number of an attempt that was never ordered available again, so
+  /// that failed proposals do not use up the leader's range.
+  void reuseAttempt(const TaskId &Task, uint32_t Attempt);
   /// Returns the attempt number for the next start of the task or of its gang.
   uint32_t nextAttempt(const TaskId &Task) const;
 
@@ -127,7 +130,11 @@
   Instant AcceptedAt;
   /// True if an earlier leader may have started tasks of the job.
   bool IsInherited = false;
-  bool HasStarted = false; // A start of some task was ordered.
+  /// The workers that its record named when this leader began.
+  std::set<WorkerKey> InheritedWorkers;
+  /// That it waits for some of them has been logged.
+  bool IsUnlocatedReported = false;
+  bool HasStarted = false; // Some task was booked on a worker.
   /// The job is done, failed or cancelled, possibly not committed yet.
   bool HasEnded = false;
 
--- a/Source/Scheduling/Placement.cpp
+++ b/Source/Scheduling/Placement.cpp
@@ -164,6 +164,12 @@
       std::count_if(Worker.Runs.begin(), Worker.Runs.end(), IsUnproven));
 }
 
+bool isUsable(const TrackedWorker &Worker, const JobStore &Store) {
+  return Worker.IsCommitted && Worker.IsSynced && Worker.IsReachable &&
+         !Worker.Entry.Leaving && !Worker.IsCordoned &&
+         !Store.isEvacuated(Worker.Entry.DataCentre);
+}
+
 std::vector<Candidate> findCandidates(WorkerTable &Table,
                                       const std::string &Pool,
                                       const WorkerHealth &Health,
@@ -173,11 +179,7 @@
       Table.workersInPool(Pool);
   Result.reserve(Workers.size());
   for (const auto &[Key, Worker] : Workers) {
-    bool IsUsable = Worker->IsCommitted && Worker->IsSynced &&
-                    Worker->IsReachable && !Worker->Entry.Leaving &&
-                    !Worker->IsCordoned &&
-                    !Store.isEvacuated(Worker->Entry.DataCentre);
-    if (!IsUsable || Health.isEjected(Key, Now))
+    if (!isUsable(*Worker, Store) || Health.isEjected(Key, Now))
       continue;
     Result.push_back({Worker, Worker->freeResources(), Worker->Runs.size(),
                       Worker->LongRunningCount, Health.isOnProbation(Key, Now),
--- a/Source/Scheduling/Placement.h
+++ b/Source/Scheduling/Placement.h
@@ -35,8 +35,11 @@
 /// Long-running tasks that have survived on it for some seconds do not count.
 size_t countUnproven(const TrackedWorker &Worker);
 
-/// Returns the pool's workers that may get new tasks. \p Store tells which data
-/// centres are evacuated.
+/// Returns true if the worker may get new tasks, as far as its own state says.
+/// \p Store tells which data centres are evacuated.
+bool isUsable(const TrackedWorker &Worker, const JobStore &Store);
+
+/// Returns the pool's workers that may get new tasks.
 std::vector<Candidate> findCandidates(WorkerTable &Table,
                                       const std::string &Pool,
                                       const WorkerHealth &Health,
--- a/Source/Workers/WorkerTable.cpp
+++ b/Source/Workers/WorkerTable.cpp
@@ -39,6 +39,12 @@
   return Free;
 }
 
+bool TrackedWorker::hasOrderedRuns() const {
+  return std::any_of(Runs.begin(), Runs.end(), [](const auto &TaskAndRun) {
+    return TaskAndRun.second.State != RunState::Booked;
+  });
+}
+
 Duration TrackedWorker::survivedTime(const Run &CurrentRun) const {
   Duration Survived{};
   if (CurrentRun.StartAckedAt > Instant())
--- a/Source/Workers/WorkerTable.h
+++ b/Source/Workers/WorkerTable.h
@@ -18,6 +18,7 @@
 namespace mimosashunt {
 
 enum class RunState : uint8_t {
+  Booked,      // The start order has not been sent.
   Starting,    // The start order is in flight.
   Unconfirmed, // The start order was not answered; it may be carried out later.
   Running,
@@ -32,7 +33,8 @@
   Resources ReservedResources;
   Resources QuotaUsage; // Counted against the organisation's quota.
   std::string Organisation;
-  /// When the start was ordered or went unanswered, or the run was adopted.
+  /// When the start was booked, ordered or went unanswered, or the run was
+  /// adopted.
   Instant OrderedAt;
   /// When the start was acknowledged; valid in state Running.
   Instant StartAckedAt;
@@ -99,6 +101,8 @@
 
   const WorkerKey &key() const { return Entry.Key; }
   Resources freeResources() const;
+  /// Returns true if some run was ordered to start.
+  bool hasOrderedRuns() const;
   /// Returns for how long the run has been there for certain: a lower bound.
   Duration survivedTime(const Run &CurrentRun) const;
 };
--- a/Tests/Support/SchedulerHarness.cpp
+++ b/Tests/Support/SchedulerHarness.cpp
@@ -116,6 +116,7 @@
   Command.MaxAttempts = Configuration.findQueue(Queue)->MaxAttempts;
   Command.AcceptedAt = wallNow();
   Command.Spec = std::move(Spec);
+  Command.RecordsPlacements = Options.RecordsPlacements;
   AcceptedAt[Job] = Timers.now();
   commitCommand(Command);
 }
