Scheduling, Jobs: tests of placement records, and records that stay valid

Cause: the rule that a new leader waits only for recorded workers is safe only if each order follows its record, and if no leader started tasks without one.

BeginLeadership tells that its leader records placements; a leader of an earlier version invalidates the records of all jobs. Removed workers leave a job's record with its next pair, so that the record of a long-running job stays small.

--- a/Source/Jobs/JobCommands.h
+++ b/Source/Jobs/JobCommands.h
@@ -182,9 +182,15 @@
 struct BeginLeadership {
   static constexpr const char *Kind = "lead";
   std::string Vm;
+  /// The leader records placements for jobs that ask for it. Earlier versions
+  /// do not, so what they lead makes the records incomplete.
+  bool RecordsPlacements = true;
   bool operator==(const BeginLeadership &) const = default;
 
-  static void describe(auto &Self, auto Field) { Field("vm", Self.Vm); }
+  static void describe(auto &Self, auto Field) {
+    Field("vm", Self.Vm);
+    Field.flag("records", Self.RecordsPlacements);
+  }
 };
 
 /// Workers on which tasks of a job may be started from now on.
--- a/Source/Jobs/JobStore.cpp
+++ b/Source/Jobs/JobStore.cpp
@@ -234,8 +234,15 @@
     auto It = Jobs.find(Recorded.Job);
     if (It == Jobs.end() || It->second.hasEnded())
       continue;
+    std::set<WorkerKey> &Placements = It->second.Placements;
+    // A job that runs for long would otherwise collect every incarnation that
+    // it ever ran on. What was removed runs nothing.
+    std::erase_if(Placements, [this](const WorkerKey &Worker) {
+      return Workers.count(Worker) == 0;
+    });
     for (const WorkerKey &Worker : Recorded.Workers)
-      Changed |= It->second.Placements.insert(Worker).second;
+      if (Workers.count(Worker) > 0)
+        Changed |= Placements.insert(Worker).second;
   }
   return Changed;
 }
@@ -262,8 +269,14 @@
   return It != Evacuations.end() && It->second.Active;
 }
 
-bool JobStore::applyCommand(const BeginLeadership &) {
+bool JobStore::applyCommand(const BeginLeadership &Command) {
   ++Leaderships;
+  if (Command.RecordsPlacements)
+    return true;
+  for (auto &[Id, Record] : Jobs) {
+    Record.Job.RecordsPlacements = false;
+    Record.Placements.clear();
+  }
   return true;
 }
 
--- a/Source/Jobs/JobStore.h
+++ b/Source/Jobs/JobStore.h
@@ -40,7 +40,7 @@
   /// Tasks that are not done and were lost with workers. Cleared when the job
   /// has ended.
   std::vector<TaskLosses> Losses;
-  /// Workers on which tasks of the job may have been started, if
+  /// Registered workers on which tasks of the job may have been started, if
   /// Job.RecordsPlacements. Cleared when the job has ended.
   std::set<WorkerKey> Placements;
   bool operator==(const JobRecord &) const = default;
--- a/Tests/Support/SchedulerHarness.cpp
+++ b/Tests/Support/SchedulerHarness.cpp
@@ -1,5 +1,6 @@
 #include "Support/SchedulerHarness.h"
 
+#include <cstdlib>
 #include <utility>
 
 namespace mimosashunt::test {
@@ -8,6 +9,13 @@
 constexpr Duration CommitDelay = milliseconds(20);
 constexpr int64_t MemoryMb = 65536;
 constexpr UnixMillis WallStart = 1800000000000;
+
+/// Lets the tests run a second time with placement records.
+DispatcherOptions withRecords(DispatcherOptions Options) {
+  Options.RecordsPlacements |=
+      std::getenv("MIMOSASHUNT_TESTS_RECORD_PLACEMENTS") != nullptr;
+  return Options;
+}
 } // namespace
 
 JobSpec makeChainSpec(uint32_t Steps, uint32_t Width, int64_t Cpu, int64_t Ms) {
@@ -28,7 +36,8 @@
 SchedulerHarness::SchedulerHarness(
     VirtualWorkers::ActualDurationFn ActualDurationMs,
     DispatcherOptions Options)
-    : Workers(Timers, Store, std::move(ActualDurationMs)), Options(Options) {
+    : Workers(Timers, Store, std::move(ActualDurationMs)),
+      Options(withRecords(Options)) {
   Configuration.Version = 1;
   Configuration.Organisations.push_back({"org", {"key"}, 1, 0, {}});
 }
