--- a/Tests/Jobs/PlacementRecordsTest.cpp
+++ b/Tests/Jobs/PlacementRecordsTest.cpp
@@ -379,6 +379,7 @@
   Fleet.advanceTime(BeforeCommit);
   Fleet.MayIssueOrders = false;
   Fleet.advanceTime(AfterCommit);
+  ASSERT_EQ(Fleet.Store.findJob("a")->Placements.size(), 1U);
   std::string Recorded = Fleet.Store.findJob("a")->Placements.begin()->Id;
   Fleet.Workers.at(Recorded).Faults.IsUnreachable = true;
   Fleet.beginLeadership();
@@ -555,6 +556,7 @@
   }
   Fleet.advanceTime(AfterCommit);
   ASSERT_EQ(Fleet.Scheduler->counters().StartOrders, 1U);
+  ASSERT_EQ(Fleet.Store.findJob("a")->Placements.size(), 1U);
   std::string Recorded = Fleet.Store.findJob("a")->Placements.begin()->Id;
   for (const char *Id : {"p-0", "p-1"})
     Fleet.Workers.at(Id).Faults.DelayedOrderCount = 0;
