Scheduling, Fleet: an overloaded leader tells jobs when to come back

Cause: short jobs that an overloaded leader rejects were told a constant time, whatever the backlog, and came back together.

Change: RetryTime computes it from the starts that wait and the rate at which starts were answered in the last 4 s, spread over at least two seconds by the hash of the job's id, 1 to 5 s. Other rejections keep the constant.

--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -640,13 +640,16 @@
   if (State.findJob(Request.Job) != nullptr)
     return Respond({JobRequestOutcome::Done, JobState::Queued, 0, {}});
   const QueueConfiguration *Queue = Configuration.findQueue(Request.Queue);
+  bool IsOverloaded =
+      Scheduler->isOverloaded() && !Request.Spec.isLongRunning();
   bool Refused = Queue == nullptr ||
                  Group->pendingProposals() > MaxPendingProposals ||
-                 (Scheduler->isOverloaded() && !Request.Spec.isLongRunning());
+                 IsOverloaded;
   if (Refused) {
     Events.log("job_refused", {{"job", Request.Job}, {"queue", Request.Queue}});
-    return Respond(
-        {JobRequestOutcome::NotRun, JobState::Queued, LeaderChangeRetryMs, {}});
+    int64_t RetryMs = IsOverloaded ? toMillis(Scheduler->retryTime(Request.Job))
+                                   : LeaderChangeRetryMs;
+    return Respond({JobRequestOutcome::NotRun, JobState::Queued, RetryMs, {}});
   }
   AcceptJob Command;
   Command.Job = Request.Job;
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -20,7 +20,7 @@
       FirstAttempt(static_cast<uint32_t>(Token - 1) *
                    Options.AttemptsPerLeadership),
       StartedAt(Timers.now()), Table(Options.Lease), Starts(Options.Starts),
-      Records(Store), Health(Options.Health),
+      Retries(Options.Retries), Records(Store), Health(Options.Health),
       AliveFlag(std::make_shared<bool>(true)) {
   loadStore();
   TickTimer = Timers.scheduleEvery(TickPeriod, [this] { onTick(); });
@@ -253,11 +253,14 @@
   // Due times, objectives and advice depend on the time, so each pool with
   // unfinished jobs is scheduled again.
   PendingJobs.clear();
+  WaitingStarts = 0;
   for (const auto &[Id, Job] : Jobs) {
     if (Job->HasEnded)
       continue;
     markPoolDirty(Job->Pool);
     PendingJobs[Job->job().Queue] += Job->HasStarted ? 0 : 1;
+    if (!Job->isLongRunning())
+      WaitingStarts += Job->countWaitingTasks();
   }
   reportUnlocatedJobs();
   proposeResults();
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -16,6 +16,7 @@
 #include "Scheduling/Placement.h"
 #include "Scheduling/PlacementRecords.h"
 #include "Scheduling/ResponseDelay.h"
+#include "Scheduling/RetryTime.h"
 #include "Scheduling/StartWindow.h"
 #include "Scheduling/WorkerHealth.h"
 #include "Workers/WorkerTable.h"
@@ -64,6 +65,7 @@
   Duration RenewalInterval = milliseconds(600);
   Duration RenewalCheckInterval = milliseconds(100);
   StartWindowOptions Starts;
+  RetryTimeOptions Retries;
   /// A task counts as serving by responses that are no older: two polls of a
   /// busy worker.
   Duration MaxViewAge = milliseconds(1300);
@@ -231,6 +233,11 @@
   /// so that new jobs would only make all of them late.
   bool isOverloaded() const { return Starts.isOverloaded(Timers.now()); }
   size_t startWindow() const { return Starts.size(); }
+  /// Returns after what time a job may be sent again that is rejected since the
+  /// leader is overloaded.
+  Duration retryTime(const JobId &Job) const {
+    return Retries.estimate(Timers.now(), WaitingStarts, Job);
+  }
   /// Returns how many starts wait until their workers are recorded.
   size_t unrecordedStarts() const { return Records.waitingStarts(); }
   /// Returns how many jobs waited at the last tick for workers on which an
@@ -448,6 +455,8 @@
   ResponseDelay Delay;
   Instant RenewalsCheckedAt;
   StartWindow Starts;
+  RetryTime Retries;
+  size_t WaitingStarts = 0; // Of short jobs, as of the last tick.
   PlacementRecords Records;
   Instant RecordsRetriedAt; // No start that needs a record is booked before.
   size_t UnlocatedJobs = 0;
--- a/Source/Scheduling/DispatcherStarts.cpp
+++ b/Source/Scheduling/DispatcherStarts.cpp
@@ -113,6 +113,7 @@
                   if (!*IsAlive)
                     return;
                   Starts.onStartAnswered();
+                  Retries.onStartAnswered(Timers.now());
                   if (Response.Outcome == OrderOutcome::Accepted)
                     Delay.record(Timers.now(), Timers.now() - SentAt);
                   onStartResponse(Start.Worker, Start.Task, Start.Attempt,
--- a/Source/Scheduling/JobProgress.cpp
+++ b/Source/Scheduling/JobProgress.cpp
@@ -147,6 +147,14 @@
   return std::max(Last, FirstAttempt) + 1;
 }
 
+size_t JobProgress::countWaitingTasks() const {
+  size_t Count = 0;
+  for (const OccurrenceProgress &Occurrence : Occurrences)
+    for (const StepProgress &Step : Occurrence.Steps)
+      Count += Step.Tasks.size() - Step.DoneCount - Step.PlacedCount;
+  return Count;
+}
+
 double JobProgress::remainingCoreMs(double EstimateFactor) const {
   double Sum = 0;
   for (const OccurrenceProgress &Occurrence : Occurrences)
--- a/Source/Scheduling/JobProgress.h
+++ b/Source/Scheduling/JobProgress.h
@@ -112,6 +112,8 @@
   /// Returns the attempt number for the next start of the task or of its gang.
   uint32_t nextAttempt(const TaskId &Task) const;
 
+  /// Returns how many tasks are neither done nor on a worker.
+  size_t countWaitingTasks() const;
   /// Returns the remaining work in core-milliseconds, with the estimates scaled
   /// by \p EstimateFactor.
   double remainingCoreMs(double EstimateFactor) const;
