--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -20,7 +20,8 @@
       FirstAttempt(static_cast<uint32_t>(Token - 1) *
                    Options.AttemptsPerLeadership),
       StartedAt(Timers.now()), Table(Options.Lease), Starts(Options.Starts),
-      Health(Options.Health), AliveFlag(std::make_shared<bool>(true)) {
+      Retries(Options.Retries), Records(Store), Health(Options.Health),
+      AliveFlag(std::make_shared<bool>(true)) {
   loadStore();
   TickTimer = Timers.scheduleEvery(TickPeriod, [this] { onTick(); });
 }
@@ -56,6 +57,8 @@
   auto Job =
       std::make_unique<JobProgress>(Record, *Queue, FirstAttempt, AcceptedAt);
   Job->IsInherited = IsInherited;
+  if (IsInherited)
+    Job->InheritedWorkers = Record.Placements;
   double Work = static_cast<double>(Record.Job.Spec.totalCoreMs());
   constexpr double SmoothingFactor = 0.05;
   MeanJobCoreMs =
@@ -250,12 +253,16 @@
   // Due times, objectives and advice depend on the time, so each pool with
   // unfinished jobs is scheduled again.
   PendingJobs.clear();
+  WaitingStarts = 0;
   for (const auto &[Id, Job] : Jobs) {
     if (Job->HasEnded)
       continue;
     markPoolDirty(Job->Pool);
     PendingJobs[Job->job().Queue] += Job->HasStarted ? 0 : 1;
+    if (!Job->isLongRunning())
+      WaitingStarts += Job->countWaitingTasks();
   }
+  reportUnlocatedJobs();
   proposeResults();
   proposeLosses();
   probeCanaries();
--- a/Source/Scheduling/JobProgress.cpp
+++ b/Source/Scheduling/JobProgress.cpp
@@ -131,6 +131,15 @@
     --Step.PlacedCount;
 }
 
+void JobProgress::reuseAttempt(const TaskId &Task, uint32_t Attempt) {
+  StepProgress &Step = *findStep(Task);
+  TaskProgress &TaskState = Step.Tasks[Task.Index];
+  if (TaskState.LastAttempt == Attempt)
+    --TaskState.LastAttempt;
+  if (Step.GangAttempt == Attempt)
+    --Step.GangAttempt;
+}
+
 uint32_t JobProgress::nextAttempt(const TaskId &Task) const {
   const StepProgress &Step = Occurrences[Task.Occurrence].Steps[Task.Step];
   uint32_t Last = stepSpec(Task.Step).Gang ? Step.GangAttempt
@@ -138,6 +147,14 @@
   return std::max(Last, FirstAttempt) + 1;
 }
 
+size_t JobProgress::countWaitingTasks() const {
+  size_t Count = 0;
+  for (const OccurrenceProgress &Occurrence : Occurrences)
+    for (const StepProgress &Step : Occurrence.Steps)
+      Count += Step.Tasks.size() - Step.DoneCount - Step.PlacedCount;
+  return Count;
+}
+
 double JobProgress::remainingCoreMs(double EstimateFactor) const {
   double Sum = 0;
   for (const OccurrenceProgress &Occurrence : Occurrences)
