Scheduling: shares and rates of organisations order scarce capacity

Cause: ValuePerWork ignores which organisation sent a job, so one that sends several times its usual rate takes the capacity of the others.

Change: OrganisationShares keeps the recent usage of each organisation in its dominant resource and decides which are over their share; RateBuckets tells which jobs are beyond the rate when they are accepted. The new policy SharedValue, selected by organisationShares, orders by both before the value per work. Ranks no longer look up the organisation's weight and usage by name, unless the policy is WeightedFair.

--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -334,6 +334,8 @@
     Options.Lease.LeaseDuration =
         std::min(Options.Lease.LeaseDuration, Settings.MaxLeaseDuration);
     Options.RecordsPlacements = Settings.RecordPlacements;
+    if (Settings.OrganisationShares)
+      Options.JobOrderPolicy = SharedValue{};
     Options.WaitsForLocality = Settings.LocalityWait;
     Options.RemoteFactor = Settings.RemoteFactor;
     MaintenanceOptions WaveOptions;
@@ -655,6 +657,7 @@
   Command.MaxAttempts = Queue->MaxAttempts;
   Command.AcceptedAt = wallNow();
   Command.Spec = Request.Spec;
+  Command.IsBeyondRate = !Scheduler->takeRateToken(Command);
   propose(Command, [this, Respond, Job = Request.Job,
                     Queue = Request.Queue](ProposalOutcome Outcome) {
     JobResponse Result;
--- a/Source/Fleet/SchedulerDaemon.h
+++ b/Source/Fleet/SchedulerDaemon.h
@@ -115,6 +115,7 @@
   void reportLoopLoad();
   std::string metricsText();
   void updateSchedulerMetrics();
+  void updateShareMetrics();
 
   const FleetSettings Settings;
   const std::string SettingsFile;
--- a/Source/Fleet/SchedulerMetrics.cpp
+++ b/Source/Fleet/SchedulerMetrics.cpp
@@ -43,6 +43,25 @@
   return Registry.text();
 }
 
+void SchedulerDaemon::updateShareMetrics() {
+  for (const OrganisationShare &Organisation : Scheduler->shares().all()) {
+    auto SetGauge = [&](const char *Name, const char *Help, double Value) {
+      Registry.gauge(Name, Help, {{"organisation", Organisation.Name}})
+          .Set(Value);
+    };
+    SetGauge("mimosashunt_organisation_usage_over_share",
+             "Recent usage in proportion to what the organisation may use; 0 "
+             "without work",
+             Organisation.UsageOverShare);
+    SetGauge("mimosashunt_organisation_jobs_waiting",
+             "Short jobs with tasks that wait for capacity",
+             static_cast<double>(Organisation.WaitingJobs));
+    SetGauge("mimosashunt_organisation_jobs_beyond_rate",
+             "Short jobs that the organisation sent beyond its rate",
+             static_cast<double>(Organisation.JobsBeyondRate));
+  }
+}
+
 void SchedulerDaemon::updateSchedulerMetrics() {
   const DispatcherCounters &Counters = Scheduler->counters();
   auto SetGauge = [this](const char *Name, const char *Help, uint64_t Value) {
@@ -124,6 +143,8 @@
         .gauge("mimosashunt_workers", "Workers by condition",
                {{"condition", Condition}})
         .Set(static_cast<double>(Count));
+  if (Scheduler->usesShares())
+    updateShareMetrics();
   for (const QueueConfiguration &Queue : Configuration.Queues)
     Registry
         .gauge("mimosashunt_jobs_waiting", "Jobs that have not begun",
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -32,6 +32,7 @@
 }
 
 void Dispatcher::loadStore() {
+  loadShares();
   for (const auto &[Key, Entry] : Store.workers()) {
     TrackedWorker &Worker = Table.add(Entry, Timers.now());
     Worker.IsCommitted = true;
@@ -56,6 +57,7 @@
   auto Job =
       std::make_unique<JobProgress>(Record, *Queue, FirstAttempt, AcceptedAt);
   Job->IsInherited = IsInherited;
+  Job->ShareIndex = Shares.indexOf(Record.Job.Organisation);
   double Work = static_cast<double>(Record.Job.Spec.totalCoreMs());
   constexpr double SmoothingFactor = 0.05;
   MeanJobCoreMs =
@@ -84,6 +86,7 @@
 }
 
 void Dispatcher::onConfigurationChanged() {
+  Shares.setConfiguration(Configuration);
   for (auto &[Id, Job] : Jobs) {
     const QueueConfiguration *Queue = Configuration.findQueue(Job->job().Queue);
     Job->Pool = Queue == nullptr ? std::string() : Queue->Pool;
@@ -247,6 +250,7 @@
   for (const WorkerKey &Key : Expired)
     removeWorker(Key, "forgotten", /*HasCrashed=*/false);
   drainEvacuatedDataCentres();
+  updateShares();
   // Due times, objectives and advice depend on the time, so each pool with
   // unfinished jobs is scheduled again.
   PendingJobs.clear();
@@ -276,14 +280,18 @@
   return It == PendingJobs.end() ? 0 : It->second;
 }
 
-bool Dispatcher::isOverdueDemandCounted(const JobProgress &Job) const {
-  // Callers wait for three objectives. A job that has not started by then, such
-  // as one that fits on no worker, must not hold VMs indefinitely.
+bool Dispatcher::isStillAwaited(const JobProgress &Job) const {
+  // Callers wait for three objectives.
   constexpr int MaxObjectivesWaited = 3;
   Duration TimeSinceAccepted = Timers.now() - Job.AcceptedAt;
   return TimeSinceAccepted <
-             MaxObjectivesWaited * (Job.Objective - Job.AcceptedAt) &&
-         fitsSomeWorker(Job);
+         MaxObjectivesWaited * (Job.Objective - Job.AcceptedAt);
+}
+
+bool Dispatcher::isOverdueDemandCounted(const JobProgress &Job) const {
+  // A job that has not started by then, such as one that fits on no worker,
+  // must not hold VMs indefinitely.
+  return isStillAwaited(Job) && fitsSomeWorker(Job);
 }
 
 bool Dispatcher::fitsSomeWorker(const JobProgress &Job) const {
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -12,8 +12,10 @@
 #include "Scheduling/CrashSuspicion.h"
 #include "Scheduling/JobOrder.h"
 #include "Scheduling/JobProgress.h"
+#include "Scheduling/OrganisationShares.h"
 #include "Scheduling/Pacing.h"
 #include "Scheduling/Placement.h"
+#include "Scheduling/RateBuckets.h"
 #include "Scheduling/ResponseDelay.h"
 #include "Scheduling/StartWindow.h"
 #include "Scheduling/WorkerHealth.h"
@@ -163,6 +165,15 @@
   void onConfigurationChanged();
   void onEvacuationChanged();
 
+  /// Called before a job is proposed. Returns false if its organisation has
+  /// sent more jobs than its rate.
+  bool takeRateToken(const AcceptJob &Job);
+  const OrganisationShares &shares() const { return Shares; }
+  /// Returns true if the order of jobs depends on shares.
+  bool usesShares() const {
+    return std::holds_alternative<SharedValue>(Options.JobOrderPolicy);
+  }
+
   /// Processes a worker's report. \p Acknowledge is called once the report may
   /// be answered; its argument is false if the change was not committed.
   void handleReport(const WorkerReport &Report,
@@ -234,6 +245,15 @@
 
   void loadStore();
   void addJob(const JobRecord &Record, bool IsInherited);
+
+  // Shares and rates of organisations.
+  void loadShares();
+  /// Updates usage and shares, if the order of jobs depends on them.
+  void updateShares();
+  void countShareOfJob(const JobProgress &Job, UnixMillis Now);
+  /// Records the usage for a later leader, from time to time while jobs wait.
+  void proposeUsage();
+
   bool mayIssueOrders() const {
     return Hooks.MayIssueOrders() && !HasBeenDeposed;
   }
@@ -361,6 +381,9 @@
   /// the pool at which the last pass ended so.
   void schedulePools(const std::set<std::string> &Pools);
   void schedulePool(const std::string &Pool);
+  /// Returns the organisation's CPU in use, in thousandths of a core, over its
+  /// weight.
+  double organisationLoad(const std::string &Organisation) const;
   std::vector<JobRank> rankJobs(const std::string &Pool,
                                 std::vector<JobProgress *> &List) const;
   /// Returns true if the step has tasks that may be placed now.
@@ -372,6 +395,8 @@
                     PlacementPass &Pass);
   void scheduleGang(JobProgress &Job, uint32_t Occurrence, uint32_t Step,
                     PlacementPass &Pass);
+  /// Returns true while the job's caller may still wait for it.
+  bool isStillAwaited(const JobProgress &Job) const;
   /// Returns true while an overdue job still counts in its pool's demand.
   bool isOverdueDemandCounted(const JobProgress &Job) const;
   /// Returns true if, for each step, some worker of the pool could hold one of
@@ -435,6 +460,10 @@
   bool ProposalInFlight = false;
   TimerId FlushTimer = 0;
   TimerId TickTimer = 0;
+  OrganisationShares Shares;
+  RateBuckets Rates;
+  Instant UsageProposedAt;
+  bool IsUsageInFlight = false;
   /// Moving mean of actual to estimated task duration, by queue.
   std::map<std::string, double> EstimateFactors;
   double MeanJobCoreMs = 0; // Moving mean over accepted jobs.
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -17,11 +17,20 @@
   return It == EstimateFactors.end() ? 1.0 : It->second;
 }
 
+double Dispatcher::organisationLoad(const std::string &Organisation) const {
+  const OrganisationConfiguration *Owner =
+      Configuration.findOrganisation(Organisation);
+  double Weight =
+      Owner == nullptr ? 1 : std::max(Owner->Weight, MinOrganisationWeight);
+  return static_cast<double>(Table.resourcesUsedBy(Organisation).Cpu) / Weight;
+}
+
 std::vector<JobRank>
 Dispatcher::rankJobs(const std::string &Pool,
                      std::vector<JobProgress *> &List) const {
   std::vector<JobRank> Ranks;
   UnixMillis Now = Hooks.WallNow();
+  bool UsesLoad = std::holds_alternative<WeightedFair>(Options.JobOrderPolicy);
   for (const auto &[Id, Job] : Jobs) {
     if (Job->HasEnded || Job->Pool != Pool || !hasSchedulableStep(*Job, Now))
       continue;
@@ -37,14 +46,10 @@
     Rank.CriticalPathMs = Job->remainingCriticalPathMs(Factor);
     Rank.RemainingCoreMs = Job->remainingCoreMs(Factor);
     Rank.TotalCoreMs = static_cast<double>(Job->spec().totalCoreMs()) * Factor;
-    const OrganisationConfiguration *Owner =
-        Configuration.findOrganisation(Job->job().Organisation);
-    Rank.OrganisationWeight =
-        Owner == nullptr ? 1 : std::max(Owner->Weight, 1e-3);
-    Rank.OrganisationLoad =
-        static_cast<double>(
-            Table.resourcesUsedBy(Job->job().Organisation).Cpu) /
-        Rank.OrganisationWeight;
+    Rank.IsBeyondRate = Job->job().IsBeyondRate;
+    Rank.Level = Shares.level(Job->ShareIndex);
+    if (UsesLoad)
+      Rank.OrganisationLoad = organisationLoad(Job->job().Organisation);
     Ranks.push_back(Rank);
   }
   return Ranks;
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -533,6 +533,8 @@
   NewRun.IsCanary = IsCanary;
   Table.addRun(Worker, Task, std::move(NewRun));
   Job.addPlacement(Task, Worker.key(), Attempt);
+  if (!Spec.LongRunning)
+    Shares.recordStart(Job.ShareIndex, Timers.now());
   ++Counters.StartOrders;
   if (IsCanary) {
     ++Counters.Canaries;
--- a/Source/Scheduling/JobOrder.cpp
+++ b/Source/Scheduling/JobOrder.cpp
@@ -31,6 +31,14 @@
         Policy.FixedValue + (1 - Policy.FixedValue) * Rank.TotalCoreMs / Mean;
     return {0, -Value / std::max(Rank.RemainingCoreMs, 1.0)};
   }
+  std::tuple<int, double> operator()(const SharedValue &Policy) const {
+    auto [IsLate, Value] = (*this)(Policy.Value);
+    if (Rank.LongRunning)
+      return {IsLate, Value};
+    constexpr int Levels = static_cast<int>(ShareLevel::Over) + 1;
+    int RateAndLate = 2 * IsLate + (Rank.IsBeyondRate ? 1 : 0);
+    return {Levels * RateAndLate + static_cast<int>(Rank.Level), Value};
+  }
 };
 
 } // namespace
--- a/Source/Scheduling/JobOrder.h
+++ b/Source/Scheduling/JobOrder.h
@@ -7,6 +7,7 @@
 #define MIMOSASHUNT_SCHEDULING_JOBORDER_H
 
 #include "Core/Time.h"
+#include "Scheduling/OrganisationShares.h"
 
 #include <cstdint>
 #include <variant>
@@ -25,9 +26,10 @@
   double CriticalPathMs = 0;  // Remaining duration of the critical path.
   double RemainingCoreMs = 0; // Remaining work.
   double TotalCoreMs = 0;
-  double OrganisationWeight = 1;
-  /// CPU that the organisation uses now, in thousandths of a core, divided by
-  /// its weight.
+  bool IsBeyondRate = false;
+  ShareLevel Level = ShareLevel::Within; // Of the organisation.
+  /// Set only for WeightedFair: CPU that the organisation uses now, in
+  /// thousandths of a core, divided by its weight.
   double OrganisationLoad = 0;
 };
 
@@ -46,8 +48,16 @@
   double FixedValue = 0.3;
 };
 
+/// Puts jobs that can still meet their objective first; among those, jobs
+/// within their organisation's rate; among those, jobs of organisations within
+/// their share; then orders by value per work. Long-running jobs are ordered by
+/// value per work alone.
+struct SharedValue {
+  ValuePerWork Value;
+};
+
 using OrderPolicy = std::variant<FirstComeFirstServed, WeightedFair,
-                                 EarliestObjective, ValuePerWork>;
+                                 EarliestObjective, ValuePerWork, SharedValue>;
 
 /// Returns true if the job can still end by its objective if it starts now.
 bool canMeetObjective(const JobRank &Rank, Instant Now);
--- a/Source/Scheduling/JobProgress.h
+++ b/Source/Scheduling/JobProgress.h
@@ -125,6 +125,8 @@
   /// The time by which the job should end.
   Instant Objective;
   Instant AcceptedAt;
+  /// The index of the job's organisation in OrganisationShares.
+  size_t ShareIndex = 0;
   /// True if an earlier leader may have started tasks of the job.
   bool IsInherited = false;
   bool HasStarted = false; // A start of some task was ordered.
--- a/Source/Workers/WorkerTable.cpp
+++ b/Source/Workers/WorkerTable.cpp
@@ -128,6 +128,8 @@
   Worker.LongRunningCount += NewRun.LongRunning ? 1 : 0;
   Worker.CanaryCount += NewRun.IsCanary ? 1 : 0;
   UsageByOrganisation[NewRun.Organisation] += NewRun.QuotaUsage;
+  if (!NewRun.LongRunning)
+    ShortRunsByOrganisation[NewRun.Organisation] += NewRun.ReservedResources;
   return Worker.Runs[Task] = std::move(NewRun);
 }
 
@@ -139,6 +141,9 @@
   Worker.LongRunningCount -= It->second.LongRunning ? 1 : 0;
   endCanary(Worker, It->second);
   UsageByOrganisation[It->second.Organisation] -= It->second.QuotaUsage;
+  if (!It->second.LongRunning)
+    ShortRunsByOrganisation[It->second.Organisation] -=
+        It->second.ReservedResources;
   Worker.Runs.erase(It);
 }
 
@@ -189,6 +194,12 @@
          2 * Options.ExpiryMargin;
 }
 
+Resources
+WorkerTable::shortRunsReservedBy(const std::string &Organisation) const {
+  auto It = ShortRunsByOrganisation.find(Organisation);
+  return It == ShortRunsByOrganisation.end() ? Resources{} : It->second;
+}
+
 Resources WorkerTable::resourcesUsedBy(const std::string &Organisation) const {
   auto It = UsageByOrganisation.find(Organisation);
   return It == UsageByOrganisation.end() ? Resources{} : It->second;
--- a/Source/Workers/WorkerTable.h
+++ b/Source/Workers/WorkerTable.h
@@ -162,6 +162,8 @@
 
   /// Returns the resources that \p Organisation uses on all workers.
   Resources resourcesUsedBy(const std::string &Organisation) const;
+  /// Returns what the organisation's runs that are not long-running reserve.
+  Resources shortRunsReservedBy(const std::string &Organisation) const;
 
 private:
   const LeaseOptions Options;
@@ -171,6 +173,7 @@
   // Workers with a scheduled poll, ordered by NextPollAt.
   std::set<std::pair<Instant, WorkerKey>> ScheduledPolls;
   std::map<std::string, Resources> UsageByOrganisation;
+  std::map<std::string, Resources> ShortRunsByOrganisation;
 };
 
 } // namespace mimosashunt
--- a/Tests/Support/SchedulerHarness.cpp
+++ b/Tests/Support/SchedulerHarness.cpp
@@ -53,7 +53,7 @@
 }
 
 UnixMillis SchedulerHarness::wallNow() const {
-  return WallStart + toMillis(Timers.now().time_since_epoch());
+  return WallStart + WallOffsetMs + toMillis(Timers.now().time_since_epoch());
 }
 
 void SchedulerHarness::commitCommand(const JobCommand &Command) {
@@ -116,6 +116,7 @@
   Command.MaxAttempts = Configuration.findQueue(Queue)->MaxAttempts;
   Command.AcceptedAt = wallNow();
   Command.Spec = std::move(Spec);
+  Command.IsBeyondRate = Scheduler && !Scheduler->takeRateToken(Command);
   AcceptedAt[Job] = Timers.now();
   commitCommand(Command);
 }
--- a/Tests/Support/SchedulerHarness.h
+++ b/Tests/Support/SchedulerHarness.h
@@ -53,11 +53,13 @@
   bool MayIssueOrders = true;
   bool FailsProposals = false; // Nothing is committed, and the leader hears so.
   bool WasDeposed = false;
+  int64_t WallOffsetMs = 0; // A jump of the wall clock.
   std::vector<std::pair<std::string, Json>> LoggedEvents;
 
+  UnixMillis wallNow() const;
+
 private:
   void commitCommand(const JobCommand &Command);
-  UnixMillis wallNow() const;
 
   const DispatcherOptions Options;
   std::map<JobId, Instant> AcceptedAt;
