Pools: demand and VMs in all dimensions

Cause: the planner counts cores only, so a pool whose tasks need more memory per core than its VMs have gets too few VMs.

Change: PoolDemand and PoolVm hold ResourceAmounts; a demand needs as many VMs as the dimension that binds. Cores are computed in the order of operations used before, so that plans where memory does not bind are the same.

--- a/Source/Pools/PoolMover.cpp
+++ b/Source/Pools/PoolMover.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr double MillicoresPerCore = 1000;
-
 std::string kindOf(const std::vector<std::string> &Labels) {
   return Labels.empty() ? std::string() : Labels.front();
 }
@@ -84,7 +82,7 @@
     PoolVm Vm{Name,
               Entry.Pool,
               kindOf(Entry.Labels),
-              static_cast<double>(Entry.Capacity.Cpu) / MillicoresPerCore,
+              ResourceAmounts::of(Entry.Capacity),
               true,
               !IsUnderMaintenance(Name)};
     Vm.IsMovable &= Takeover.isOver(Timers.now(), Hooks.WallNow(),
