--- a/Source/Scheduling/RateBuckets.cpp
+++ b/Source/Scheduling/RateBuckets.cpp
@@ -11,10 +11,10 @@
   return std::chrono::duration<double>(Value).count();
 }
 
-/// One token that was taken earlier.
-struct TakenToken {
-  double Age = 0; // In seconds.
-  const std::string *Organisation = nullptr;
+/// A job that was accepted earlier.
+struct EarlierJob {
+  int64_t AgeMs = 0;
+  const AcceptJob *Job = nullptr;
   double Rate = 0;
 };
 
@@ -50,32 +50,37 @@
 void RateBuckets::restore(const std::map<JobId, JobRecord> &Jobs,
                           const RateFn &RateOf, Instant Now,
                           UnixMillis WallNow) {
-  constexpr double MillisPerSecond = 1000;
-  std::vector<TakenToken> Taken;
+  // What is older matters only to an organisation that has stayed at its rate
+  // since; its bucket then has too many tokens, but never more than are full.
+  constexpr double MaxAgeMs = 60000;
+  std::vector<EarlierJob> Earlier;
   std::map<std::string, double> Rates;
   for (const auto &[Id, Record] : Jobs) {
     const AcceptJob &Job = Record.Job;
-    if (Job.IsBeyondRate || !isLimited(Job))
+    double AgeMs = std::max(0.0, static_cast<double>(WallNow) -
+                                     static_cast<double>(Job.AcceptedAt));
+    if (!isLimited(Job) || AgeMs > MaxAgeMs)
       continue;
     auto [Rate, IsNew] = Rates.try_emplace(Job.Organisation, 0);
     if (IsNew)
       Rate->second = RateOf(Job.Organisation);
-    double Age = std::max(0.0, (static_cast<double>(WallNow) -
-                                static_cast<double>(Job.AcceptedAt)) /
-                                   MillisPerSecond);
-    // Any bucket has been refilled since then.
-    if (Age * Rate->second >= capacity(Rate->second))
-      continue;
-    Taken.push_back({Age, &Job.Organisation, Rate->second});
+    Earlier.push_back({static_cast<int64_t>(AgeMs), &Job, Rate->second});
   }
-  std::sort(
-      Taken.begin(), Taken.end(),
-      [](const TakenToken &A, const TakenToken &B) { return A.Age > B.Age; });
+  std::stable_sort(Earlier.begin(), Earlier.end(),
+                   [](const EarlierJob &A, const EarlierJob &B) {
+                     return A.AgeMs > B.AgeMs;
+                   });
   Buckets.clear();
-  for (const TakenToken &Token : Taken) {
-    auto Age = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(Token.Age));
-    take(*Token.Organisation, Token.Rate, Now - Age);
+  for (const EarlierJob &Item : Earlier) {
+    Instant At = Now - milliseconds(Item.AgeMs);
+    const std::string &Organisation = Item.Job->Organisation;
+    if (!Item.Job->IsBeyondRate) {
+      take(Organisation, Item.Rate, At);
+      continue;
+    }
+    // There was no token for this job.
+    Bucket &From = refill(Organisation, Item.Rate, At);
+    From.Tokens = std::min(From.Tokens, 1.0);
   }
 }
 
