--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -250,16 +250,20 @@
   for (const WorkerKey &Key : Expired)
     removeWorker(Key, "forgotten", /*HasCrashed=*/false);
   drainEvacuatedDataCentres();
-  updateShares();
   // Due times, objectives and advice depend on the time, so each pool with
   // unfinished jobs is scheduled again.
   PendingJobs.clear();
+  Shares.resetJobCounts();
+  UnixMillis WallNow = Hooks.WallNow();
   for (const auto &[Id, Job] : Jobs) {
     if (Job->HasEnded)
       continue;
+    if (usesShares() && !Job->isLongRunning())
+      countShareOfJob(*Job, WallNow);
     markPoolDirty(Job->Pool);
     PendingJobs[Job->job().Queue] += Job->HasStarted ? 0 : 1;
   }
+  updateShares();
   proposeResults();
   proposeLosses();
   probeCanaries();
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -248,7 +248,8 @@
 
   // Shares and rates of organisations.
   void loadShares();
-  /// Updates usage and shares, if the order of jobs depends on them.
+  /// Updates usage and shares, if the order of jobs depends on them, from the
+  /// jobs that countShareOfJob() has counted.
   void updateShares();
   void countShareOfJob(const JobProgress &Job, UnixMillis Now);
   /// Records the usage for a later leader, from time to time while jobs wait.
--- a/Source/Scheduling/DispatcherShares.cpp
+++ b/Source/Scheduling/DispatcherShares.cpp
@@ -56,11 +56,6 @@
   for (const auto &[Key, Worker] : Table.all())
     if (Worker.IsReachable)
       Capacity += Worker.Entry.Capacity;
-  UnixMillis Now = Hooks.WallNow();
-  Shares.resetJobCounts();
-  for (const auto &[Id, Job] : Jobs)
-    if (!Job->HasEnded && !Job->isLongRunning())
-      countShareOfJob(*Job, Now);
   std::vector<ShareChange> Changes =
       Shares.update(Timers.now(), Capacity, [this](const std::string &Name) {
         return Table.shortRunsReservedBy(Name);
