--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -33,6 +33,7 @@
 }
 
 void Dispatcher::loadStore() {
+  loadShares();
   for (const auto &[Key, Entry] : Store.workers()) {
     TrackedWorker &Worker = Table.add(Entry, Timers.now());
     Worker.IsCommitted = true;
@@ -59,6 +60,7 @@
   Job->IsInherited = IsInherited;
   if (IsInherited)
     Job->InheritedWorkers = Record.Placements;
+  Job->ShareIndex = Shares.indexOf(Record.Job.Organisation);
   double Work = static_cast<double>(Record.Job.Spec.totalCoreMs());
   constexpr double SmoothingFactor = 0.05;
   MeanJobCoreMs =
@@ -87,6 +89,7 @@
 }
 
 void Dispatcher::onConfigurationChanged() {
+  Shares.setConfiguration(Configuration);
   for (auto &[Id, Job] : Jobs) {
     const QueueConfiguration *Queue = Configuration.findQueue(Job->job().Queue);
     Job->Pool = Queue == nullptr ? std::string() : Queue->Pool;
@@ -254,15 +257,20 @@
   // unfinished jobs is scheduled again.
   PendingJobs.clear();
   WaitingStarts = 0;
+  Shares.resetJobCounts();
+  UnixMillis WallNow = Hooks.WallNow();
   for (const auto &[Id, Job] : Jobs) {
     if (Job->HasEnded)
       continue;
+    if (usesShares() && !Job->isLongRunning())
+      countShareOfJob(*Job, WallNow);
     markPoolDirty(Job->Pool);
     PendingJobs[Job->job().Queue] += Job->HasStarted ? 0 : 1;
     if (!Job->isLongRunning())
       WaitingStarts += Job->countWaitingTasks();
   }
   reportUnlocatedJobs();
+  updateShares();
   proposeResults();
   proposeLosses();
   probeCanaries();
@@ -283,14 +291,18 @@
   return It == PendingJobs.end() ? 0 : It->second;
 }
 
-bool Dispatcher::isOverdueDemandCounted(const JobProgress &Job) const {
-  // Callers wait for three objectives. A job that has not started by then, such
-  // as one that fits on no worker, must not hold VMs indefinitely.
+bool Dispatcher::isStillAwaited(const JobProgress &Job) const {
+  // Callers wait for three objectives.
   constexpr int MaxObjectivesWaited = 3;
   Duration TimeSinceAccepted = Timers.now() - Job.AcceptedAt;
   return TimeSinceAccepted <
-             MaxObjectivesWaited * (Job.Objective - Job.AcceptedAt) &&
-         fitsSomeWorker(Job);
+         MaxObjectivesWaited * (Job.Objective - Job.AcceptedAt);
+}
+
+bool Dispatcher::isOverdueDemandCounted(const JobProgress &Job) const {
+  // A job that has not started by then, such as one that fits on no worker,
+  // must not hold VMs indefinitely.
+  return isStillAwaited(Job) && fitsSomeWorker(Job);
 }
 
 bool Dispatcher::fitsSomeWorker(const JobProgress &Job) const {
@@ -309,17 +321,14 @@
 
 PoolDemand Dispatcher::computeDemand(const std::string &Pool) const {
   PoolDemand Demand;
-  constexpr double MillicoresPerCore = 1000;
   constexpr double MinCriticalPathMs = 300;
   for (const auto &[Id, Job] : Jobs) {
     if (Job->HasEnded || Job->Pool != Pool)
       continue;
     if (Job->isLongRunning()) {
       for (const StepSpec &Step : Job->spec().Steps) {
-        Demand.LongRunningCores +=
-            static_cast<double>(Step.Count) *
-            static_cast<double>(Step.reservedResources().Cpu) /
-            MillicoresPerCore;
+        Demand.LongRunning +=
+            ResourceAmounts::of(Step.reservedResources() * int64_t(Step.Count));
         if (Step.MaxPerWorker > 0)
           Demand.MinVms = std::max<size_t>(
               Demand.MinVms,
@@ -334,13 +343,13 @@
         Job->Objective;
     if (!CanMeetObjective && !isOverdueDemandCounted(*Job))
       continue;
-    // Overdue jobs must still run. They request cores to finish within some
+    // Overdue jobs must still run. They request capacity to finish within some
     // seconds, not capacity for a burst of their own.
     double OverdueDrainMs =
         static_cast<double>(toMillis(Options.OverdueDrainTime));
     double SpreadMs = std::max(
         CriticalPathMs, CanMeetObjective ? MinCriticalPathMs : OverdueDrainMs);
-    Demand.BatchCores += Job->remainingCoreMs(Factor) / SpreadMs;
+    Demand.Batch += Job->remainingWork(Factor) / SpreadMs;
   }
   return Demand;
 }
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -12,9 +12,11 @@
 #include "Scheduling/CrashSuspicion.h"
 #include "Scheduling/JobOrder.h"
 #include "Scheduling/JobProgress.h"
+#include "Scheduling/OrganisationShares.h"
 #include "Scheduling/Pacing.h"
 #include "Scheduling/Placement.h"
 #include "Scheduling/PlacementRecords.h"
+#include "Scheduling/RateBuckets.h"
 #include "Scheduling/ResponseDelay.h"
 #include "Scheduling/RetryTime.h"
 #include "Scheduling/StartWindow.h"
@@ -121,10 +123,10 @@
 
 /// The capacity that one pool needs now.
 struct PoolDemand {
-  /// Cores needed to finish jobs that can still meet their objective, and
-  /// overdue jobs within DispatcherOptions::OverdueDrainTime.
-  double BatchCores = 0;
-  double LongRunningCores = 0; // For long-running tasks.
+  /// Needed to finish jobs that can still meet their objective, and overdue
+  /// jobs within DispatcherOptions::OverdueDrainTime.
+  ResourceAmounts Batch;
+  ResourceAmounts LongRunning; // For long-running tasks.
   /// Fewest VMs that satisfy the MaxPerWorker limits of the long-running steps.
   size_t MinVms = 0;
   bool Standby = false;
@@ -176,6 +178,15 @@
   void onConfigurationChanged();
   void onEvacuationChanged();
 
+  /// Called before a job is proposed. Returns false if its organisation has
+  /// sent more jobs than its rate.
+  bool takeRateToken(const AcceptJob &Job);
+  const OrganisationShares &shares() const { return Shares; }
+  /// Returns true if the order of jobs depends on shares.
+  bool usesShares() const {
+    return std::holds_alternative<SharedValue>(Options.JobOrderPolicy);
+  }
+
   /// Processes a worker's report. \p Acknowledge is called once the report may
   /// be answered; its argument is false if the change was not committed.
   void handleReport(const WorkerReport &Report,
@@ -266,6 +277,16 @@
 
   void loadStore();
   void addJob(const JobRecord &Record, bool IsInherited);
+
+  // Shares and rates of organisations.
+  void loadShares();
+  /// Updates usage and shares, if the order of jobs depends on them, from the
+  /// jobs that countShareOfJob() has counted.
+  void updateShares();
+  void countShareOfJob(const JobProgress &Job, UnixMillis Now);
+  /// Records the usage for a later leader, from time to time while jobs wait.
+  void proposeUsage();
+
   bool mayIssueOrders() const {
     return Hooks.MayIssueOrders() && !HasBeenDeposed;
   }
@@ -413,6 +434,9 @@
   /// the pool at which the last pass ended so.
   void schedulePools(const std::set<std::string> &Pools);
   void schedulePool(const std::string &Pool);
+  /// Returns the organisation's CPU in use, in thousandths of a core, over its
+  /// weight.
+  double organisationLoad(const std::string &Organisation) const;
   std::vector<JobRank> rankJobs(const std::string &Pool,
                                 std::vector<JobProgress *> &List) const;
   /// Returns true if the step has tasks that may be placed now.
@@ -424,6 +448,8 @@
                     PlacementPass &Pass);
   void scheduleGang(JobProgress &Job, uint32_t Occurrence, uint32_t Step,
                     PlacementPass &Pass);
+  /// Returns true while the job's caller may still wait for it.
+  bool isStillAwaited(const JobProgress &Job) const;
   /// Returns true while an overdue job still counts in its pool's demand.
   bool isOverdueDemandCounted(const JobProgress &Job) const;
   /// Returns true if, for each step, some worker of the pool could hold one of
@@ -492,6 +518,10 @@
   bool ProposalInFlight = false;
   TimerId FlushTimer = 0;
   TimerId TickTimer = 0;
+  OrganisationShares Shares;
+  RateBuckets Rates;
+  Instant UsageProposedAt;
+  bool IsUsageInFlight = false;
   /// Moving mean of actual to estimated task duration, by queue.
   std::map<std::string, double> EstimateFactors;
   double MeanJobCoreMs = 0; // Moving mean over accepted jobs.
--- a/Source/Scheduling/DispatcherStarts.cpp
+++ b/Source/Scheduling/DispatcherStarts.cpp
@@ -93,6 +93,8 @@
     Order.Ticket = Ticket->second.Text;
   BookedRun->State = RunState::Starting;
   BookedRun->OrderedAt = BookedRun->ProgressChangedAt = Timers.now();
+  if (!Spec.LongRunning)
+    Shares.recordStart(Job.ShareIndex, Timers.now());
   ++Counters.StartOrders;
   if (BookedRun->IsCanary) {
     ++Counters.Canaries;
--- a/Source/Scheduling/JobProgress.h
+++ b/Source/Scheduling/JobProgress.h
@@ -117,6 +117,9 @@
   /// Returns the remaining work in core-milliseconds, with the estimates scaled
   /// by \p EstimateFactor.
   double remainingCoreMs(double EstimateFactor) const;
+  /// Returns the remaining work in every dimension, each amount times
+  /// milliseconds.
+  ResourceAmounts remainingWork(double EstimateFactor) const;
   /// Returns the duration in milliseconds of the longest chain of steps that
   /// are not done.
   double remainingCriticalPathMs(double EstimateFactor) const;
@@ -130,6 +133,8 @@
   /// The time by which the job should end.
   Instant Objective;
   Instant AcceptedAt;
+  /// The index of the job's organisation in OrganisationShares.
+  size_t ShareIndex = 0;
   /// True if an earlier leader may have started tasks of the job.
   bool IsInherited = false;
   /// The workers that its record named when this leader began.
--- a/Tests/Support/SchedulerHarness.cpp
+++ b/Tests/Support/SchedulerHarness.cpp
@@ -62,7 +62,7 @@
 }
 
 UnixMillis SchedulerHarness::wallNow() const {
-  return WallStart + toMillis(Timers.now().time_since_epoch());
+  return WallStart + WallOffsetMs + toMillis(Timers.now().time_since_epoch());
 }
 
 void SchedulerHarness::commitCommand(const JobCommand &Command) {
@@ -126,6 +126,7 @@
   Command.AcceptedAt = wallNow();
   Command.Spec = std::move(Spec);
   Command.RecordsPlacements = Options.RecordsPlacements;
+  Command.IsBeyondRate = Scheduler && !Scheduler->takeRateToken(Command);
   AcceptedAt[Job] = Timers.now();
   commitCommand(Command);
 }
