Scheduling: run times by kind, and waits for capacity near the data

Cause: the scheduler knew one factor for each queue, which a new leader lost, and a task whose rack was full ran far from its data at once. Change: RunTimes keeps distributions by queue and image and is recorded in the store; RackForecast and LocalityWait decide whether a task or a rack-local gang waits. Nothing waits unless the setting localityWait is on.

--- a/Source/Fleet/SchedulerMetrics.cpp
+++ b/Source/Fleet/SchedulerMetrics.cpp
@@ -94,6 +94,20 @@
            static_cast<uint64_t>(toMillis(Scheduler->oldestRenewalAge())));
   SetGauge("mimosashunt_renewals", "Leases renewed apart from polls",
            Counters.Renewals);
+  SetGauge("mimosashunt_locality_waits",
+           "Waits for capacity near a task's data", Counters.LocalityWaits);
+  SetGauge("mimosashunt_locality_waits_paid_off",
+           "Waits after which the task started near its data",
+           Counters.LocalityWaitsPaidOff);
+  SetGauge("mimosashunt_locality_waited_milliseconds",
+           "Time that all waits for capacity near the data took",
+           Counters.LocalityWaitedMs);
+  SetGauge("mimosashunt_locality_waiting",
+           "Tasks and gangs that wait for capacity near their data",
+           Scheduler->localityWaitCount());
+  SetGauge("mimosashunt_run_time_kinds",
+           "Kinds of task whose run times are known",
+           Scheduler->runTimes().kindCount());
   SetGauge("mimosashunt_response_delay_milliseconds",
            "How late workers' responses are handled",
            static_cast<uint64_t>(toMillis(Scheduler->responseDelay())));
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -39,6 +39,9 @@
     Worker.LastReportAt = StartedAt;
     UnsyncedWorkers[Entry.Pool].insert(Key);
   }
+  LearnedRunTimes.restore(Store.runTimes());
+  ProposedRunTimes = LearnedRunTimes.version();
+  RunTimesProposedAt = StartedAt;
   for (const auto &[Id, Record] : Store.jobs())
     if (!Record.hasEnded())
       addJob(Record, /*IsInherited=*/true);
@@ -256,8 +259,10 @@
     markPoolDirty(Job->Pool);
     PendingJobs[Job->job().Queue] += Job->HasStarted ? 0 : 1;
   }
+  removeStaleLocalityWaits();
   proposeResults();
   proposeLosses();
+  proposeRunTimes();
   probeCanaries();
 }
 
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -12,9 +12,12 @@
 #include "Scheduling/CrashSuspicion.h"
 #include "Scheduling/JobOrder.h"
 #include "Scheduling/JobProgress.h"
+#include "Scheduling/LocalityWait.h"
 #include "Scheduling/Pacing.h"
 #include "Scheduling/Placement.h"
+#include "Scheduling/RackForecast.h"
 #include "Scheduling/ResponseDelay.h"
+#include "Scheduling/RunTimes.h"
 #include "Scheduling/StartWindow.h"
 #include "Scheduling/WorkerHealth.h"
 #include "Workers/WorkerTable.h"
@@ -81,6 +84,8 @@
   bool WaitsForLocality = false;
   /// How many times as long a task runs far from its data.
   double RemoteFactor = 1;
+  /// Time between two proposals of what was learned of run times.
+  Duration RunTimesInterval = seconds(5);
   /// Size of the range of attempt numbers that each leader uses for a task. The
   /// ranges ascend with the fencing token, so a new leader's attempts are
   /// higher than all earlier ones.
@@ -144,6 +149,11 @@
   uint64_t UnrenewedRuns = 0;
   /// Renewals apart from polls.
   uint64_t Renewals = 0;
+  /// Waits for capacity near a task's data, the ones of them that got it, and
+  /// the time that all of them took.
+  uint64_t LocalityWaits = 0;
+  uint64_t LocalityWaitsPaidOff = 0;
+  uint64_t LocalityWaitedMs = 0;
 };
 
 /// Schedules jobs onto workers while this VM is leader.
@@ -220,6 +230,10 @@
   /// so that new jobs would only make all of them late.
   bool isOverloaded() const { return Starts.isOverloaded(Timers.now()); }
   size_t startWindow() const { return Starts.size(); }
+  const RunTimes &runTimes() const { return LearnedRunTimes; }
+  /// Returns the number of steps and tasks that wait for capacity near their
+  /// data.
+  size_t localityWaitCount() const { return LocalityWaits.size(); }
   /// Returns the time since the oldest lease of a reachable worker with runs
   /// was renewed.
   Duration oldestRenewalAge() const;
@@ -380,6 +394,36 @@
   /// Returns true if none of the workers that may run the task is reachable.
   bool areAllWorkersUnreachable(const TaskProgress &TaskState) const;
   bool isWithinQuota(const JobProgress &Job, const Resources &Extra) const;
+
+  // Run times, and waiting for capacity near the data.
+  /// Learns from a run that succeeded.
+  void learnRunTime(const JobProgress &Job, const StepSpec &Spec,
+                    const TrackedWorker &Worker, const Run &Ended);
+  /// Proposes what was learned, if it is time and something was.
+  void proposeRunTimes();
+  /// Returns true if the decision to wait may concern the task.
+  bool mayWaitForLocality(const JobProgress &Job, const StepSpec &Spec,
+                          const TaskProgress &TaskState, bool IsCanary) const;
+  bool isWaitingForLocality(const TaskProgress &TaskState) const;
+  /// Decides for a task that could run far from its data, or a gang that could
+  /// run spread over racks. Returns true if it waits from now on. \p Task names
+  /// the first member of a gang.
+  bool startLocalityWait(JobProgress &Job, const TaskId &Task,
+                         PlacementPass &Pass);
+  /// Ends the wait of the task, if it waits. \p Outcome is for the log.
+  void endLocalityWait(const TaskId &Task, const char *Outcome);
+  /// Ends waits of jobs that have ended.
+  void removeStaleLocalityWaits();
+  /// Returns the forecast for this pass.
+  RackForecast &forecastRack(const std::string &Pool, const std::string &Rack,
+                             PlacementPass &Pass);
+  std::vector<ForecastRelease> forecastReleases(const TrackedWorker &Worker);
+  /// Counts a run that begins in the forecasts of this pass.
+  void updateForecast(const JobProgress &Job, const StepSpec &Spec,
+                      const TrackedWorker &Worker, bool IsRemote);
+  /// Returns the run time of a task near its data.
+  TimeEstimate localRunTime(const JobProgress &Job, const StepSpec &Spec,
+                            const std::string &Rack) const;
   void requestAdvice(JobProgress &Job, uint32_t Occurrence, uint32_t Step,
                      const std::vector<Candidate> &Candidates);
   /// Returns the resources that each organisation may be using for inherited
@@ -435,8 +479,22 @@
   bool ProposalInFlight = false;
   TimerId FlushTimer = 0;
   TimerId TickTimer = 0;
-  /// Moving mean of actual to estimated task duration, by queue.
-  std::map<std::string, double> EstimateFactors;
+  RunTimes LearnedRunTimes;
+  uint64_t ProposedRunTimes = 0; // Version that was proposed last.
+  Instant RunTimesProposedAt;
+  /// A task, or a gang, that waits for capacity near its data.
+  struct LocalityWait {
+    std::string Pool;
+    std::string Rack;
+    StepSpec Spec;
+    size_t Count = 1;
+    TimeEstimate LocalMs;
+    Instant Since;
+    Instant Until;
+  };
+  std::map<TaskId, LocalityWait> LocalityWaits;
+  /// Forecasts of the racks of the pool that is being scheduled.
+  std::map<std::string, RackForecast> Forecasts;
   double MeanJobCoreMs = 0; // Moving mean over accepted jobs.
   DispatcherCounters Counters;
   bool HasBeenDeposed = false;
--- /dev/null
+++ b/Source/Scheduling/DispatcherLocality.cpp
@@ -0,0 +1,253 @@
+// The part of the scheduler that learns run times and lets tasks wait for
+// capacity near their data.
+
+#include "Scheduling/Dispatcher.h"
+#include "Scheduling/LogFields.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string_view>
+#include <utility>
+
+namespace mimosashunt {
+
+namespace {
+
+TimeEstimate operator*(const TimeEstimate &Value, double Factor) {
+  return {Value.Mean * Factor, Value.Deviation * Factor};
+}
+
+} // namespace
+
+// Run times.
+
+void Dispatcher::learnRunTime(const JobProgress &Job, const StepSpec &Spec,
+                              const TrackedWorker &Worker, const Run &Ended) {
+  if (Spec.EstimateMs <= 0 || Ended.IsAdopted)
+    return;
+  double Ratio = static_cast<double>(toMillis(Timers.now() - Ended.OrderedAt)) /
+                 static_cast<double>(Spec.EstimateMs);
+  if (Ended.IsRemote && Options.RemoteFactor > 1)
+    Ratio /= Options.RemoteFactor;
+  LearnedRunTimes.record(Job.job().Queue, Spec.Image, Worker.Entry.rack(),
+                         Ratio);
+}
+
+void Dispatcher::proposeRunTimes() {
+  bool IsDue = Timers.now() - RunTimesProposedAt >= Options.RunTimesInterval;
+  if (!IsDue || LearnedRunTimes.version() == ProposedRunTimes ||
+      !mayIssueOrders())
+    return;
+  RunTimesProposedAt = Timers.now();
+  // If this is not committed, the next one holds all of it.
+  ProposedRunTimes = LearnedRunTimes.version();
+  Hooks.Propose(LearnedRunTimes.summarize(), [](bool) {});
+}
+
+TimeEstimate Dispatcher::localRunTime(const JobProgress &Job,
+                                      const StepSpec &Spec,
+                                      const std::string &Rack) const {
+  const RunTimeDistribution &Known =
+      LearnedRunTimes.find(Job.job().Queue, Spec.Image);
+  return Known.ratio() * (static_cast<double>(Spec.EstimateMs) *
+                          std::max(1.0, LearnedRunTimes.rackFactor(Rack)));
+}
+
+// Forecasts.
+
+std::vector<ForecastRelease>
+Dispatcher::forecastReleases(const TrackedWorker &Worker) {
+  std::vector<ForecastRelease> Result;
+  Result.reserve(Worker.Runs.size());
+  const JobProgress *Job = nullptr;
+  double RackFactor =
+      std::max(1.0, LearnedRunTimes.rackFactor(Worker.Entry.rack()));
+  for (const auto &[Task, CurrentRun] : Worker.Runs) {
+    if (CurrentRun.LongRunning)
+      continue;
+    // The runs are ordered by job.
+    if (Job == nullptr || Job->id() != Task.Job) {
+      auto It = Jobs.find(Task.Job);
+      Job = It == Jobs.end() ? nullptr : It->second.get();
+    }
+    if (Job == nullptr || Task.Step >= Job->spec().Steps.size())
+      continue;
+    const StepSpec &Spec = Job->stepSpec(Task.Step);
+    double UnitMs = static_cast<double>(Spec.EstimateMs) * RackFactor *
+                    (CurrentRun.IsRemote ? Options.RemoteFactor : 1);
+    if (UnitMs <= 0)
+      continue;
+    auto AgeMs =
+        static_cast<double>(toMillis(Timers.now() - CurrentRun.OrderedAt));
+    TimeEstimate Left = LearnedRunTimes.find(Job->job().Queue, Spec.Image)
+                            .remaining(AgeMs / UnitMs);
+    Result.push_back({Left * UnitMs, CurrentRun.ReservedResources});
+  }
+  return Result;
+}
+
+RackForecast &Dispatcher::forecastRack(const std::string &Pool,
+                                       const std::string &Rack,
+                                       PlacementPass &Pass) {
+  auto [It, IsNew] = Forecasts.try_emplace(Rack);
+  RackForecast &Forecast = It->second;
+  if (!IsNew)
+    return Forecast;
+  for (const Candidate *Target : Pass.candidatesIn(Rack))
+    if (!Target->IsOnProbation && !Target->IsReserved && !Target->HoldsCanary)
+      Forecast.addWorker(Target->Worker->Entry, Target->Free,
+                         forecastReleases(*Target->Worker));
+  std::vector<const LocalityWait *> Ahead;
+  for (const auto &[Task, Wait] : LocalityWaits)
+    if (Wait.Rack == Rack && Wait.Pool == Pool && Timers.now() < Wait.Until)
+      Ahead.push_back(&Wait);
+  std::stable_sort(Ahead.begin(), Ahead.end(),
+                   [](const LocalityWait *A, const LocalityWait *B) {
+                     return A->Since < B->Since;
+                   });
+  for (const LocalityWait *Wait : Ahead)
+    for (size_t I = 0; I < Wait->Count; ++I)
+      Forecast.reserve(Wait->Spec, Wait->LocalMs);
+  return Forecast;
+}
+
+void Dispatcher::updateForecast(const JobProgress &Job, const StepSpec &Spec,
+                                const TrackedWorker &Worker, bool IsRemote) {
+  if (Forecasts.empty())
+    return;
+  std::string Rack = Worker.Entry.rack();
+  auto Forecast = Forecasts.find(Rack);
+  if (Forecast != Forecasts.end())
+    Forecast->second.occupy(Worker.Entry, Spec.reservedResources(),
+                            localRunTime(Job, Spec, Rack) *
+                                (IsRemote ? Options.RemoteFactor : 1));
+}
+
+// Waiting.
+
+bool Dispatcher::isWaitingForLocality(const TaskProgress &TaskState) const {
+  return TaskState.LocalityWaitUntil &&
+         Timers.now() < *TaskState.LocalityWaitUntil;
+}
+
+bool Dispatcher::mayWaitForLocality(const JobProgress &Job,
+                                    const StepSpec &Spec,
+                                    const TaskProgress &TaskState,
+                                    bool IsCanary) const {
+  if (!Options.WaitsForLocality || !(Options.RemoteFactor > 1))
+    return false;
+  bool DependsOnRack = Spec.Gang ? Spec.RackLocal : !Spec.DataRack.empty();
+  // A task that failed, or was lost, is late enough. Which workers take a task
+  // with a ticket or a limit per worker is not forecast.
+  bool IsOrdinary = !Spec.LongRunning && !IsCanary && !Job.NeedsAdvice &&
+                    Spec.MaxPerWorker == 0 && TaskState.Workers.empty() &&
+                    TaskState.AvoidedWorkers.empty();
+  bool HasWaited =
+      TaskState.LocalityWaitUntil && !isWaitingForLocality(TaskState);
+  return DependsOnRack && IsOrdinary && !HasWaited;
+}
+
+bool Dispatcher::startLocalityWait(JobProgress &Job, const TaskId &Task,
+                                   PlacementPass &Pass) {
+  const StepSpec &Spec = Job.stepSpec(Task.Step);
+  const RunTimeDistribution &Known =
+      LearnedRunTimes.find(Job.job().Queue, Spec.Image);
+  LocalityInputs Inputs;
+  Inputs.Now = Timers.now();
+  Inputs.Samples = Known.samples();
+  Inputs.RemoteFactor = Options.RemoteFactor;
+  Inputs.RemoteMs = Known.ratio().Mean * static_cast<double>(Spec.EstimateMs) *
+                    Options.RemoteFactor;
+  // A forecast would be in vain.
+  if (std::holds_alternative<PlaceFar>(
+          decideLocality({Inputs.Now, localRunTime(Job, Spec, Spec.DataRack),
+                          Inputs.Samples, Inputs.RemoteFactor, Inputs.RemoteMs,
+                          TimeEstimate{0.001, 0}, 0, Instant::max()})))
+    return false;
+  std::string Rack = Spec.DataRack;
+  if (Spec.Gang) {
+    std::set<std::string> Racks;
+    for (const Candidate &Target : Pass.candidates())
+      Racks.insert(Target.Worker->Entry.rack());
+    for (const std::string &Other : Racks) {
+      std::optional<TimeEstimate> FreeIn =
+          forecastRack(Job.Pool, Other, Pass).findForGang(Spec, Spec.Count);
+      bool IsEarlier =
+          FreeIn && (!Inputs.FreeInMs || FreeIn->Mean < Inputs.FreeInMs->Mean);
+      if (!IsEarlier)
+        continue;
+      Inputs.FreeInMs = FreeIn;
+      Rack = Other;
+    }
+  }
+  Inputs.LocalMs = localRunTime(Job, Spec, Rack);
+  RackForecast &Forecast = forecastRack(Job.Pool, Rack, Pass);
+  Inputs.Ahead = Forecast.reservations();
+  if (!Spec.Gang)
+    Inputs.FreeInMs = Forecast.find(Spec);
+  // The steps that come after this one need their time, too.
+  double PathMs = Job.remainingCriticalPathMs(estimateFactor(Job));
+  double LaterMs = std::max(0.0, PathMs - Inputs.LocalMs.Mean);
+  Inputs.Objective =
+      Job.Objective - milliseconds(static_cast<int64_t>(LaterMs));
+  LocalityDecision Decision = decideLocality(Inputs);
+  const auto *Wait = std::get_if<WaitUntil>(&Decision);
+  if (Wait == nullptr)
+    return false;
+  Job.findTask(Task)->LocalityWaitUntil = Wait->Until;
+  size_t Count = Spec.Gang ? Spec.Count : 1;
+  for (size_t I = 0; I < Count; ++I)
+    Forecast.reserve(Spec, Inputs.LocalMs);
+  LocalityWaits[Task] = {Job.Pool,       Rack,       Spec,       Count,
+                         Inputs.LocalMs, Inputs.Now, Wait->Until};
+  ++Counters.LocalityWaits;
+  Json Fields = taskFields(Task, Job.nextAttempt(Task));
+  Fields["rack"] = Rack;
+  Fields["why"] = Wait->Reason;
+  Fields["expected_ms"] = toMillis(Wait->ExpectedAt - Inputs.Now);
+  Fields["until_ms"] = toMillis(Wait->Until - Inputs.Now);
+  Fields["confidence"] = std::round(Wait->Confidence * 100) / 100;
+  Fields["local_ms"] = static_cast<int64_t>(Inputs.LocalMs.Mean);
+  Fields["ahead"] = Inputs.Ahead;
+  Hooks.LogEvent("locality_wait", Fields);
+  Timers.scheduleAt(Wait->Until, [this, IsAlive = AliveFlag, Task] {
+    if (*IsAlive)
+      endLocalityWait(Task, "expired");
+  });
+  return true;
+}
+
+void Dispatcher::endLocalityWait(const TaskId &Task, const char *Outcome) {
+  auto It = LocalityWaits.find(Task);
+  if (It == LocalityWaits.end())
+    return;
+  const LocalityWait &Wait = It->second;
+  int64_t WaitedMs = toMillis(Timers.now() - Wait.Since);
+  // A task that is placed at the last moment may be placed anywhere.
+  if (Timers.now() >= Wait.Until)
+    Outcome = "expired";
+  bool HasPaidOff = std::string_view(Outcome) == "near";
+  Counters.LocalityWaitsPaidOff += HasPaidOff ? 1 : 0;
+  Counters.LocalityWaitedMs += static_cast<uint64_t>(WaitedMs);
+  Json Fields = taskFields(Task, 0);
+  Fields.erase("attempt");
+  Fields["rack"] = Wait.Rack;
+  Fields["outcome"] = Outcome;
+  Fields["waited_ms"] = WaitedMs;
+  Hooks.LogEvent("locality_wait_ended", Fields);
+  markPoolDirty(Wait.Pool);
+  LocalityWaits.erase(It);
+}
+
+void Dispatcher::removeStaleLocalityWaits() {
+  std::vector<TaskId> Stale;
+  for (const auto &[Task, Wait] : LocalityWaits) {
+    auto Job = Jobs.find(Task.Job);
+    if (Job == Jobs.end() || Job->second->HasEnded)
+      Stale.push_back(Task);
+  }
+  for (const TaskId &Task : Stale)
+    endLocalityWait(Task, "job_ended");
+}
+
+} // namespace mimosashunt
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -8,13 +8,22 @@
 
 namespace mimosashunt {
 
+namespace {
+
+bool spansRacks(const std::vector<Candidate *> &Places) {
+  return std::any_of(Places.begin(), Places.end(), [&](const Candidate *Place) {
+    return Place->Worker->Entry.rack() != Places.front()->Worker->Entry.rack();
+  });
+}
+
+} // namespace
+
 size_t Dispatcher::poolSize(const std::string &Pool) const {
   return Table.workersInPool(Pool).size();
 }
 
 double Dispatcher::estimateFactor(const JobProgress &Job) const {
-  auto It = EstimateFactors.find(Job.job().Queue);
-  return It == EstimateFactors.end() ? 1.0 : It->second;
+  return LearnedRunTimes.meanFactor(Job.job().Queue);
 }
 
 std::vector<JobRank>
@@ -97,6 +106,7 @@
   PlacementPass Pass(findCandidates(Table, Pool, Health, Store, Timers.now()));
   if (Pass.candidates().empty())
     return;
+  Forecasts.clear();
   std::vector<JobProgress *> List;
   std::vector<JobRank> Ranks = rankJobs(Pool, List);
   orderJobs(Options.JobOrderPolicy, Timers.now(), MeanJobCoreMs, Ranks);
@@ -193,6 +203,7 @@
   const StepSpec &Spec = Job.stepSpec(Step);
   StepProgress &Progress = Job.Occurrences[Occurrence].Steps[Step];
   Candidate *PreviousChoice = nullptr;
+  bool IsWaitRefused = false; // The next task would wait longer.
   StepCaution Caution =
       assessStep(Spec, Progress, Options.Suspicion, Timers.now());
   for (uint32_t I = 0; I < Spec.Count; ++I) {
@@ -223,7 +234,21 @@
                              std::max<uint32_t>(Remaining, 1),
                              Caution.NeedsCanary,
                              PreviousChoice};
-    Candidate *Chosen = Pass.placeTask(Request);
+    bool MayWait =
+        mayWaitForLocality(Job, Spec, TaskState, Caution.NeedsCanary);
+    Candidate *Chosen = MayWait ? Pass.placeTaskNear(Request) : nullptr;
+    if (Chosen == nullptr && MayWait && isWaitingForLocality(TaskState))
+      continue;
+    bool IsFar = Chosen == nullptr;
+    if (Chosen == nullptr)
+      Chosen = Pass.placeTask(Request);
+    if (Chosen != nullptr && MayWait && IsFar && !IsWaitRefused) {
+      IsWaitRefused = !startLocalityWait(Job, Task, Pass);
+      if (!IsWaitRefused) {
+        Pass.release(*Chosen, Request);
+        continue;
+      }
+    }
     PreviousChoice = Chosen;
     if (Chosen == nullptr) {
       if (Caution.NeedsCanary)
@@ -255,7 +280,20 @@
   PlacementRequest Request{&Spec, &Progress, &Progress.Tasks.front(),
                            Job.NeedsAdvice, Timers.now()};
   Request.IsCanary = Caution.NeedsCanary;
-  auto Chosen = Pass.placeGang(Request, Spec.Count);
+  bool MayWait =
+      Spec.RackLocal && mayWaitForLocality(Job, Spec, Progress.Tasks.front(),
+                                           Caution.NeedsCanary);
+  bool IsWaiting = MayWait && isWaitingForLocality(Progress.Tasks.front());
+  auto Chosen = Pass.placeGang(Request, Spec.Count, /*InOneRack=*/IsWaiting);
+  if (!Chosen && IsWaiting)
+    return;
+  bool IsSpread = Chosen && spansRacks(*Chosen);
+  if (IsSpread && MayWait &&
+      startLocalityWait(Job, {Job.id(), Occurrence, Step, 0}, Pass)) {
+    for (Candidate *Place : *Chosen)
+      Pass.release(*Place, Request);
+    return;
+  }
   if (!Chosen) {
     if (Caution.NeedsCanary)
       reserveWorkerForCanary(Job.Pool, Request, Progress, Pass);
@@ -264,9 +302,14 @@
     return;
   }
   uint32_t Attempt = Job.nextAttempt({Job.id(), Occurrence, Step, 0});
-  for (uint32_t I = 0; I < Spec.Count; ++I)
-    startRun(Job, {Job.id(), Occurrence, Step, I}, *(*Chosen)[I]->Worker,
-             Attempt, Caution.NeedsCanary);
+  for (uint32_t I = 0; I < Spec.Count; ++I) {
+    TaskId Member{Job.id(), Occurrence, Step, I};
+    TrackedWorker &Worker = *(*Chosen)[I]->Worker;
+    startRun(Job, Member, Worker, Attempt, Caution.NeedsCanary);
+    auto Started = Worker.Runs.find(Member);
+    if (Started != Worker.Runs.end() && Spec.RackLocal)
+      Started->second.IsRemote = IsSpread;
+  }
 }
 
 void Dispatcher::requestAdvice(JobProgress &Job, uint32_t Occurrence,
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -218,6 +218,7 @@
   const JobRecord *Record = Store.findJob(Reported.Task.Job);
   Run Adopted;
   Adopted.Attempt = Reported.Attempt;
+  Adopted.IsAdopted = true;
   Adopted.State = RunState::Running;
   Adopted.OrderedAt = Adopted.StartAckedAt = Adopted.ListedAt =
       Adopted.ProgressChangedAt = Timers.now();
@@ -236,6 +237,8 @@
     Adopted.UsesSpareCpu = Spec.UsesSpareCpu;
     Adopted.LongRunning = Spec.LongRunning;
     Adopted.TailTargetMs = Spec.TailTargetMs;
+    Adopted.IsRemote =
+        !Spec.DataRack.empty() && Worker.Entry.rack() != Spec.DataRack;
   }
   Table.addRun(Worker, Reported.Task, std::move(Adopted));
   auto Job = Jobs.find(Reported.Task.Job);
@@ -306,8 +309,12 @@
   auto CurrentRun = Worker.Runs.find(End.Task);
   bool IsCurrentAttempt = CurrentRun != Worker.Runs.end() &&
                           CurrentRun->second.Attempt == End.Attempt;
+  Run Ended;
   if (IsCurrentAttempt) {
     OrderedAt = CurrentRun->second.OrderedAt;
+    Ended.OrderedAt = OrderedAt;
+    Ended.IsAdopted = CurrentRun->second.IsAdopted;
+    Ended.IsRemote = CurrentRun->second.IsRemote;
     // Its worker has outlived it.
     if (CurrentRun->second.IsCanary && End.Kind == EndKind::Done)
       passCanary(Worker, End.Task, CurrentRun->second);
@@ -337,13 +344,8 @@
     TaskState->Checkpoint = End.Checkpoint;
   if (End.Kind == EndKind::Done && !Spec.LongRunning) {
     Health.recordSuccess(Worker.key());
-    double DurationMs = static_cast<double>(toMillis(Timers.now() - OrderedAt));
-    double &Factor =
-        EstimateFactors.try_emplace(Job->job().Queue, 1.0).first->second;
-    constexpr double SmoothingFactor = 0.02;
-    if (IsCurrentAttempt && Spec.EstimateMs > 0)
-      Factor += SmoothingFactor *
-                (DurationMs / static_cast<double>(Spec.EstimateMs) - Factor);
+    if (IsCurrentAttempt)
+      learnRunTime(*Job, Spec, Worker, Ended);
     if (!TaskState->Done) {
       Job->recordSuccess(End.Task);
       queueResult({End.Task, End.Attempt, true});
@@ -531,6 +533,10 @@
   NewRun.LongRunning = Spec.LongRunning;
   NewRun.TailTargetMs = Spec.TailTargetMs;
   NewRun.IsCanary = IsCanary;
+  NewRun.IsRemote =
+      !Spec.DataRack.empty() && Worker.Entry.rack() != Spec.DataRack;
+  endLocalityWait(Task, NewRun.IsRemote && !Spec.Gang ? "far" : "near");
+  updateForecast(Job, Spec, Worker, NewRun.IsRemote);
   Table.addRun(Worker, Task, std::move(NewRun));
   Job.addPlacement(Task, Worker.key(), Attempt);
   ++Counters.StartOrders;
--- a/Source/Scheduling/JobProgress.h
+++ b/Source/Scheduling/JobProgress.h
@@ -43,6 +43,8 @@
   bool AreLossesCommitted = true;
   /// The store may hold losses.
   bool WereLossesProposed = false;
+  /// Until when it waits, or waited, for capacity near its data; it waits once.
+  std::optional<Instant> LocalityWaitUntil;
 };
 
 /// The advice service's answers for one step.
--- a/Source/Scheduling/Placement.cpp
+++ b/Source/Scheduling/Placement.cpp
@@ -186,33 +186,98 @@
   return Result;
 }
 
-bool PlacementPass::isKnownUnplaceable(const Resources &Size) const {
+namespace {
+
+/// Returns true if \p Size is at least as large as one that did not fit.
+bool isAnyWithin(const std::vector<Resources> &TriedSizes,
+                 const Resources &Size) {
   return std::any_of(
-      UnplaceableSizes.begin(), UnplaceableSizes.end(),
+      TriedSizes.begin(), TriedSizes.end(),
       [&](const Resources &TriedSize) { return Size.canFit(TriedSize); });
 }
 
+/// Returns true if the task fits wherever another one of its size does.
+bool dependsOnSizeOnly(const PlacementRequest &Request) {
+  const StepSpec &Spec = *Request.Spec;
+  return !Request.IsCanary && Spec.RequiredLabel.empty() &&
+         Spec.MaxPerWorker == 0 && !Request.NeedsTicket &&
+         Request.TaskState->Workers.empty();
+}
+
+/// Returns true if the task goes to the worker of the step's previous task.
+bool maySharePreviousChoice(const PlacementRequest &Request) {
+  const Candidate *Previous = Request.PreviousChoice;
+  return Previous != nullptr && !Request.Spec->LongRunning &&
+         isAllowed(Request, *Previous, {}) &&
+         !hasFailedThere(Request, *Previous) &&
+         !isFarFromData(Request, *Previous);
+}
+
+} // namespace
+
+bool PlacementPass::isKnownUnplaceable(const Resources &Size) const {
+  return isAnyWithin(UnplaceableSizes, Size);
+}
+
 Candidate *PlacementPass::findBestCandidate(const PlacementRequest &Request) {
   const StepSpec &Spec = *Request.Spec;
   if (!Request.IsCanary && isKnownUnplaceable(Spec.reservedResources()))
     return nullptr;
   Candidate *Best = selectBest(Candidates, Request, {}, {});
-  bool DependsOnSizeOnly = !Request.IsCanary && Spec.RequiredLabel.empty() &&
-                           Spec.MaxPerWorker == 0 && !Request.NeedsTicket &&
-                           Request.TaskState->Workers.empty();
-  if (Best == nullptr && DependsOnSizeOnly)
+  if (Best == nullptr && dependsOnSizeOnly(Request))
     UnplaceableSizes.push_back(Spec.reservedResources());
   return Best;
 }
 
+PlacementPass::RackCandidates &
+PlacementPass::findRack(const std::string &Rack) {
+  auto [It, IsNew] = Racks.try_emplace(Rack);
+  if (IsNew)
+    for (Candidate &Target : Candidates)
+      if (Target.Worker->Entry.rack() == Rack)
+        It->second.Members.push_back(&Target);
+  return It->second;
+}
+
+Candidate *PlacementPass::placeTaskNear(const PlacementRequest &Request) {
+  RackCandidates &Near = findRack(Request.Spec->DataRack);
+  const Resources Size = Request.Spec->reservedResources();
+  if (isAnyWithin(Near.UnplaceableSizes, Size))
+    return nullptr;
+  Candidate *Best = nullptr;
+  if (maySharePreviousChoice(Request)) {
+    reserve(*Request.PreviousChoice, Request);
+    return Request.PreviousChoice;
+  }
+  Preference BestKey;
+  for (Candidate *Target : Near.Members) {
+    if (!isAllowed(Request, *Target, {}))
+      continue;
+    Preference Key = preferenceOf(Request, *Target, {});
+    if (Best != nullptr && !(Key < BestKey))
+      continue;
+    Best = Target;
+    BestKey = Key;
+  }
+  if (Best != nullptr)
+    reserve(*Best, Request);
+  else if (dependsOnSizeOnly(Request))
+    Near.UnplaceableSizes.push_back(Size);
+  return Best;
+}
+
+void PlacementPass::release(Candidate &Chosen,
+                            const PlacementRequest &Request) {
+  const StepSpec &Spec = *Request.Spec;
+  Chosen.Free += Spec.reservedResources();
+  --Chosen.Runs;
+  Chosen.LongRunningCount -= Spec.LongRunning ? 1 : 0;
+}
+
 Candidate *PlacementPass::placeTask(const PlacementRequest &Request) {
-  Candidate *Chosen = Request.PreviousChoice;
-  bool ReusePrevious = Chosen != nullptr && !Request.Spec->LongRunning &&
-                       isAllowed(Request, *Chosen, {}) &&
-                       !hasFailedThere(Request, *Chosen) &&
-                       !isFarFromData(Request, *Chosen);
-  if (!ReusePrevious)
-    Chosen = findBestCandidate(Request);
+  Candidate *Chosen = maySharePreviousChoice(Request)
+                          ? Request.PreviousChoice
+                          : findBestCandidate(Request);
   if (Chosen != nullptr)
     reserve(*Chosen, Request);
   return Chosen;
@@ -266,7 +331,8 @@
 }
 
 std::optional<std::vector<Candidate *>>
-PlacementPass::placeGang(const PlacementRequest &Request, size_t Count) {
+PlacementPass::placeGang(const PlacementRequest &Request, size_t Count,
+                         bool InOneRack) {
   if (!Request.IsCanary &&
       isKnownUnplaceable(Request.Spec->reservedResources()))
     return std::nullopt;
@@ -282,6 +348,8 @@
     for (const auto &[Free, Rack] : Racks)
       if (auto Places = tryPlaceGang(Request, Count, Rack))
         return Places;
+    if (InOneRack)
+      return std::nullopt;
   }
   return tryPlaceGang(Request, Count, {});
 }
--- a/Source/Scheduling/Placement.h
+++ b/Source/Scheduling/Placement.h
@@ -70,10 +70,21 @@
   /// Returns the best candidate and reserves the resources on it, or returns
   /// null if there is none.
   Candidate *placeTask(const PlacementRequest &Request);
+  /// Like placeTask(), but only on the rack of the task's data.
+  Candidate *placeTaskNear(const PlacementRequest &Request);
   /// Returns one candidate for each task of a gang and reserves the resources,
-  /// or returns nothing if not all tasks fit at once.
+  /// or returns nothing if not all tasks fit at once. A gang that is to be on
+  /// one rack spans several ones if it fits on none, unless \p InOneRack.
   std::optional<std::vector<Candidate *>>
-  placeGang(const PlacementRequest &Request, size_t Count);
+  placeGang(const PlacementRequest &Request, size_t Count,
+            bool InOneRack = false);
+  /// Takes back what placeTask() or placeGang() reserved for a task that does
+  /// not start.
+  void release(Candidate &Chosen, const PlacementRequest &Request);
+  /// Returns the candidates on the rack.
+  const std::vector<Candidate *> &candidatesIn(const std::string &Rack) {
+    return findRack(Rack).Members;
+  }
 
   /// Returns the worker that should be kept free for a canary: the one with the
   /// least on it of those that could hold the task, or null.
@@ -93,6 +104,13 @@
   std::vector<Candidate> Candidates;
   /// Sizes for which no candidate had enough free resources.
   std::vector<Resources> UnplaceableSizes;
+  struct RackCandidates {
+    std::vector<Candidate *> Members;
+    std::vector<Resources> UnplaceableSizes;
+  };
+  RackCandidates &findRack(const std::string &Rack);
+
+  std::map<std::string, RackCandidates> Racks; // Filled on first use.
 };
 
 } // namespace mimosashunt
--- a/Source/Workers/WorkerTable.h
+++ b/Source/Workers/WorkerTable.h
@@ -50,6 +50,10 @@
   Instant PaceChangedAt; // When PacePercent last changed.
   bool UsesSpareCpu = false;
   bool LongRunning = false;
+  /// An earlier leader started it, at a time that is not known.
+  bool IsAdopted = false;
+  /// Its worker is far from its data, or from other members of its gang.
+  bool IsRemote = false;
   /// The worker takes no other task meanwhile. Changed only by WorkerTable.
   bool IsCanary = false;
   int64_t TailTargetMs = 0;
--- a/Tests/Support/VirtualWorkers.cpp
+++ b/Tests/Support/VirtualWorkers.cpp
@@ -243,6 +243,9 @@
     Violations.push_back(Order.Task.Job + " was started beyond the capacity");
   checkStartInvariants(Worker, Order, Spec);
   int64_t Ms = ActualDurationMs(Order.Task, Spec);
+  if (SlownessOf)
+    Ms = static_cast<int64_t>(static_cast<double>(Ms) *
+                              SlownessOf(Worker.Entry, Spec));
   WorkerRun NewRun{Order.Attempt,
                    Timers.now(),
                    Timers.now(),
--- a/Tests/Support/VirtualWorkers.h
+++ b/Tests/Support/VirtualWorkers.h
@@ -110,6 +110,8 @@
   /// Returns how long after its start a task crashes its worker, or nothing if
   /// it does not.
   std::function<std::optional<Duration>(const TaskId &)> CrashDelayOf;
+  /// Returns how many times its actual duration a task takes on the worker.
+  std::function<double(const WorkerEntry &, const StepSpec &)> SlownessOf;
   /// How long a crashed worker is down; nothing for good.
   std::optional<Duration> RestartDelay = seconds(3);
   /// Number of workers that crashed while they ran the task.
