--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -414,6 +414,11 @@
   void endLocalityWait(const TaskId &Task, const char *Outcome);
   /// Ends waits of jobs that have ended.
   void removeStaleLocalityWaits();
+  /// Ends the waits for racks of the pool that take no tasks any more.
+  void endHopelessLocalityWaits(const std::string &Pool, PlacementPass &Pass);
+  /// Returns the part of the recent waits for the rack that got capacity there.
+  double waitSuccessRate(const std::string &Rack) const;
+  void recordWaitOutcome(const std::string &Rack, bool HasPaidOff);
   /// Returns the forecast for this pass.
   RackForecast &forecastRack(const std::string &Pool, const std::string &Rack,
                              PlacementPass &Pass);
@@ -493,6 +498,11 @@
     Instant Until;
   };
   std::map<TaskId, LocalityWait> LocalityWaits;
+  struct WaitSuccess {
+    double Rate = 1; // Moving mean, as of At.
+    Instant At;
+  };
+  std::map<std::string, WaitSuccess> WaitSuccesses; // By rack.
   /// Forecasts of the racks of the pool that is being scheduled.
   std::map<std::string, RackForecast> Forecasts;
   double MeanJobCoreMs = 0; // Moving mean over accepted jobs.
--- a/Source/Scheduling/DispatcherLocality.cpp
+++ b/Source/Scheduling/DispatcherLocality.cpp
@@ -158,11 +158,12 @@
   Inputs.RemoteFactor = Options.RemoteFactor;
   Inputs.RemoteMs = Known.ratio().Mean * static_cast<double>(Spec.EstimateMs) *
                     Options.RemoteFactor;
-  // A forecast would be in vain.
-  if (std::holds_alternative<PlaceFar>(
-          decideLocality({Inputs.Now, localRunTime(Job, Spec, Spec.DataRack),
-                          Inputs.Samples, Inputs.RemoteFactor, Inputs.RemoteMs,
-                          TimeEstimate{0.001, 0}, 0, Instant::max()})))
+  // No forecast is needed where not even a short wait pays off.
+  LocalityInputs Cheapest = Inputs;
+  Cheapest.LocalMs = localRunTime(Job, Spec, Spec.DataRack);
+  Cheapest.FreeInMs = TimeEstimate{1, 0};
+  Cheapest.Objective = Job.Objective;
+  if (std::holds_alternative<PlaceFar>(decideLocality(Cheapest)))
     return false;
   std::string Rack = Spec.DataRack;
   if (Spec.Gang) {
@@ -181,6 +182,7 @@
     }
   }
   Inputs.LocalMs = localRunTime(Job, Spec, Rack);
+  Inputs.SuccessRate = waitSuccessRate(Rack);
   RackForecast &Forecast = forecastRack(Job.Pool, Rack, Pass);
   Inputs.Ahead = Forecast.reservations();
   if (!Spec.Gang)
@@ -228,6 +230,8 @@
     Outcome = "expired";
   bool HasPaidOff = std::string_view(Outcome) == "near";
   Counters.LocalityWaitsPaidOff += HasPaidOff ? 1 : 0;
+  if (std::string_view(Outcome) != "job_ended")
+    recordWaitOutcome(Wait.Rack, HasPaidOff);
   Counters.LocalityWaitedMs += static_cast<uint64_t>(WaitedMs);
   Json Fields = taskFields(Task, 0);
   Fields.erase("attempt");
@@ -239,6 +243,42 @@
   LocalityWaits.erase(It);
 }
 
+double Dispatcher::waitSuccessRate(const std::string &Rack) const {
+  auto It = WaitSuccesses.find(Rack);
+  if (It == WaitSuccesses.end())
+    return 1;
+  // Without waits nothing is learned, so that what was learned is forgotten.
+  constexpr double ForgettingMs = 5000;
+  auto AgeMs = static_cast<double>(toMillis(Timers.now() - It->second.At));
+  return 1 - (1 - It->second.Rate) * std::exp(-AgeMs / ForgettingMs);
+}
+
+void Dispatcher::recordWaitOutcome(const std::string &Rack, bool HasPaidOff) {
+  constexpr double SmoothingFactor = 0.1;
+  double Rate = waitSuccessRate(Rack);
+  Rate += SmoothingFactor * ((HasPaidOff ? 1 : 0) - Rate);
+  if (WaitSuccesses.size() >= RunTimes::MaxKinds && !WaitSuccesses.count(Rack))
+    WaitSuccesses.erase(std::min_element(WaitSuccesses.begin(),
+                                         WaitSuccesses.end(),
+                                         [](const auto &A, const auto &B) {
+                                           return A.second.At < B.second.At;
+                                         }));
+  WaitSuccesses[Rack] = {Rate, Timers.now()};
+}
+
+void Dispatcher::endHopelessLocalityWaits(const std::string &Pool,
+                                          PlacementPass &Pass) {
+  std::vector<TaskId> Hopeless;
+  for (const auto &[Task, Wait] : LocalityWaits)
+    if (Wait.Pool == Pool && Pass.candidatesIn(Wait.Rack).empty())
+      Hopeless.push_back(Task);
+  for (const TaskId &Task : Hopeless) {
+    if (TaskProgress *TaskState = findWantedTask(Task))
+      TaskState->LocalityWaitUntil = Timers.now();
+    endLocalityWait(Task, "no_workers");
+  }
+}
+
 void Dispatcher::removeStaleLocalityWaits() {
   std::vector<TaskId> Stale;
   for (const auto &[Task, Wait] : LocalityWaits) {
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -107,6 +107,12 @@
   if (Pass.candidates().empty())
     return;
   Forecasts.clear();
+  if (!LocalityWaits.empty()) {
+    endHopelessLocalityWaits(Pool, Pass);
+    for (const auto &[Task, Wait] : LocalityWaits)
+      if (Wait.Pool == Pool)
+        Pass.preferOthersTo(Wait.Rack);
+  }
   std::vector<JobProgress *> List;
   std::vector<JobRank> Ranks = rankJobs(Pool, List);
   orderJobs(Options.JobOrderPolicy, Timers.now(), MeanJobCoreMs, Ranks);
--- a/Source/Scheduling/LocalityWait.cpp
+++ b/Source/Scheduling/LocalityWait.cpp
@@ -49,6 +49,10 @@
   double PatienceMs = std::max(PatienceDeviations * In.FreeInMs->Deviation,
                                MinMargin * LocalMs);
   double UntilMs = std::min({GainMs, WaitMs + PatienceMs, BoundMs});
+  // A wait in vain delays the remote end by all of it.
+  double Success = std::clamp(In.SuccessRate, 0.0, 1.0);
+  if (!(Success * (GainMs - WaitMs) > (1 - Success) * UntilMs))
+    return PlaceFar{"waits_in_vain"};
   WaitUntil Result;
   Result.Until = In.Now + milliseconds(static_cast<int64_t>(UntilMs));
   Result.ExpectedAt = In.Now + milliseconds(static_cast<int64_t>(WaitMs));
--- a/Source/Scheduling/LocalityWait.h
+++ b/Source/Scheduling/LocalityWait.h
@@ -27,6 +27,9 @@
   /// Milliseconds until the task fits near the data, behind those that wait
   /// already; nothing if it never does.
   std::optional<TimeEstimate> FreeInMs;
+  /// Part of the recent waits for this capacity that got it. Tasks that come
+  /// later may overtake, and what runs there may slow down.
+  double SuccessRate = 1;
   /// Tasks that wait already for the same capacity.
   size_t Ahead = 0;
   /// The latest end of the task with which its job can meet its objective.
--- a/Source/Scheduling/Placement.h
+++ b/Source/Scheduling/Placement.h
@@ -29,6 +29,8 @@
   bool IsOnProbation = false;
   bool IsReserved = false;  // Only a canary may be placed there.
   bool HoldsCanary = false; // Nothing may be placed there.
+  /// Tasks wait for capacity on its rack, so others go elsewhere if they can.
+  bool IsAwaited = false;
 };
 
 /// Returns the number of runs on the worker that may bring it down.
@@ -81,6 +83,8 @@
   /// Takes back what placeTask() or placeGang() reserved for a task that does
   /// not start.
   void release(Candidate &Chosen, const PlacementRequest &Request);
+  /// Keeps tasks whose data is elsewhere off the rack while others have room.
+  void preferOthersTo(const std::string &Rack);
   /// Returns the candidates on the rack.
   const std::vector<Candidate *> &candidatesIn(const std::string &Rack) {
     return findRack(Rack).Members;
--- a/Tests/Support/SchedulerHarness.cpp
+++ b/Tests/Support/SchedulerHarness.cpp
@@ -58,6 +58,7 @@
 
 void SchedulerHarness::commitCommand(const JobCommand &Command) {
   Store.apply(Command);
+  std::visit([this](const auto &Item) { ++CommandCounts[Item.Kind]; }, Command);
   for (const auto &[Id, Record] : Store.jobs())
     if (Record.State == JobState::Completed)
       CompletedAt.try_emplace(Id, Timers.now());
--- a/Tests/Support/SchedulerHarness.h
+++ b/Tests/Support/SchedulerHarness.h
@@ -7,6 +7,7 @@
 #include "Scheduling/Dispatcher.h"
 #include "Support/VirtualWorkers.h"
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -54,6 +55,8 @@
   bool FailsProposals = false; // Nothing is committed, and the leader hears so.
   bool WasDeposed = false;
   std::vector<std::pair<std::string, Json>> LoggedEvents;
+  /// Number of committed commands of each kind.
+  std::map<std::string, int> CommandCounts;
 
 private:
   void commitCommand(const JobCommand &Command);
