Scheduling: the tasks of a step wait for their data together

Cause: a step ends with its last task, so the wait of some gains nothing if another one runs far from the data. Change: one decision for all tasks of a step that are left.

--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -405,11 +405,14 @@
   bool mayWaitForLocality(const JobProgress &Job, const StepSpec &Spec,
                           const TaskProgress &TaskState, bool IsCanary) const;
   bool isWaitingForLocality(const TaskProgress &TaskState) const;
-  /// Decides for a task that could run far from its data, or a gang that could
-  /// run spread over racks. Returns true if it waits from now on. \p Task names
-  /// the first member of a gang.
+  /// Decides for a task that could run far from its data, and those of its step
+  /// that come after it, or for a gang that could run spread over racks.
+  /// Returns true if they wait from now on. \p Task names the first member of a
+  /// gang.
   bool startLocalityWait(JobProgress &Job, const TaskId &Task,
                          PlacementPass &Pass);
+  /// Returns true if some run of the step is far from the step's data.
+  bool runsFarFromData(const StepSpec &Spec, const StepProgress &Step) const;
   /// Ends the wait of the task, if it waits. \p Outcome is for the log.
   void endLocalityWait(const TaskId &Task, const char *Outcome);
   /// Ends waits of jobs that have ended.
--- a/Source/Scheduling/DispatcherLocality.cpp
+++ b/Source/Scheduling/DispatcherLocality.cpp
@@ -152,6 +152,9 @@
   const StepSpec &Spec = Job.stepSpec(Task.Step);
   const RunTimeDistribution &Known =
       LearnedRunTimes.find(Job.job().Queue, Spec.Image);
+  // A step that ends with a remote run gains nothing from the others.
+  if (!Spec.Gang && runsFarFromData(Spec, *Job.findStep(Task)))
+    return false;
   LocalityInputs Inputs;
   Inputs.Now = Timers.now();
   Inputs.Samples = Known.samples();
@@ -185,8 +188,15 @@
   Inputs.SuccessRate = waitSuccessRate(Rack);
   RackForecast &Forecast = forecastRack(Job.Pool, Rack, Pass);
   Inputs.Ahead = Forecast.reservations();
-  if (!Spec.Gang)
-    Inputs.FreeInMs = Forecast.find(Spec);
+  StepProgress &Progress = *Job.findStep(Task);
+  if (!Spec.Gang) {
+    // The step ends with its last task, so all that are left must fit.
+    RackForecast Trial = Forecast;
+    uint32_t Left = Spec.Count - Progress.DoneCount - Progress.PlacedCount;
+    do
+      Inputs.FreeInMs = Trial.reserve(Spec, Inputs.LocalMs);
+    while (--Left > 0 && Inputs.FreeInMs);
+  }
   // The steps that come after this one need their time, too.
   double PathMs = Job.remainingCriticalPathMs(estimateFactor(Job));
   double LaterMs = std::max(0.0, PathMs - Inputs.LocalMs.Mean);
@@ -196,15 +206,29 @@
   const auto *Wait = std::get_if<WaitUntil>(&Decision);
   if (Wait == nullptr)
     return false;
-  Job.findTask(Task)->LocalityWaitUntil = Wait->Until;
-  size_t Count = Spec.Gang ? Spec.Count : 1;
-  for (size_t I = 0; I < Count; ++I)
-    Forecast.reserve(Spec, Inputs.LocalMs);
-  LocalityWaits[Task] = {Job.Pool,       Rack,       Spec,       Count,
-                         Inputs.LocalMs, Inputs.Now, Wait->Until};
-  ++Counters.LocalityWaits;
+  // All members of a gang wait as one.
+  for (uint32_t I = Task.Index; I < (Spec.Gang ? 1 : Spec.Count); ++I) {
+    TaskProgress &TaskState = Progress.Tasks[I];
+    if (TaskState.Done || !TaskState.Workers.empty() ||
+        TaskState.LocalityWaitUntil)
+      continue;
+    TaskState.LocalityWaitUntil = Wait->Until;
+    TaskId Waiting = Task;
+    Waiting.Index = I;
+    size_t Count = Spec.Gang ? Spec.Count : 1;
+    for (size_t Place = 0; Place < Count; ++Place)
+      Forecast.reserve(Spec, Inputs.LocalMs);
+    LocalityWaits[Waiting] = {Job.Pool,       Rack,       Spec,       Count,
+                              Inputs.LocalMs, Inputs.Now, Wait->Until};
+    ++Counters.LocalityWaits;
+    Timers.scheduleAt(Wait->Until, [this, IsAlive = AliveFlag, Waiting] {
+      if (*IsAlive)
+        endLocalityWait(Waiting, "expired");
+    });
+  }
   Json Fields = taskFields(Task, Job.nextAttempt(Task));
   Fields["rack"] = Rack;
+  Fields["tasks"] = Spec.Count - Progress.DoneCount - Progress.PlacedCount;
   Fields["why"] = Wait->Reason;
   Fields["expected_ms"] = toMillis(Wait->ExpectedAt - Inputs.Now);
   Fields["until_ms"] = toMillis(Wait->Until - Inputs.Now);
@@ -212,13 +236,19 @@
   Fields["local_ms"] = static_cast<int64_t>(Inputs.LocalMs.Mean);
   Fields["ahead"] = Inputs.Ahead;
   Hooks.LogEvent("locality_wait", Fields);
-  Timers.scheduleAt(Wait->Until, [this, IsAlive = AliveFlag, Task] {
-    if (*IsAlive)
-      endLocalityWait(Task, "expired");
-  });
   return true;
 }
 
+bool Dispatcher::runsFarFromData(const StepSpec &Spec,
+                                 const StepProgress &Step) const {
+  return std::any_of(
+      Step.RunsPerWorker.begin(), Step.RunsPerWorker.end(),
+      [&](const auto &KeyAndRuns) {
+        const TrackedWorker *Worker = Table.find(KeyAndRuns.first);
+        return Worker != nullptr && Worker->Entry.rack() != Spec.DataRack;
+      });
+}
+
 void Dispatcher::endLocalityWait(const TaskId &Task, const char *Outcome) {
   auto It = LocalityWaits.find(Task);
   if (It == LocalityWaits.end())
