Scheduling: slow racks show in forecasts by the ages of their runs

Cause: the factor of a slow rack is learned only when its slow runs end. Change: ages count as well; run times are learned as if the rack were not slow.

--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -422,16 +422,28 @@
   /// Returns the part of the recent waits for the rack that got capacity there.
   double waitSuccessRate(const std::string &Rack) const;
   void recordWaitOutcome(const std::string &Rack, bool HasPaidOff);
-  /// Returns the forecast for this pass.
-  RackForecast &forecastRack(const std::string &Pool, const std::string &Rack,
+  /// A run as its rack's forecast sees it.
+  struct ForecastRun {
+    const RunTimeDistribution *Kind;
+    Resources Held;
+    double UnitMs; // Its estimate, there.
+    double AgeMs;
+  };
+  /// The forecast of one rack in this pass.
+  struct PassForecast {
+    RackForecast Rack;
+    double Slowness = 1; // How many times as long runs take in it.
+  };
+  PassForecast &forecastRack(const std::string &Pool, const std::string &Rack,
                              PlacementPass &Pass);
-  std::vector<ForecastRelease> forecastReleases(const TrackedWorker &Worker);
+  std::vector<ForecastRun> findForecastRuns(const TrackedWorker &Worker) const;
+  double rackSlowness(const std::string &Rack,
+                      const std::vector<std::vector<ForecastRun>> &Runs) const;
   /// Counts a run that begins in the forecasts of this pass.
   void updateForecast(const JobProgress &Job, const StepSpec &Spec,
                       const TrackedWorker &Worker, bool IsRemote);
-  /// Returns the run time of a task near its data.
-  TimeEstimate localRunTime(const JobProgress &Job, const StepSpec &Spec,
-                            const std::string &Rack) const;
+  /// Returns the run time of a task near its data, unless the rack is slow.
+  TimeEstimate localRunTime(const JobProgress &Job, const StepSpec &Spec) const;
   void requestAdvice(JobProgress &Job, uint32_t Occurrence, uint32_t Step,
                      const std::vector<Candidate> &Candidates);
   /// Returns the resources that each organisation may be using for inherited
@@ -507,7 +519,7 @@
   };
   std::map<std::string, WaitSuccess> WaitSuccesses; // By rack.
   /// Forecasts of the racks of the pool that is being scheduled.
-  std::map<std::string, RackForecast> Forecasts;
+  std::map<std::string, PassForecast> Forecasts;
   double MeanJobCoreMs = 0; // Moving mean over accepted jobs.
   DispatcherCounters Counters;
   bool HasBeenDeposed = false;
--- a/Source/Scheduling/DispatcherLocality.cpp
+++ b/Source/Scheduling/DispatcherLocality.cpp
@@ -45,23 +45,18 @@
 }
 
 TimeEstimate Dispatcher::localRunTime(const JobProgress &Job,
-                                      const StepSpec &Spec,
-                                      const std::string &Rack) const {
-  const RunTimeDistribution &Known =
-      LearnedRunTimes.find(Job.job().Queue, Spec.Image);
-  return Known.ratio() * (static_cast<double>(Spec.EstimateMs) *
-                          std::max(1.0, LearnedRunTimes.rackFactor(Rack)));
+                                      const StepSpec &Spec) const {
+  return LearnedRunTimes.find(Job.job().Queue, Spec.Image).ratio() *
+         static_cast<double>(Spec.EstimateMs);
 }
 
 // Forecasts.
 
-std::vector<ForecastRelease>
-Dispatcher::forecastReleases(const TrackedWorker &Worker) {
-  std::vector<ForecastRelease> Result;
+std::vector<Dispatcher::ForecastRun>
+Dispatcher::findForecastRuns(const TrackedWorker &Worker) const {
+  std::vector<ForecastRun> Result;
   Result.reserve(Worker.Runs.size());
   const JobProgress *Job = nullptr;
-  double RackFactor =
-      std::max(1.0, LearnedRunTimes.rackFactor(Worker.Entry.rack()));
   for (const auto &[Task, CurrentRun] : Worker.Runs) {
     if (CurrentRun.LongRunning)
       continue;
@@ -73,30 +68,65 @@
     if (Job == nullptr || Task.Step >= Job->spec().Steps.size())
       continue;
     const StepSpec &Spec = Job->stepSpec(Task.Step);
-    double UnitMs = static_cast<double>(Spec.EstimateMs) * RackFactor *
+    double UnitMs = static_cast<double>(Spec.EstimateMs) *
                     (CurrentRun.IsRemote ? Options.RemoteFactor : 1);
     if (UnitMs <= 0)
       continue;
     auto AgeMs =
         static_cast<double>(toMillis(Timers.now() - CurrentRun.OrderedAt));
-    TimeEstimate Left = LearnedRunTimes.find(Job->job().Queue, Spec.Image)
-                            .remaining(AgeMs / UnitMs);
-    Result.push_back({Left * UnitMs, CurrentRun.ReservedResources});
+    Result.push_back({&LearnedRunTimes.find(Job->job().Queue, Spec.Image),
+                      CurrentRun.ReservedResources, UnitMs, AgeMs});
   }
   return Result;
 }
 
-RackForecast &Dispatcher::forecastRack(const std::string &Pool,
-                                       const std::string &Rack,
-                                       PlacementPass &Pass) {
+double Dispatcher::rackSlowness(
+    const std::string &Rack,
+    const std::vector<std::vector<ForecastRun>> &Runs) const {
+  // The runs of a slow rack show it by their age before the first of them has
+  // ended.
+  double TakenMs = 0;
+  double ExpectedMs = 0;
+  for (const std::vector<ForecastRun> &OfWorker : Runs)
+    for (const ForecastRun &Each : OfWorker) {
+      double Expected = Each.Kind->ratio().Mean * Each.UnitMs;
+      TakenMs += std::max(Each.AgeMs, Expected);
+      ExpectedMs += Expected;
+    }
+  double Slowness = ExpectedMs > 0 ? TakenMs / ExpectedMs : 1;
+  return std::max(LearnedRunTimes.rackFactor(Rack), Slowness);
+}
+
+Dispatcher::PassForecast &Dispatcher::forecastRack(const std::string &Pool,
+                                                   const std::string &Rack,
+                                                   PlacementPass &Pass) {
   auto [It, IsNew] = Forecasts.try_emplace(Rack);
-  RackForecast &Forecast = It->second;
   if (!IsNew)
-    return Forecast;
-  for (const Candidate *Target : Pass.candidatesIn(Rack))
-    if (!Target->IsOnProbation && !Target->IsReserved && !Target->HoldsCanary)
-      Forecast.addWorker(Target->Worker->Entry, Target->Free,
-                         forecastReleases(*Target->Worker));
+    return It->second;
+  RackForecast &Forecast = It->second.Rack;
+  std::vector<const Candidate *> Usable;
+  std::vector<std::vector<ForecastRun>> Runs;
+  for (const Candidate *Target : Pass.candidatesIn(Rack)) {
+    bool IsUsable = !Target->IsOnProbation && !Target->IsReserved &&
+                    !Target->HoldsCanary && Target->Worker->FailedPolls == 0;
+    if (!IsUsable)
+      continue;
+    Usable.push_back(Target);
+    Runs.push_back(findForecastRuns(*Target->Worker));
+  }
+  double Slowness = rackSlowness(Rack, Runs);
+  It->second.Slowness = Slowness;
+  for (size_t I = 0; I < Usable.size(); ++I) {
+    std::vector<ForecastRelease> Releases;
+    Releases.reserve(Runs[I].size());
+    for (const ForecastRun &Each : Runs[I]) {
+      double UnitMs = Each.UnitMs * Slowness;
+      Releases.push_back(
+          {Each.Kind->remaining(Each.AgeMs / UnitMs) * UnitMs, Each.Held});
+    }
+    Forecast.addWorker(Usable[I]->Worker->Entry, Usable[I]->Free,
+                       std::move(Releases));
+  }
   std::vector<const LocalityWait *> Ahead;
   for (const auto &[Task, Wait] : LocalityWaits)
     if (Wait.Rack == Rack && Wait.Pool == Pool && Timers.now() < Wait.Until)
@@ -108,7 +138,7 @@
   for (const LocalityWait *Wait : Ahead)
     for (size_t I = 0; I < Wait->Count; ++I)
       Forecast.reserve(Wait->Spec, Wait->LocalMs);
-  return Forecast;
+  return It->second;
 }
 
 void Dispatcher::updateForecast(const JobProgress &Job, const StepSpec &Spec,
@@ -118,9 +148,10 @@
   std::string Rack = Worker.Entry.rack();
   auto Forecast = Forecasts.find(Rack);
   if (Forecast != Forecasts.end())
-    Forecast->second.occupy(Worker.Entry, Spec.reservedResources(),
-                            localRunTime(Job, Spec, Rack) *
-                                (IsRemote ? Options.RemoteFactor : 1));
+    Forecast->second.Rack.occupy(Worker.Entry, Spec.reservedResources(),
+                                 localRunTime(Job, Spec) *
+                                     (Forecast->second.Slowness *
+                                      (IsRemote ? Options.RemoteFactor : 1)));
 }
 
 // Waiting.
@@ -163,7 +194,8 @@
                     Options.RemoteFactor;
   // No forecast is needed where not even a short wait pays off.
   LocalityInputs Cheapest = Inputs;
-  Cheapest.LocalMs = localRunTime(Job, Spec, Spec.DataRack);
+  Cheapest.LocalMs =
+      localRunTime(Job, Spec) * LearnedRunTimes.rackFactor(Spec.DataRack);
   Cheapest.FreeInMs = TimeEstimate{1, 0};
   Cheapest.Objective = Job.Objective;
   if (std::holds_alternative<PlaceFar>(decideLocality(Cheapest)))
@@ -175,7 +207,8 @@
       Racks.insert(Target.Worker->Entry.rack());
     for (const std::string &Other : Racks) {
       std::optional<TimeEstimate> FreeIn =
-          forecastRack(Job.Pool, Other, Pass).findForGang(Spec, Spec.Count);
+          forecastRack(Job.Pool, Other, Pass)
+              .Rack.findForGang(Spec, Spec.Count);
       bool IsEarlier =
           FreeIn && (!Inputs.FreeInMs || FreeIn->Mean < Inputs.FreeInMs->Mean);
       if (!IsEarlier)
@@ -184,9 +217,10 @@
       Rack = Other;
     }
   }
-  Inputs.LocalMs = localRunTime(Job, Spec, Rack);
+  PassForecast &Found = forecastRack(Job.Pool, Rack, Pass);
+  RackForecast &Forecast = Found.Rack;
+  Inputs.LocalMs = localRunTime(Job, Spec) * Found.Slowness;
   Inputs.SuccessRate = waitSuccessRate(Rack);
-  RackForecast &Forecast = forecastRack(Job.Pool, Rack, Pass);
   Inputs.Ahead = Forecast.reservations();
   StepProgress &Progress = *Job.findStep(Task);
   if (!Spec.Gang) {
@@ -284,7 +318,7 @@
 }
 
 void Dispatcher::recordWaitOutcome(const std::string &Rack, bool HasPaidOff) {
-  constexpr double SmoothingFactor = 0.1;
+  constexpr double SmoothingFactor = 0.2;
   double Rate = waitSuccessRate(Rack);
   Rate += SmoothingFactor * ((HasPaidOff ? 1 : 0) - Rate);
   if (WaitSuccesses.size() >= RunTimes::MaxKinds && !WaitSuccesses.count(Rack))
--- a/Source/Scheduling/RunTimes.cpp
+++ b/Source/Scheduling/RunTimes.cpp
@@ -18,6 +18,8 @@
 /// A run longer than this counts as this in a mean, so that one straggler does
 /// not hide what the others show.
 constexpr double MaxRackRatio = 8;
+/// Stragglers alone move the factor of a rack by less.
+constexpr double MinRackFactor = 1.5;
 constexpr double MaxRatio = 128;
 /// Weight of the assumption that a run takes as long again as it has.
 constexpr double UnseenWeight = 0.5;
@@ -139,7 +141,7 @@
     double Compared = Ratio / std::max(Kind.ratio().Mean, 1e-3);
     Slowness += RackSmoothing * (std::min(Compared, MaxRackRatio) - Slowness);
   }
-  Kind.add(Ratio);
+  Kind.add(Ratio / rackFactor(Rack));
 }
 
 double RunTimes::meanFactor(const std::string &Queue) const {
@@ -156,7 +158,8 @@
 
 double RunTimes::rackFactor(const std::string &Rack) const {
   auto It = RackFactors.find(Rack);
-  return It == RackFactors.end() ? 1.0 : It->second.Value;
+  bool IsSlow = It != RackFactors.end() && It->second.Value >= MinRackFactor;
+  return IsSlow ? It->second.Value : 1.0;
 }
 
 RecordRunTimes RunTimes::summarize() const {
--- a/Source/Scheduling/RunTimes.h
+++ b/Source/Scheduling/RunTimes.h
@@ -79,7 +79,7 @@
   const RunTimeDistribution &find(const std::string &Queue,
                                   const std::string &Image) const;
   /// Returns how many times as long as elsewhere runs take in the rack; 1 if
-  /// nothing is known.
+  /// nothing is known, or they take less than half as long again.
   double rackFactor(const std::string &Rack) const;
 
   /// Returns the kinds that were used last.
--- a/Tests/Jobs/LocalityReplayTest.cpp
+++ b/Tests/Jobs/LocalityReplayTest.cpp
@@ -34,6 +34,7 @@
   Trouble Happens = Trouble::None;
   double RemoteFactor = 3;
   uint32_t Seed = 1;
+  size_t Workers = 32;
 };
 
 /// Six seconds in which few jobs run, for learning, and six seconds in which
@@ -101,7 +102,7 @@
         return actualMs(Replayed.Seed, Task, Spec);
       },
       Options);
-  Harness.addPool("p", 16, 16);
+  Harness.addPool("p", Replayed.Workers, 16);
   bool IsSlow = false;
   Harness.Workers.SlownessOf = [&](const WorkerEntry &At,
                                    const StepSpec &Spec) {
@@ -116,6 +117,7 @@
   std::vector<std::string> Wanting;
   std::vector<std::string> Others;
   bool HasTrouble = false;
+  bool HasRecovered = false;
   int Number = 0;
   for (const Arrival &Next : Replayed.Arrivals) {
     constexpr int64_t TroubleAtMs = 8000;
@@ -126,6 +128,12 @@
       if (ChangesLeader)
         Harness.beginLeadership();
     }
+    constexpr int64_t RecoveryAtMs = 10500;
+    if (!HasRecovered && Next.AtMs >= RecoveryAtMs) {
+      HasRecovered = true;
+      endTrouble(Harness);
+      IsSlow = false;
+    }
     Duration Gap = Begin + milliseconds(Next.AtMs) - Harness.Timers.now();
     if (Gap > Duration::zero())
       Harness.advanceTime(Gap);
@@ -142,8 +150,6 @@
     (Next.WantsRack ? Wanting : Others).push_back(Id);
     Harness.submitJob(Id, "p", Spec);
   }
-  Harness.advanceTime(seconds(3));
-  endTrouble(Harness);
   Harness.advanceTime(seconds(60));
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
   EXPECT_EQ(Harness.countJobsInState(JobState::Completed),
@@ -168,7 +174,10 @@
 
 void compare(Trouble Happens, double RemoteFactor) {
   for (uint32_t Seed : {1U, 2U, 3U}) {
+    for (size_t Workers : {size_t{16}, size_t{32}}) {
     Trace Replayed = makeTrace(Seed, Happens, RemoteFactor);
+    Replayed.Workers = Workers;
+    std::cout << Workers << " ";
     Outcome Far = replay(Replayed, Policy::FarAtOnce);
     Outcome Always = replay(Replayed, Policy::AlwaysWait);
     Outcome Chosen = replay(Replayed, Policy::ByExpectedEnd);
@@ -182,6 +191,7 @@
     EXPECT_LT(Chosen.MeanMs, Far.MeanMs) << "seed " << Seed;
     EXPECT_LT(Chosen.MeanMs, Always.MeanMs) << "seed " << Seed;
     EXPECT_LE(Chosen.OtherMeanMs, Far.OtherMeanMs) << "seed " << Seed;
+    }
   }
 }
 
