--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -419,6 +419,8 @@
   void removeStaleLocalityWaits();
   /// Ends the waits for racks of the pool that take no tasks any more.
   void endHopelessLocalityWaits(const std::string &Pool, PlacementPass &Pass);
+  void endLocalityWaitsFor(const std::string &Pool, const std::string &Rack,
+                           const char *Outcome);
   /// Returns the part of the recent waits for the rack that got capacity there.
   double waitSuccessRate(const std::string &Rack) const;
   void recordWaitOutcome(const std::string &Rack, bool HasPaidOff);
@@ -428,6 +430,7 @@
     Resources Held;
     double UnitMs; // Its estimate, there.
     double AgeMs;
+    double ReportedMs; // Whole run time by its progress; zero if unknown.
   };
   /// The forecast of one rack in this pass.
   struct PassForecast {
--- a/Source/Scheduling/DispatcherLocality.cpp
+++ b/Source/Scheduling/DispatcherLocality.cpp
@@ -17,6 +17,19 @@
   return {Value.Mean * Factor, Value.Deviation * Factor};
 }
 
+/// Returns the whole run time by the run's own progress; zero if that says
+/// little.
+double reportedRunTimeMs(const Run &CurrentRun) {
+  constexpr int32_t MinPercent = 5;
+  constexpr int32_t MaxPercent = 99;
+  int32_t Percent = CurrentRun.ProgressPercent;
+  if (CurrentRun.IsAdopted || Percent < MinPercent || Percent > MaxPercent)
+    return 0;
+  auto AgeMs = static_cast<double>(
+      toMillis(CurrentRun.ProgressChangedAt - CurrentRun.OrderedAt));
+  return AgeMs * 100 / Percent;
+}
+
 } // namespace
 
 // Run times.
@@ -75,7 +88,8 @@
     auto AgeMs =
         static_cast<double>(toMillis(Timers.now() - CurrentRun.OrderedAt));
     Result.push_back({&LearnedRunTimes.find(Job->job().Queue, Spec.Image),
-                      CurrentRun.ReservedResources, UnitMs, AgeMs});
+                      CurrentRun.ReservedResources, UnitMs, AgeMs,
+                      reportedRunTimeMs(CurrentRun)});
   }
   return Result;
 }
@@ -83,18 +97,21 @@
 double Dispatcher::rackSlowness(
     const std::string &Rack,
     const std::vector<std::vector<ForecastRun>> &Runs) const {
-  // The runs of a slow rack show it by their age before the first of them has
-  // ended.
+  // The runs of a slow rack show it by their age and their progress before the
+  // first of them has ended. What differs by less than this from the expected
+  // sum is the spread of single runs.
+  constexpr double MinSlowness = 1.5;
   double TakenMs = 0;
   double ExpectedMs = 0;
   for (const std::vector<ForecastRun> &OfWorker : Runs)
     for (const ForecastRun &Each : OfWorker) {
       double Expected = Each.Kind->ratio().Mean * Each.UnitMs;
-      TakenMs += std::max(Each.AgeMs, Expected);
+      TakenMs += std::max({Each.AgeMs, Each.ReportedMs, Expected});
       ExpectedMs += Expected;
     }
   double Slowness = ExpectedMs > 0 ? TakenMs / ExpectedMs : 1;
-  return std::max(LearnedRunTimes.rackFactor(Rack), Slowness);
+  return std::max(LearnedRunTimes.rackFactor(Rack),
+                  Slowness < MinSlowness ? 1 : Slowness);
 }
 
 Dispatcher::PassForecast &Dispatcher::forecastRack(const std::string &Pool,
@@ -219,6 +236,10 @@
   }
   PassForecast &Found = forecastRack(Job.Pool, Rack, Pass);
   RackForecast &Forecast = Found.Rack;
+  if (Found.Slowness >= Options.RemoteFactor) {
+    endLocalityWaitsFor(Job.Pool, Rack, "rack_slow");
+    return false;
+  }
   Inputs.LocalMs = localRunTime(Job, Spec) * Found.Slowness;
   Inputs.SuccessRate = waitSuccessRate(Rack);
   Inputs.Ahead = Forecast.reservations();
@@ -269,6 +290,7 @@
   Fields["confidence"] = std::round(Wait->Confidence * 100) / 100;
   Fields["local_ms"] = static_cast<int64_t>(Inputs.LocalMs.Mean);
   Fields["ahead"] = Inputs.Ahead;
+  Fields["left_ms"] = toMillis(Job.Objective - Inputs.Now);
   Hooks.LogEvent("locality_wait", Fields);
   return true;
 }
@@ -332,14 +354,25 @@
 
 void Dispatcher::endHopelessLocalityWaits(const std::string &Pool,
                                           PlacementPass &Pass) {
-  std::vector<TaskId> Hopeless;
+  std::set<std::string> Hopeless;
   for (const auto &[Task, Wait] : LocalityWaits)
     if (Wait.Pool == Pool && Pass.candidatesIn(Wait.Rack).empty())
-      Hopeless.push_back(Task);
-  for (const TaskId &Task : Hopeless) {
+      Hopeless.insert(Wait.Rack);
+  for (const std::string &Rack : Hopeless)
+    endLocalityWaitsFor(Pool, Rack, "no_workers");
+}
+
+void Dispatcher::endLocalityWaitsFor(const std::string &Pool,
+                                     const std::string &Rack,
+                                     const char *Outcome) {
+  std::vector<TaskId> Ended;
+  for (const auto &[Task, Wait] : LocalityWaits)
+    if (Wait.Pool == Pool && Wait.Rack == Rack)
+      Ended.push_back(Task);
+  for (const TaskId &Task : Ended) {
     if (TaskProgress *TaskState = findWantedTask(Task))
       TaskState->LocalityWaitUntil = Timers.now();
-    endLocalityWait(Task, "no_workers");
+    endLocalityWait(Task, Outcome);
   }
 }
 
--- a/Tests/Jobs/LocalityReplayTest.cpp
+++ b/Tests/Jobs/LocalityReplayTest.cpp
@@ -64,6 +64,7 @@
   size_t Waits = 0;
   size_t PaidOff = 0;
   size_t WaitsBeyondObjective = 0;
+  size_t MostWaitsOfTask = 0;
 };
 
 void applyTrouble(SchedulerHarness &Harness, const Trace &Replayed) {
@@ -162,35 +163,46 @@
   for (const std::string &Id : Others)
     Result.OtherMeanMs += static_cast<double>(Harness.completionTimeMs(Id)) /
                           static_cast<double>(Others.size());
+  std::map<std::string, size_t> EndsOfTask;
   for (const auto &[Kind, Fields] : Harness.LoggedEvents) {
     Result.Waits += Kind == "locality_wait" ? 1 : 0;
+    if (Kind == "locality_wait")
+      Result.WaitsBeyondObjective +=
+          Fields["until_ms"] > Fields["left_ms"] ? 1 : 0;
+    if (Kind == "locality_wait_ended")
+      ++EndsOfTask[Fields["job"].get<std::string>() + " " +
+                   Fields["task"].get<std::string>()];
     Result.PaidOff += Kind == "locality_wait_ended" &&
                               Fields["outcome"] == std::string("near")
                           ? 1
                           : 0;
   }
+  for (const auto &[Task, Ends] : EndsOfTask)
+    Result.MostWaitsOfTask = std::max(Result.MostWaitsOfTask, Ends);
   return Result;
 }
 
 void compare(Trouble Happens, double RemoteFactor) {
   for (uint32_t Seed : {1U, 2U, 3U}) {
     for (size_t Workers : {size_t{16}, size_t{32}}) {
-    Trace Replayed = makeTrace(Seed, Happens, RemoteFactor);
-    Replayed.Workers = Workers;
-    std::cout << Workers << " ";
-    Outcome Far = replay(Replayed, Policy::FarAtOnce);
-    Outcome Always = replay(Replayed, Policy::AlwaysWait);
-    Outcome Chosen = replay(Replayed, Policy::ByExpectedEnd);
-    std::cout << "[ replay   ] seed " << Seed << " factor " << RemoteFactor
-              << ": mean end far " << Far.MeanMs << " always " << Always.MeanMs
-              << " chosen " << Chosen.MeanMs << "; others far "
-              << Far.OtherMeanMs << " chosen " << Chosen.OtherMeanMs
-              << "; waits " << Chosen.Waits << " paid off " << Chosen.PaidOff
-              << "\n";
-    EXPECT_GT(Chosen.Waits, 0U) << "seed " << Seed;
-    EXPECT_LT(Chosen.MeanMs, Far.MeanMs) << "seed " << Seed;
-    EXPECT_LT(Chosen.MeanMs, Always.MeanMs) << "seed " << Seed;
-    EXPECT_LE(Chosen.OtherMeanMs, Far.OtherMeanMs) << "seed " << Seed;
+      Trace Replayed = makeTrace(Seed, Happens, RemoteFactor);
+      Replayed.Workers = Workers;
+      std::cout << Workers << " ";
+      Outcome Far = replay(Replayed, Policy::FarAtOnce);
+      Outcome Always = replay(Replayed, Policy::AlwaysWait);
+      Outcome Chosen = replay(Replayed, Policy::ByExpectedEnd);
+      std::cout << "[ replay   ] seed " << Seed << " factor " << RemoteFactor
+                << ": mean end far " << Far.MeanMs << " always "
+                << Always.MeanMs << " chosen " << Chosen.MeanMs
+                << "; others far " << Far.OtherMeanMs << " chosen "
+                << Chosen.OtherMeanMs << "; waits " << Chosen.Waits
+                << " paid off " << Chosen.PaidOff << "\n";
+      EXPECT_GT(Chosen.Waits, 0U) << "seed " << Seed;
+      EXPECT_EQ(Chosen.WaitsBeyondObjective, 0U) << "seed " << Seed;
+      EXPECT_LE(Chosen.MostWaitsOfTask, 1U) << "seed " << Seed;
+      EXPECT_LT(Chosen.MeanMs, Far.MeanMs) << "seed " << Seed;
+      EXPECT_LT(Chosen.MeanMs, Always.MeanMs) << "seed " << Seed;
+      EXPECT_LE(Chosen.OtherMeanMs, Far.OtherMeanMs) << "seed " << Seed;
     }
   }
 }
@@ -208,4 +220,72 @@
 
 TEST(LocalityReplay, ARackWhoseWorkersAreSlow) { compare(Trouble::Slow, 3); }
 
+TEST(LocalityReplay, AChangeOfLeaderDuringWaitsLosesNothing) {
+  // The waits are not recorded, so the new leader decides anew.
+  for (uint32_t Seed : {1U, 2U, 3U}) {
+    Trace Replayed = makeTrace(Seed, Trouble::None, 3);
+    Outcome Chosen =
+        replay(Replayed, Policy::ByExpectedEnd, /*ChangesLeader=*/true);
+    EXPECT_GT(Chosen.Waits, 0U) << "seed " << Seed;
+    EXPECT_EQ(Chosen.WaitsBeyondObjective, 0U) << "seed " << Seed;
+    EXPECT_LE(Chosen.MostWaitsOfTask, 2U) << "seed " << Seed;
+  }
+}
+
+TEST(LocalityReplay, NothingWaitsWithAFactorOfOne) {
+  Outcome Chosen =
+      replay(makeTrace(1, Trouble::None, 1), Policy::ByExpectedEnd);
+  EXPECT_EQ(Chosen.Waits, 0U);
+}
+
+/// Runs a gang of four on two racks of four workers, each of which has one
+/// worker that is full for 0.3 s more, while \p Samples runs of its kind are
+/// known. Returns on how many racks it runs.
+size_t countRacksOfGang(int Samples) {
+  DispatcherOptions Options;
+  Options.WaitsForLocality = true;
+  Options.RemoteFactor = 3;
+  SchedulerHarness Harness(
+      [](const TaskId &, const StepSpec &Spec) { return Spec.EstimateMs; },
+      Options);
+  Harness.addPool("p", 8, 16);
+  Harness.beginLeadership();
+  Harness.advanceTime(milliseconds(200));
+  for (int I = 0; I < Samples; ++I) {
+    Harness.submitJob("known" + std::to_string(I), "p",
+                      makeChainSpec(1, 1, 1000, 300));
+    Harness.advanceTime(milliseconds(400));
+  }
+  // One task on each worker leaves no rack with room for the gang.
+  JobSpec Busy = makeChainSpec(1, 8, 4000, 300);
+  Busy.Steps[0].MaxPerWorker = 1;
+  Harness.submitJob("busy", "p", Busy);
+  Harness.advanceTime(milliseconds(50));
+  JobSpec Gang = makeChainSpec(1, 4, 12000, 1000);
+  Gang.Steps[0].Gang = Gang.Steps[0].RackLocal = true;
+  JobSpec Filler = makeChainSpec(1, 1, 8000, 300);
+  Filler.Steps[0].RequiredLabel = "r0";
+  Harness.submitJob("filler", "p", Filler);
+  JobSpec OtherFiller = Filler;
+  OtherFiller.Steps[0].RequiredLabel = "r1";
+  Harness.submitJob("other", "p", OtherFiller);
+  Harness.advanceTime(milliseconds(20));
+  Harness.submitJob("gang", "p", Gang);
+  Harness.advanceTime(milliseconds(500));
+  std::set<std::string> Racks;
+  for (const auto &[Id, Worker] : Harness.Workers.all())
+    for (const auto &[Task, CurrentRun] : Worker.Runs)
+      if (Task.Job == "gang")
+        Racks.insert(Worker.Entry.rack());
+  Harness.advanceTime(seconds(5));
+  EXPECT_EQ(Harness.jobState("gang"), JobState::Completed);
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+  return Racks.size();
+}
+
+TEST(LocalityReplay, ARackLocalGangWaitsForOneRackIfTheKindIsKnown) {
+  EXPECT_EQ(countRacksOfGang(0), 2U);
+  EXPECT_EQ(countRacksOfGang(12), 1U);
+}
+
 } // namespace
