--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -294,11 +294,13 @@
   if (!Chosen && IsWaiting)
     return;
   bool IsSpread = Chosen && spansRacks(*Chosen);
-  if (IsSpread && MayWait &&
-      startLocalityWait(Job, {Job.id(), Occurrence, Step, 0}, Pass)) {
+  if (IsSpread && MayWait) {
+    // The forecast is made without the places that the gang would take.
     for (Candidate *Place : *Chosen)
       Pass.release(*Place, Request);
-    return;
+    if (startLocalityWait(Job, {Job.id(), Occurrence, Step, 0}, Pass))
+      return;
+    Chosen = Pass.placeGang(Request, Spec.Count);
   }
   if (!Chosen) {
     if (Caution.NeedsCanary)
