Scheduling: the margin of a wait is one deviation

Cause: waits at half a deviation failed often when a rack was cut off or slow. Change: the margin is twice as large.

--- a/Source/Scheduling/LocalityWait.cpp
+++ b/Source/Scheduling/LocalityWait.cpp
@@ -11,7 +11,7 @@
 constexpr double MinSamples = 8;
 /// The gain must exceed the expected wait by this part of the deviation of
 /// their difference: a wait is taken if it pays off in about 7 cases of 10.
-constexpr double MarginDeviations = 0.5;
+constexpr double MarginDeviations = 1;
 /// The least margin, as a part of the local run time. It covers the time until
 /// an end is noticed and the next pass begins.
 constexpr double MinMargin = 0.05;
--- a/Tests/Jobs/LocalityReplayTest.cpp
+++ b/Tests/Jobs/LocalityReplayTest.cpp
@@ -248,6 +248,10 @@
   compare(Trouble::Slow, 3, 32);
 }
 
+TEST(LocalityReplay, ARackOfAFullPoolWhoseWorkersAreSlow) {
+  compare(Trouble::Slow, 3, 16);
+}
+
 TEST(LocalityReplay, AChangeOfLeaderDuringWaitsLosesNothing) {
   // The waits are not recorded, so the new leader decides anew.
   for (uint32_t Seed : {1U, 2U, 3U}) {
