--- a/Source/Scheduling/LocalityWait.cpp
+++ b/Source/Scheduling/LocalityWait.cpp
@@ -10,7 +10,7 @@
 /// With fewer runs of a kind its run time is not known well enough.
 constexpr double MinSamples = 8;
 /// The gain must exceed the expected wait by this part of the deviation of
-/// their difference: a wait is taken if it pays off in about 7 cases of 10.
+/// their difference, so that a wait pays off in about 8 cases of 10.
 constexpr double MarginDeviations = 1;
 /// The least margin, as a part of the local run time. It covers the time until
 /// an end is noticed and the next pass begins.
