--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -41,6 +41,9 @@
     Worker.LastReportAt = StartedAt;
     UnsyncedWorkers[Entry.Pool].insert(Key);
   }
+  LearnedRunTimes.restore(Store.runTimes());
+  ProposedRunTimes = LearnedRunTimes.version();
+  RunTimesProposedAt = StartedAt;
   for (const auto &[Id, Record] : Store.jobs())
     if (!Record.hasEnded())
       addJob(Record, /*IsInherited=*/true);
@@ -271,8 +274,10 @@
   }
   reportUnlocatedJobs();
   updateShares();
+  removeStaleLocalityWaits();
   proposeResults();
   proposeLosses();
+  proposeRunTimes();
   probeCanaries();
 }
 
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -12,13 +12,16 @@
 #include "Scheduling/CrashSuspicion.h"
 #include "Scheduling/JobOrder.h"
 #include "Scheduling/JobProgress.h"
+#include "Scheduling/LocalityWait.h"
 #include "Scheduling/OrganisationShares.h"
 #include "Scheduling/Pacing.h"
 #include "Scheduling/Placement.h"
 #include "Scheduling/PlacementRecords.h"
+#include "Scheduling/RackForecast.h"
 #include "Scheduling/RateBuckets.h"
 #include "Scheduling/ResponseDelay.h"
 #include "Scheduling/RetryTime.h"
+#include "Scheduling/RunTimes.h"
 #include "Scheduling/StartWindow.h"
 #include "Scheduling/WorkerHealth.h"
 #include "Workers/WorkerTable.h"
@@ -93,6 +96,8 @@
   bool WaitsForLocality = false;
   /// How many times as long a task runs far from its data.
   double RemoteFactor = 1;
+  /// Time between two proposals of what was learned of run times.
+  Duration RunTimesInterval = seconds(5);
   /// Size of the range of attempt numbers that each leader uses for a task. The
   /// ranges ascend with the fencing token, so a new leader's attempts are
   /// higher than all earlier ones.
@@ -159,6 +164,11 @@
   uint64_t RecordedPlacements = 0; // Pairs of job and worker.
   /// Starts that were booked and never ordered.
   uint64_t WithdrawnStarts = 0;
+  /// Waits for capacity near a task's data, the ones of them that got it, and
+  /// the time that all of them took.
+  uint64_t LocalityWaits = 0;
+  uint64_t LocalityWaitsPaidOff = 0;
+  uint64_t LocalityWaitedMs = 0;
 };
 
 /// Schedules jobs onto workers while this VM is leader.
@@ -254,6 +264,10 @@
   /// Returns how many jobs waited at the last tick for workers on which an
   /// earlier leader may have started them.
   size_t unlocatedJobs() const { return UnlocatedJobs; }
+  const RunTimes &runTimes() const { return LearnedRunTimes; }
+  /// Returns the number of steps and tasks that wait for capacity near their
+  /// data.
+  size_t localityWaitCount() const { return LocalityWaits.size(); }
   /// Returns the time since the oldest lease of a reachable worker with runs
   /// was renewed.
   Duration oldestRenewalAge() const;
@@ -458,6 +472,59 @@
   /// Returns true if none of the workers that may run the task is reachable.
   bool areAllWorkersUnreachable(const TaskProgress &TaskState) const;
   bool isWithinQuota(const JobProgress &Job, const Resources &Extra) const;
+
+  // Run times, and waiting for capacity near the data.
+  /// Learns from a run that succeeded.
+  void learnRunTime(const JobProgress &Job, const StepSpec &Spec,
+                    const TrackedWorker &Worker, const Run &Ended);
+  /// Proposes what was learned, if it is time and something was.
+  void proposeRunTimes();
+  /// Returns true if the decision to wait may concern the task.
+  bool mayWaitForLocality(const JobProgress &Job, const StepSpec &Spec,
+                          const TaskProgress &TaskState, bool IsCanary) const;
+  bool isWaitingForLocality(const TaskProgress &TaskState) const;
+  /// Decides for a task that could run far from its data, and those of its step
+  /// that come after it, or for a gang that could run spread over racks.
+  /// Returns true if they wait from now on. \p Task names the first member of a
+  /// gang.
+  bool startLocalityWait(JobProgress &Job, const TaskId &Task,
+                         PlacementPass &Pass);
+  /// Returns true if some run of the step is far from the step's data.
+  bool runsFarFromData(const StepSpec &Spec, const StepProgress &Step) const;
+  /// Ends the wait of the task, if it waits. \p Outcome is for the log.
+  void endLocalityWait(const TaskId &Task, const char *Outcome);
+  /// Ends waits of jobs that have ended.
+  void removeStaleLocalityWaits();
+  /// Ends the waits for racks of the pool that take no tasks any more.
+  void endHopelessLocalityWaits(const std::string &Pool, PlacementPass &Pass);
+  void endLocalityWaitsFor(const std::string &Pool, const std::string &Rack,
+                           const char *Outcome);
+  /// Returns the part of the recent waits for the rack that got capacity there.
+  double waitSuccessRate(const std::string &Rack) const;
+  void recordWaitOutcome(const std::string &Rack, bool HasPaidOff);
+  /// A run as its rack's forecast sees it.
+  struct ForecastRun {
+    const RunTimeDistribution *Kind;
+    Resources Held;
+    double UnitMs; // Its estimate, there.
+    double AgeMs;
+    double ReportedMs; // Whole run time by its progress; zero if unknown.
+  };
+  /// The forecast of one rack in this pass.
+  struct PassForecast {
+    RackForecast Rack;
+    double Slowness = 1; // How many times as long runs take in it.
+  };
+  PassForecast &forecastRack(const std::string &Pool, const std::string &Rack,
+                             PlacementPass &Pass);
+  std::vector<ForecastRun> findForecastRuns(const TrackedWorker &Worker) const;
+  double rackSlowness(const std::string &Rack,
+                      const std::vector<std::vector<ForecastRun>> &Runs) const;
+  /// Counts a run that begins in the forecasts of this pass.
+  void updateForecast(const JobProgress &Job, const StepSpec &Spec,
+                      const TrackedWorker &Worker, bool IsRemote);
+  /// Returns the run time of a task near its data, unless the rack is slow.
+  TimeEstimate localRunTime(const JobProgress &Job, const StepSpec &Spec) const;
   void requestAdvice(JobProgress &Job, uint32_t Occurrence, uint32_t Step,
                      const std::vector<Candidate> &Candidates);
   /// Returns the resources that each organisation may be using for inherited
@@ -522,8 +589,27 @@
   RateBuckets Rates;
   Instant UsageProposedAt;
   bool IsUsageInFlight = false;
-  /// Moving mean of actual to estimated task duration, by queue.
-  std::map<std::string, double> EstimateFactors;
+  RunTimes LearnedRunTimes;
+  uint64_t ProposedRunTimes = 0; // Version that was proposed last.
+  Instant RunTimesProposedAt;
+  /// A task, or a gang, that waits for capacity near its data.
+  struct LocalityWait {
+    std::string Pool;
+    std::string Rack;
+    StepSpec Spec;
+    size_t Count = 1;
+    TimeEstimate LocalMs;
+    Instant Since;
+    Instant Until;
+  };
+  std::map<TaskId, LocalityWait> LocalityWaits;
+  struct WaitSuccess {
+    double Rate = 1; // Moving mean, as of At.
+    Instant At;
+  };
+  std::map<std::string, WaitSuccess> WaitSuccesses; // By rack.
+  /// Forecasts of the racks of the pool that is being scheduled.
+  std::map<std::string, PassForecast> Forecasts;
   double MeanJobCoreMs = 0; // Moving mean over accepted jobs.
   DispatcherCounters Counters;
   bool HasBeenDeposed = false;
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -8,13 +8,22 @@
 
 namespace mimosashunt {
 
+namespace {
+
+bool spansRacks(const std::vector<Candidate *> &Places) {
+  return std::any_of(Places.begin(), Places.end(), [&](const Candidate *Place) {
+    return Place->Worker->Entry.rack() != Places.front()->Worker->Entry.rack();
+  });
+}
+
+} // namespace
+
 size_t Dispatcher::poolSize(const std::string &Pool) const {
   return Table.workersInPool(Pool).size();
 }
 
 double Dispatcher::estimateFactor(const JobProgress &Job) const {
-  auto It = EstimateFactors.find(Job.job().Queue);
-  return It == EstimateFactors.end() ? 1.0 : It->second;
+  return LearnedRunTimes.meanFactor(Job.job().Queue);
 }
 
 double Dispatcher::organisationLoad(const std::string &Organisation) const {
@@ -102,6 +111,13 @@
   PlacementPass Pass(findCandidates(Table, Pool, Health, Store, Timers.now()));
   if (Pass.candidates().empty())
     return;
+  Forecasts.clear();
+  if (!LocalityWaits.empty()) {
+    endHopelessLocalityWaits(Pool, Pass);
+    for (const auto &[Task, Wait] : LocalityWaits)
+      if (Wait.Pool == Pool)
+        Pass.preferOthersTo(Wait.Rack);
+  }
   std::vector<JobProgress *> List;
   std::vector<JobRank> Ranks = rankJobs(Pool, List);
   orderJobs(Options.JobOrderPolicy, Timers.now(), MeanJobCoreMs, Ranks);
@@ -198,6 +214,7 @@
   const StepSpec &Spec = Job.stepSpec(Step);
   StepProgress &Progress = Job.Occurrences[Occurrence].Steps[Step];
   Candidate *PreviousChoice = nullptr;
+  bool IsWaitRefused = false; // The next task would wait longer.
   StepCaution Caution =
       assessStep(Spec, Progress, Options.Suspicion, Timers.now());
   for (uint32_t I = 0; I < Spec.Count; ++I) {
@@ -228,7 +245,21 @@
                              std::max<uint32_t>(Remaining, 1),
                              Caution.NeedsCanary,
                              PreviousChoice};
-    Candidate *Chosen = Pass.placeTask(Request);
+    bool MayWait =
+        mayWaitForLocality(Job, Spec, TaskState, Caution.NeedsCanary);
+    Candidate *Chosen = MayWait ? Pass.placeTaskNear(Request) : nullptr;
+    if (Chosen == nullptr && MayWait && isWaitingForLocality(TaskState))
+      continue;
+    bool IsFar = Chosen == nullptr;
+    if (Chosen == nullptr)
+      Chosen = Pass.placeTask(Request);
+    if (Chosen != nullptr && MayWait && IsFar && !IsWaitRefused) {
+      IsWaitRefused = !startLocalityWait(Job, Task, Pass);
+      if (!IsWaitRefused) {
+        Pass.release(*Chosen, Request);
+        continue;
+      }
+    }
     PreviousChoice = Chosen;
     if (Chosen == nullptr) {
       if (Caution.NeedsCanary)
@@ -260,7 +291,22 @@
   PlacementRequest Request{&Spec, &Progress, &Progress.Tasks.front(),
                            Job.NeedsAdvice, Timers.now()};
   Request.IsCanary = Caution.NeedsCanary;
-  auto Chosen = Pass.placeGang(Request, Spec.Count);
+  bool MayWait =
+      Spec.RackLocal && mayWaitForLocality(Job, Spec, Progress.Tasks.front(),
+                                           Caution.NeedsCanary);
+  bool IsWaiting = MayWait && isWaitingForLocality(Progress.Tasks.front());
+  auto Chosen = Pass.placeGang(Request, Spec.Count, /*InOneRack=*/IsWaiting);
+  if (!Chosen && IsWaiting)
+    return;
+  bool IsSpread = Chosen && spansRacks(*Chosen);
+  if (IsSpread && MayWait) {
+    // The forecast is made without the places that the gang would take.
+    for (Candidate *Place : *Chosen)
+      Pass.release(*Place, Request);
+    if (startLocalityWait(Job, {Job.id(), Occurrence, Step, 0}, Pass))
+      return;
+    Chosen = Pass.placeGang(Request, Spec.Count);
+  }
   if (!Chosen) {
     if (Caution.NeedsCanary)
       reserveWorkerForCanary(Job.Pool, Request, Progress, Pass);
@@ -275,6 +321,14 @@
                        (*Chosen)[I]->Worker->key(),
                        Attempt});
   startRuns(Job, Members, Caution.NeedsCanary);
+  if (!Spec.RackLocal)
+    return;
+  for (const BookedStart &Member : Members) {
+    std::map<TaskId, Run> &Runs = Table.find(Member.Worker)->Runs;
+    auto Started = Runs.find(Member.Task);
+    if (Started != Runs.end())
+      Started->second.IsRemote = IsSpread;
+  }
 }
 
 void Dispatcher::requestAdvice(JobProgress &Job, uint32_t Occurrence,
--- a/Source/Scheduling/DispatcherStarts.cpp
+++ b/Source/Scheduling/DispatcherStarts.cpp
@@ -52,7 +52,12 @@
   NewRun.LongRunning = Spec.LongRunning;
   NewRun.TailTargetMs = Spec.TailTargetMs;
   NewRun.IsCanary = IsCanary;
-  Table.addRun(*Table.find(Start.Worker), Start.Task, std::move(NewRun));
+  TrackedWorker &Worker = *Table.find(Start.Worker);
+  NewRun.IsRemote =
+      !Spec.DataRack.empty() && Worker.Entry.rack() != Spec.DataRack;
+  endLocalityWait(Start.Task, NewRun.IsRemote && !Spec.Gang ? "far" : "near");
+  updateForecast(Job, Spec, Worker, NewRun.IsRemote);
+  Table.addRun(Worker, Start.Task, std::move(NewRun));
   Job.addPlacement(Start.Task, Start.Worker, Start.Attempt);
 }
 
