--- a/Source/Jobs/JobTypes.cpp
+++ b/Source/Jobs/JobTypes.cpp
@@ -18,20 +18,6 @@
   return *this;
 }
 
-ResourceAmounts ResourceAmounts::of(const Resources &Value) {
-  constexpr double MillicoresPerCore = 1000;
-  return {static_cast<double>(Value.Cpu) / MillicoresPerCore,
-          static_cast<double>(Value.MemoryMb),
-          static_cast<double>(Value.Accelerators)};
-}
-
-ResourceAmounts &ResourceAmounts::operator+=(const ResourceAmounts &Other) {
-  Cores += Other.Cores;
-  MemoryMb += Other.MemoryMb;
-  Accelerators += Other.Accelerators;
-  return *this;
-}
-
 bool Resources::canFit(const Resources &Other) const {
   return Cpu >= Other.Cpu && MemoryMb >= Other.MemoryMb &&
          Accelerators >= Other.Accelerators;
--- a/Source/Jobs/JobTypes.h
+++ b/Source/Jobs/JobTypes.h
@@ -43,27 +43,6 @@
           Value.Accelerators * Factor};
 }
 
-/// Amounts of the resources that need not be whole, such as a demand.
-struct ResourceAmounts {
-  double Cores = 0;
-  double MemoryMb = 0;
-  double Accelerators = 0;
-  bool operator==(const ResourceAmounts &) const = default;
-
-  static ResourceAmounts of(const Resources &Value);
-  ResourceAmounts &operator+=(const ResourceAmounts &Other);
-};
-
-inline ResourceAmounts operator*(const ResourceAmounts &Value, double Factor) {
-  return {Value.Cores * Factor, Value.MemoryMb * Factor,
-          Value.Accelerators * Factor};
-}
-
-inline ResourceAmounts operator/(const ResourceAmounts &Value, double Divisor) {
-  return {Value.Cores / Divisor, Value.MemoryMb / Divisor,
-          Value.Accelerators / Divisor};
-}
-
 /// One step of a job: Count identical tasks.
 struct StepSpec {
   uint32_t Count = 0;
--- a/Source/Pools/PoolMover.cpp
+++ b/Source/Pools/PoolMover.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr double MillicoresPerCore = 1000;
+
 std::string kindOf(const std::vector<std::string> &Labels) {
   return Labels.empty() ? std::string() : Labels.front();
 }
@@ -82,7 +84,7 @@
     PoolVm Vm{Name,
               Entry.Pool,
               kindOf(Entry.Labels),
-              ResourceAmounts::of(Entry.Capacity),
+              static_cast<double>(Entry.Capacity.Cpu) / MillicoresPerCore,
               true,
               !IsUnderMaintenance(Name)};
     Vm.IsMovable &= Takeover.isOver(Timers.now(), Hooks.WallNow(),
--- a/Source/Pools/PoolPlanner.cpp
+++ b/Source/Pools/PoolPlanner.cpp
@@ -5,58 +5,27 @@
 
 namespace mimosashunt {
 
-namespace {
-
-constexpr double MicrosPerSecond = 1e6;
-
-constexpr double ResourceAmounts::*Dimensions[] = {
-    &ResourceAmounts::Cores, &ResourceAmounts::MemoryMb,
-    &ResourceAmounts::Accelerators};
-
-ResourceAmounts largest(const ResourceAmounts &A, const ResourceAmounts &B) {
-  ResourceAmounts Result;
-  for (auto Dimension : Dimensions)
-    Result.*Dimension = std::max(A.*Dimension, B.*Dimension);
-  return Result;
-}
-
-} // namespace
-
-size_t PoolPlanner::countNeededVms(const PoolDemand &Demand,
-                                   const PoolState &State,
-                                   const ResourceAmounts &VmCapacity) const {
-  double LookaheadSeconds =
-      static_cast<double>(Options.DemandLookahead.count()) / MicrosPerSecond;
-  double Needed = 0;
-  for (auto Dimension : Dimensions) {
-    double Forecast = Demand.Batch.*Dimension +
-                      std::max(0.0, State.Slope.*Dimension) * LookaheadSeconds;
-    double Amount = Forecast * Options.Headroom + Demand.LongRunning.*Dimension;
-    // No number of VMs provides what a VM does not have.
-    if (VmCapacity.*Dimension > 0)
-      Needed = std::max(Needed, std::ceil(Amount / VmCapacity.*Dimension));
-  }
-  return static_cast<size_t>(Needed);
-}
-
 void PoolPlanner::updateTargets(Instant Now, const PoolDemand &Demand,
-                                const ResourceAmounts &VmCapacity,
-                                size_t EqualShare, PoolState &State) const {
+                                double VmCores, size_t EqualShare,
+                                PoolState &State) const {
+  constexpr double MicrosPerSecond = 1e6;
   double Elapsed =
       static_cast<double>((Now - State.At).count()) / MicrosPerSecond;
   if (State.At > Instant() && Elapsed > 0) {
     constexpr double SmoothingFactor = 0.4;
-    for (auto Dimension : Dimensions) {
-      double Slope =
-          (Demand.Batch.*Dimension - State.Batch.*Dimension) / Elapsed;
-      State.Slope.*Dimension +=
-          SmoothingFactor * (Slope - State.Slope.*Dimension);
-    }
+    double Slope = (Demand.BatchCores - State.Cores) / Elapsed;
+    State.Slope += SmoothingFactor * (Slope - State.Slope);
   }
   State.At = Now;
-  State.Batch = Demand.Batch;
-  State.TargetVms = std::max(countNeededVms(Demand, State, VmCapacity),
-                             Demand.MinVms + Options.ReserveVms);
+  State.Cores = Demand.BatchCores;
+  double LookaheadSeconds =
+      static_cast<double>(Options.DemandLookahead.count()) / MicrosPerSecond;
+  double ForecastCores =
+      Demand.BatchCores + std::max(0.0, State.Slope) * LookaheadSeconds;
+  double Cores = ForecastCores * Options.Headroom + Demand.LongRunningCores;
+  auto NeededVms =
+      static_cast<size_t>(std::ceil(Cores / std::max(VmCores, 1.0)));
+  State.TargetVms = std::max(NeededVms, Demand.MinVms + Options.ReserveVms);
   State.RetainedVms = std::max(State.TargetVms,
                                EqualShare * Options.RetainedSharePercent / 100);
 }
@@ -96,14 +65,14 @@
                   const std::vector<PoolVm> &Vms,
                   const std::map<std::string, size_t> &Arriving) {
   std::map<std::string, size_t> VmCounts = Arriving;
-  std::map<std::string, ResourceAmounts> Capacities;
-  ResourceAmounts LargestCapacity{1, 0, 0};
+  std::map<std::string, double> Cores;
   for (const PoolVm &Vm : Vms) {
     ++VmCounts[Vm.Pool];
-    ResourceAmounts Capacity = largest(Vm.Capacity, {1, 0, 0});
-    Capacities[Vm.Pool] = largest(Capacities[Vm.Pool], Capacity);
-    LargestCapacity = largest(LargestCapacity, Capacity);
+    Cores[Vm.Pool] = std::max(Cores[Vm.Pool], Vm.Cores);
   }
+  double LargestVmCores = 1;
+  for (const auto &[Pool, VmCores] : Cores)
+    LargestVmCores = std::max(LargestVmCores, VmCores);
   size_t ActivePools = 0;
   for (const auto &[Pool, Demand] : Demands)
     ActivePools += Demand.Standby ? 0 : 1;
@@ -116,9 +85,7 @@
       continue;
     }
     PoolState &State = Pools[Pool];
-    auto Known = Capacities.find(Pool);
-    updateTargets(Now, Demand,
-                  Known == Capacities.end() ? LargestCapacity : Known->second,
+    updateTargets(Now, Demand, Cores.count(Pool) ? Cores[Pool] : LargestVmCores,
                   EqualShare, State);
     bool HasSurplus = VmCounts[Pool] > State.RetainedVms;
     if (HasSurplus && !State.HasSurplus)
--- a/Source/Pools/PoolPlanner.h
+++ b/Source/Pools/PoolPlanner.h
@@ -22,8 +22,7 @@
   std::string Vm;
   std::string Pool;
   std::string Kind; // VMs move only between pools of their kind.
-  /// Zero in a dimension that is not known or that the VM does not have.
-  ResourceAmounts Capacity;
+  double Cores = 0;
   bool IsIdle = false;    // No task runs on the VM.
   bool IsMovable = false; // Up, reachable and not under maintenance.
 };
@@ -73,9 +72,9 @@
 private:
   struct PoolState {
     Instant At;
-    ResourceAmounts Batch; // The demand at that time.
-    /// Growth of the demand per second, exponentially smoothed.
-    ResourceAmounts Slope;
+    double Cores = 0;
+    double Slope =
+        0; // Growth of the demand in cores a second, exponentially smoothed.
     size_t TargetVms = 0; // Number of VMs that the demand requires.
     size_t RetainedVms =
         0; // Number retained while no other pool needs VMs; at least TargetVms.
@@ -84,12 +83,8 @@
   };
 
   /// Updates the forecast of a pool and the numbers of VMs that follow from it.
-  void updateTargets(Instant Now, const PoolDemand &Demand,
-                     const ResourceAmounts &VmCapacity, size_t EqualShare,
-                     PoolState &State) const;
-  /// Returns how many VMs the demand needs in the dimension that binds.
-  size_t countNeededVms(const PoolDemand &Demand, const PoolState &State,
-                        const ResourceAmounts &VmCapacity) const;
+  void updateTargets(Instant Now, const PoolDemand &Demand, double VmCores,
+                     size_t EqualShare, PoolState &State) const;
 
   struct Draft;
   /// Adds moves of available VMs to \p To until \p Missing VMs are found or the
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -326,14 +326,17 @@
 
 PoolDemand Dispatcher::computeDemand(const std::string &Pool) const {
   PoolDemand Demand;
+  constexpr double MillicoresPerCore = 1000;
   constexpr double MinCriticalPathMs = 300;
   for (const auto &[Id, Job] : Jobs) {
     if (Job->HasEnded || Job->Pool != Pool)
       continue;
     if (Job->isLongRunning()) {
       for (const StepSpec &Step : Job->spec().Steps) {
-        Demand.LongRunning +=
-            ResourceAmounts::of(Step.reservedResources() * int64_t(Step.Count));
+        Demand.LongRunningCores +=
+            static_cast<double>(Step.Count) *
+            static_cast<double>(Step.reservedResources().Cpu) /
+            MillicoresPerCore;
         if (Step.MaxPerWorker > 0)
           Demand.MinVms = std::max<size_t>(
               Demand.MinVms,
@@ -348,13 +351,13 @@
         Job->Objective;
     if (!CanMeetObjective && !isOverdueDemandCounted(*Job))
       continue;
-    // Overdue jobs must still run. They request capacity to finish within some
+    // Overdue jobs must still run. They request cores to finish within some
     // seconds, not capacity for a burst of their own.
     double OverdueDrainMs =
         static_cast<double>(toMillis(Options.OverdueDrainTime));
     double SpreadMs = std::max(
         CriticalPathMs, CanMeetObjective ? MinCriticalPathMs : OverdueDrainMs);
-    Demand.Batch += Job->remainingWork(Factor) / SpreadMs;
+    Demand.BatchCores += Job->remainingCoreMs(Factor) / SpreadMs;
   }
   return Demand;
 }
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -128,10 +128,10 @@
 
 /// The capacity that one pool needs now.
 struct PoolDemand {
-  /// Needed to finish jobs that can still meet their objective, and overdue
-  /// jobs within DispatcherOptions::OverdueDrainTime.
-  ResourceAmounts Batch;
-  ResourceAmounts LongRunning; // For long-running tasks.
+  /// Cores needed to finish jobs that can still meet their objective, and
+  /// overdue jobs within DispatcherOptions::OverdueDrainTime.
+  double BatchCores = 0;
+  double LongRunningCores = 0; // For long-running tasks.
   /// Fewest VMs that satisfy the MaxPerWorker limits of the long-running steps.
   size_t MinVms = 0;
   bool Standby = false;
--- a/Source/Scheduling/JobProgress.cpp
+++ b/Source/Scheduling/JobProgress.cpp
@@ -168,19 +168,6 @@
   return Sum;
 }
 
-ResourceAmounts JobProgress::remainingWork(double EstimateFactor) const {
-  ResourceAmounts Sum;
-  for (const OccurrenceProgress &Occurrence : Occurrences)
-    for (size_t I = 0; I < Occurrence.Steps.size(); ++I) {
-      const StepSpec &Spec = Job.Spec.Steps[I];
-      const StepProgress &Step = Occurrence.Steps[I];
-      auto Left = static_cast<int64_t>(Step.Tasks.size() - Step.DoneCount);
-      Sum += ResourceAmounts::of(Spec.TaskResources * Left) *
-             static_cast<double>(Spec.EstimateMs) * EstimateFactor;
-    }
-  return Sum;
-}
-
 double JobProgress::remainingCriticalPathMs(double EstimateFactor) const {
   const OccurrenceProgress &Occurrence = Occurrences.front();
   std::vector<double> EndsAt(Occurrence.Steps.size(), 0);
--- a/Source/Scheduling/JobProgress.h
+++ b/Source/Scheduling/JobProgress.h
@@ -119,9 +119,6 @@
   /// Returns the remaining work in core-milliseconds, with the estimates scaled
   /// by \p EstimateFactor.
   double remainingCoreMs(double EstimateFactor) const;
-  /// Returns the remaining work in every dimension, each amount times
-  /// milliseconds.
-  ResourceAmounts remainingWork(double EstimateFactor) const;
   /// Returns the duration in milliseconds of the longest chain of steps that
   /// are not done.
   double remainingCriticalPathMs(double EstimateFactor) const;
