Scheduling: chance does not put organisations with few jobs behind the others

The log names small organisations with one waiting job as over their share: each job of theirs lifts their usage above it. Change: usage counts as over the share only beyond two deviations of what jobs of mean size that arrive by chance use.

--- a/Source/Scheduling/DispatcherShares.cpp
+++ b/Source/Scheduling/DispatcherShares.cpp
@@ -3,6 +3,7 @@
 
 #include "Scheduling/Dispatcher.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mimosashunt {
@@ -56,10 +57,12 @@
   for (const auto &[Key, Worker] : Table.all())
     if (Worker.IsReachable)
       Capacity += Worker.Entry.Capacity;
-  std::vector<ShareChange> Changes =
-      Shares.update(Timers.now(), Capacity, [this](const std::string &Name) {
+  std::vector<ShareChange> Changes = Shares.update(
+      Timers.now(), Capacity,
+      [this](const std::string &Name) {
         return Table.shortRunsReservedBy(Name);
-      });
+      },
+      MeanJobCoreMs / static_cast<double>(std::max<int64_t>(Capacity.Cpu, 1)));
   for (const ShareChange &Change : Changes) {
     const OrganisationShare &Organisation = Shares.all()[Change.Index];
     Hooks.LogEvent(Change.IsExceeded ? "share_exceeded" : "share_within",
--- a/Source/Scheduling/OrganisationShares.cpp
+++ b/Source/Scheduling/OrganisationShares.cpp
@@ -177,9 +177,21 @@
              Options.MaxOverlooked;
 }
 
+bool OrganisationShares::isOver(const OrganisationShare &Organisation,
+                                double FairUsage, double MeanJobUsage) const {
+  bool WasOver = Organisation.Level == ShareLevel::Over;
+  double Deviation = std::sqrt(FairUsage * std::max(MeanJobUsage, 0.0));
+  double Tolerated =
+      Options.ToleratedDeviations * Deviation * (WasOver ? 0.5 : 1.0);
+  return Organisation.Usage >
+         FairUsage * (WasOver ? Options.WithinBelow : Options.ExceededAbove) +
+             Tolerated;
+}
+
 std::vector<ShareChange> OrganisationShares::update(
     Instant Now, const Resources &Capacity,
-    const std::function<Resources(const std::string &)> &UsedBy) {
+    const std::function<Resources(const std::string &)> &UsedBy,
+    double MeanJobUsage) {
   decayUsage(Now, Capacity, UsedBy);
   updateWaiting(Now);
   double FairLevel = computeFairLevel(Now);
@@ -189,9 +201,9 @@
     bool HasLevel = Organisation.hasWork() && FairLevel > 0;
     Organisation.UsageOverShare =
         HasLevel ? usagePerWeight(Organisation) / FairLevel : 0;
-    bool WasOver = Organisation.Level == ShareLevel::Over;
-    bool IsOver = Organisation.UsageOverShare >
-                  (WasOver ? Options.WithinBelow : Options.ExceededAbove);
+    bool IsOver =
+        HasLevel &&
+        isOver(Organisation, FairLevel * Organisation.Weight, MeanJobUsage);
     Organisation.Level = IsOver                 ? ShareLevel::Over
                          : isOverlooked(I, Now) ? ShareLevel::Overlooked
                                                 : ShareLevel::Within;
--- a/Source/Scheduling/OrganisationShares.h
+++ b/Source/Scheduling/OrganisationShares.h
@@ -28,6 +28,11 @@
   /// it again below the other one. The gap keeps the order from flapping.
   double ExceededAbove = 1.1;
   double WithinBelow = 1.0;
+  /// Jobs arrive by chance, so the usage of an organisation whose share is n
+  /// jobs of mean size deviates by the square root of n. So many deviations do
+  /// not count as more than its share: without them the share of an
+  /// organisation with few jobs is exceeded by each of them.
+  double ToleratedDeviations = 2.0;
   /// An organisation without waiting jobs for this long leaves its unused share
   /// to the others.
   Duration LendingDelay = seconds(1);
@@ -89,10 +94,12 @@
   void countJob(size_t Index, bool Waits, bool Runs, bool IsBeyondRate);
   bool hasWaitingJobs() const;
   /// Updates usage and levels. \p UsedBy returns what the short jobs of an
-  /// organisation use now.
+  /// organisation use now. \p MeanJobUsage is what a job of mean size uses, in
+  /// seconds of the whole capacity; zero if it is not known.
   std::vector<ShareChange>
   update(Instant Now, const Resources &Capacity,
-         const std::function<Resources(const std::string &)> &UsedBy);
+         const std::function<Resources(const std::string &)> &UsedBy,
+         double MeanJobUsage = 0);
   /// Called when a task of a short job of the organisation starts.
   void recordStart(size_t Index, Instant Now);
 
@@ -114,6 +121,9 @@
   /// Returns the usage per weight above which an organisation is over its
   /// share.
   double computeFairLevel(Instant Now) const;
+  /// Returns true if the organisation uses more than its share, \p FairUsage.
+  bool isOver(const OrganisationShare &Organisation, double FairUsage,
+              double MeanJobUsage) const;
   bool isOverlooked(size_t Index, Instant Now) const;
 
   const ShareOptions Options;
--- a/Tests/Jobs/OrganisationSharesTest.cpp
+++ b/Tests/Jobs/OrganisationSharesTest.cpp
@@ -49,9 +49,12 @@
     Shares.resetJobCounts();
     for (size_t I = 0; I < Used.size(); ++I)
       Shares.countJob(I, Waiting[I], Used[I].Cpu > 0, false);
-    Changes = Shares.update(Now, Capacity, [this](const std::string &Name) {
-      return Used[std::stoul(Name.substr(3))];
-    });
+    Changes = Shares.update(
+        Now, Capacity,
+        [this](const std::string &Name) {
+          return Used[std::stoul(Name.substr(3))];
+        },
+        MeanJobUsage);
     size_t Count = 0;
     for (size_t I = 0; I < Used.size(); ++I)
       Count += WasOver[I] != (Shares.level(I) == ShareLevel::Over) ? 1 : 0;
@@ -63,6 +66,7 @@
   std::vector<Resources> Used;
   std::vector<bool> Waiting;
   std::vector<ShareChange> Changes;
+  double MeanJobUsage = 0; // Seconds of the capacity.
 };
 
 std::vector<double> arbitraryWeights() {
@@ -686,4 +690,23 @@
   RC_ASSERT(Fleet.Workers.Violations.empty());
 }
 
+// With few jobs each of them lifts the usage above the share for a while, so an
+// organisation of small weight would nearly always wait behind the large ones.
+TEST(OrganisationShares, AFewJobsMoreThanItsShareDoNotPutAnOrganisationBack) {
+  SharesModel Model({9, 1});
+  // A job of mean size takes a tenth of the capacity for a second.
+  Model.MeanJobUsage = 0.1;
+  Model.Used = {{80000, 0, 0}, {20000, 0, 0}};
+  for (int Tick = 0; Tick < 100; ++Tick) {
+    Model.tick();
+    EXPECT_NE(Model.Shares.level(1), ShareLevel::Over);
+  }
+  // Several times its share is no chance.
+  Model.Used = {{40000, 0, 0}, {60000, 0, 0}};
+  for (int Tick = 0; Tick < 30; ++Tick)
+    Model.tick();
+  EXPECT_EQ(Model.Shares.level(1), ShareLevel::Over);
+  EXPECT_NE(Model.Shares.level(0), ShareLevel::Over);
+}
+
 } // namespace
