Core, Fleet, Jobs, Agreement, Storage: CBOR is written and read without a tree

Json::from_cbor() also throws on an excessive size when it was told not to, so that malformed bytes on the internal port ended the process.

Change: Core/Cbor writes the bytes that Json::to_cbor() gives and reads them in place; Core/CborFields does so for described types. Carried orders, results, Raft messages and the records of the log keep their bytes. Commands and messages keep their values; their fields are in the order of describe(), which an earlier version reads as well. What comes in another order, as from an earlier version or its disk, is read through Json as before. Numbers out of their field's range are refused in orders, results and Raft messages; they were truncated. Property tests compare both codecs; sizes beyond the bytes are refused.

--- a/Source/Agreement/RaftCodec.cpp
+++ b/Source/Agreement/RaftCodec.cpp
@@ -1,8 +1,7 @@
 #include "Agreement/RaftCodec.h"
 
-#include "Core/JsonFields.h"
+#include "Core/Cbor.h"
 
-#include <exception>
 #include <utility>
 
 namespace mimosashunt {
@@ -20,190 +19,223 @@
   SnapshotRequestBody
 };
 
-Json binaryToJson(const std::string &Bytes) {
-  return Json::binary({Bytes.begin(), Bytes.end()});
-}
-
-std::string bytesFromJson(const Json &In) {
-  const auto &Bytes = In.get_binary();
-  return {Bytes.begin(), Bytes.end()};
-}
-
-Json membersToJson(const std::vector<Member> &Members) {
-  Json Out = Json::array();
-  for (const Member &Item : Members)
-    Out.push_back(Json::array({Item.Disk, Item.Vm, Item.Address}));
-  return Out;
+void writeMembers(CborWriter &Out, const std::vector<Member> &Members) {
+  Out.array(Members.size());
+  for (const Member &Item : Members) {
+    Out.array(3);
+    Out.number(Item.Disk);
+    Out.text(Item.Vm);
+    Out.text(Item.Address);
+  }
 }
 
-std::vector<Member> membersFromJson(const Json &In) {
+std::vector<Member> readMembers(CborReader &In) {
   std::vector<Member> Result;
-  for (const Json &Item : In)
-    Result.push_back({Item.at(0).get<DiskId>(), Item.at(1).get<std::string>(),
-                      Item.at(2).get<std::string>()});
+  for (size_t Left = In.array(); Left > 0; --Left) {
+    CborArrayReader Fields(In);
+    Member Item;
+    Item.Disk = Fields.number<DiskId>();
+    Item.Vm = Fields.text();
+    Item.Address = Fields.text();
+    Fields.finish();
+    Result.push_back(std::move(Item));
+  }
   return Result;
 }
 
-Json membershipToJson(const Membership &Value) {
-  return Json::array(
-      {membersToJson(Value.Voters), membersToJson(Value.Learners)});
+void writeMembership(CborWriter &Out, const Membership &Value) {
+  Out.array(2);
+  writeMembers(Out, Value.Voters);
+  writeMembers(Out, Value.Learners);
 }
 
-Membership membershipFromJson(const Json &In) {
-  return {membersFromJson(In.at(0)), membersFromJson(In.at(1))};
+Membership readMembership(CborReader &In) {
+  CborArrayReader Fields(In);
+  Membership Result;
+  Result.Voters = readMembers(Fields.next());
+  Result.Learners = readMembers(Fields.next());
+  Fields.finish();
+  return Result;
 }
 
-Json entryToJson(const LogEntry &Entry) {
-  Json Out = Json::array({Entry.AtTerm, static_cast<uint8_t>(Entry.Kind),
-                          binaryToJson(Entry.Payload)});
-  if (Entry.Kind == LogEntryKind::Membership)
-    Out.push_back(membershipToJson(Entry.Members));
-  return Out;
+void writeEntry(CborWriter &Out, const LogEntry &Entry) {
+  bool HasMembers = Entry.Kind == LogEntryKind::Membership;
+  Out.array(HasMembers ? 4 : 3);
+  Out.number(Entry.AtTerm);
+  Out.number(static_cast<uint8_t>(Entry.Kind));
+  Out.bytes(Entry.Payload);
+  if (HasMembers)
+    writeMembership(Out, Entry.Members);
 }
 
-LogEntry entryFromJson(const Json &In) {
+LogEntry readEntry(CborReader &In) {
+  CborArrayReader Fields(In);
   LogEntry Entry;
-  Entry.AtTerm = In.at(0).get<Term>();
-  auto Kind = In.at(1).get<uint8_t>();
+  Entry.AtTerm = Fields.number<Term>();
+  auto Kind = Fields.number<uint8_t>();
   if (Kind > static_cast<uint8_t>(LogEntryKind::Membership))
-    throw std::invalid_argument("unknown kind of entry");
+    throw CborError("unknown kind of entry");
   Entry.Kind = static_cast<LogEntryKind>(Kind);
-  Entry.Payload = bytesFromJson(In.at(2));
+  Entry.Payload = Fields.next().bytes();
   if (Entry.Kind == LogEntryKind::Membership)
-    Entry.Members = membershipFromJson(In.at(3));
+    Entry.Members = readMembership(Fields.next());
+  Fields.finish();
   return Entry;
 }
 
 int64_t microsSinceEpoch(Instant At) { return At.time_since_epoch().count(); }
-Instant instantFromJson(const Json &In) {
-  return Instant(Duration(In.get<int64_t>()));
+Instant readInstant(CborReader &In) {
+  return Instant(Duration(In.number<int64_t>()));
 }
 
+/// Writes a message as an array of its header and the fields of its body.
 struct BodyWriter {
-  Json &Out;
+  CborWriter &Out;
+  const RaftMessage &Message;
+
+  void header(BodyKind Kind, size_t FieldCount) const {
+    constexpr size_t HeaderFields = 4;
+    Out.array(HeaderFields + FieldCount);
+    Out.number(Message.From);
+    Out.number(Message.To);
+    Out.number(Message.AtTerm);
+    Out.number(static_cast<uint8_t>(Kind));
+  }
   void operator()(const VoteRequest &Body) const {
-    Out.push_back(VoteRequestBody);
-    Out.push_back(Body.LastIndex);
-    Out.push_back(Body.LastTerm);
-    Out.push_back(Body.PreVote);
+    header(VoteRequestBody, 3);
+    Out.number(Body.LastIndex);
+    Out.number(Body.LastTerm);
+    Out.boolean(Body.PreVote);
   }
   void operator()(const VoteReply &Body) const {
-    Out.push_back(VoteReplyBody);
-    Out.push_back(Body.Granted);
-    Out.push_back(Body.PreVote);
+    header(VoteReplyBody, 2);
+    Out.boolean(Body.Granted);
+    Out.boolean(Body.PreVote);
   }
   void operator()(const AppendRequest &Body) const {
-    Out.push_back(AppendRequestBody);
-    Out.push_back(Body.PreviousIndex);
-    Out.push_back(Body.PreviousTerm);
-    Out.push_back(Body.CommitIndex);
-    Out.push_back(microsSinceEpoch(Body.SentAt));
-    Json Entries = Json::array();
+    header(AppendRequestBody, 5);
+    Out.number(Body.PreviousIndex);
+    Out.number(Body.PreviousTerm);
+    Out.number(Body.CommitIndex);
+    Out.number(microsSinceEpoch(Body.SentAt));
+    Out.array(Body.Entries.size());
     for (const LogEntry &Entry : Body.Entries)
-      Entries.push_back(entryToJson(Entry));
-    Out.push_back(std::move(Entries));
+      writeEntry(Out, Entry);
   }
   void operator()(const AppendReply &Body) const {
-    Out.push_back(AppendReplyBody);
-    Out.push_back(Body.Success);
-    Out.push_back(Body.PreviousIndex);
-    Out.push_back(Body.MatchIndex);
-    Out.push_back(microsSinceEpoch(Body.SentAt));
+    header(AppendReplyBody, 4);
+    Out.boolean(Body.Success);
+    Out.number(Body.PreviousIndex);
+    Out.number(Body.MatchIndex);
+    Out.number(microsSinceEpoch(Body.SentAt));
   }
   void operator()(const SnapshotRequest &Body) const {
-    Out.push_back(SnapshotRequestBody);
-    Out.push_back(Body.Content.Index);
-    Out.push_back(Body.Content.AtTerm);
-    Out.push_back(membershipToJson(Body.Content.Members));
-    Out.push_back(binaryToJson(Body.Content.Data));
-    Out.push_back(microsSinceEpoch(Body.SentAt));
+    header(SnapshotRequestBody, 5);
+    Out.number(Body.Content.Index);
+    Out.number(Body.Content.AtTerm);
+    writeMembership(Out, Body.Content.Members);
+    Out.bytes(Body.Content.Data);
+    Out.number(microsSinceEpoch(Body.SentAt));
   }
 };
 
-RaftBody appendFromJson(const Json &In) {
+AppendRequest readAppend(CborArrayReader &Fields) {
   AppendRequest Body;
-  Body.PreviousIndex = In.at(4).get<LogIndex>();
-  Body.PreviousTerm = In.at(5).get<Term>();
-  Body.CommitIndex = In.at(6).get<LogIndex>();
-  Body.SentAt = instantFromJson(In.at(7));
-  for (const Json &Entry : In.at(8))
-    Body.Entries.push_back(entryFromJson(Entry));
+  Body.PreviousIndex = Fields.number<LogIndex>();
+  Body.PreviousTerm = Fields.number<Term>();
+  Body.CommitIndex = Fields.number<LogIndex>();
+  Body.SentAt = readInstant(Fields.next());
+  CborReader &In = Fields.next();
+  for (size_t Left = In.array(); Left > 0; --Left)
+    Body.Entries.push_back(readEntry(In));
+  return Body;
+}
+
+SnapshotRequest readSnapshot(CborArrayReader &Fields) {
+  SnapshotRequest Body;
+  Body.Content.Index = Fields.number<LogIndex>();
+  Body.Content.AtTerm = Fields.number<Term>();
+  Body.Content.Members = readMembership(Fields.next());
+  Body.Content.Data = Fields.next().bytes();
+  Body.SentAt = readInstant(Fields.next());
   return Body;
 }
 
-RaftBody bodyFromJson(const Json &In) {
-  switch (In.at(3).get<int>()) {
+// Braced initializers are evaluated in order.
+RaftBody readBody(CborArrayReader &Fields) {
+  switch (Fields.number<int>()) {
   case VoteRequestBody:
-    return VoteRequest{In.at(4).get<LogIndex>(), In.at(5).get<Term>(),
-                       In.at(6).get<bool>()};
+    return VoteRequest{Fields.number<LogIndex>(), Fields.number<Term>(),
+                       Fields.next().boolean()};
   case VoteReplyBody:
-    return VoteReply{In.at(4).get<bool>(), In.at(5).get<bool>()};
+    return VoteReply{Fields.next().boolean(), Fields.next().boolean()};
   case AppendRequestBody:
-    return appendFromJson(In);
+    return readAppend(Fields);
   case AppendReplyBody:
-    return AppendReply{In.at(4).get<bool>(), In.at(5).get<LogIndex>(),
-                       In.at(6).get<LogIndex>(), instantFromJson(In.at(7))};
+    return AppendReply{Fields.next().boolean(), Fields.number<LogIndex>(),
+                       Fields.number<LogIndex>(), readInstant(Fields.next())};
   case SnapshotRequestBody:
-    return SnapshotRequest{{In.at(4).get<LogIndex>(), In.at(5).get<Term>(),
-                            membershipFromJson(In.at(6)),
-                            bytesFromJson(In.at(7))},
-                           instantFromJson(In.at(8))};
+    return readSnapshot(Fields);
   default:
-    throw std::invalid_argument("unknown kind of message");
+    throw CborError("unknown kind of message");
   }
 }
 
-Json parseCbor(const std::string &Bytes) {
-  return Json::from_cbor(Bytes, true, /*allow_exceptions=*/false);
-}
-
-std::string toCborBytes(const Json &Value) {
-  std::vector<uint8_t> Bytes = Json::to_cbor(Value);
-  return {Bytes.begin(), Bytes.end()};
+RaftMessage readMessage(CborReader &In) {
+  CborArrayReader Fields(In);
+  RaftMessage Message;
+  Message.From = Fields.number<DiskId>();
+  Message.To = Fields.number<DiskId>();
+  Message.AtTerm = Fields.number<Term>();
+  Message.Body = readBody(Fields);
+  Fields.finish();
+  return Message;
 }
 
 } // namespace
 
 std::string encodeRaftMessages(const std::vector<RaftMessage> &Messages) {
-  Json Out = Json::array();
-  for (const RaftMessage &Message : Messages) {
-    Json Item = Json::array({Message.From, Message.To, Message.AtTerm});
-    std::visit(BodyWriter{Item}, Message.Body);
-    Out.push_back(std::move(Item));
-  }
-  return toCborBytes(Out);
+  std::string Bytes;
+  CborWriter Out(Bytes);
+  Out.array(Messages.size());
+  for (const RaftMessage &Message : Messages)
+    std::visit(BodyWriter{Out, Message}, Message.Body);
+  return Bytes;
 }
 
 bool decodeRaftMessages(const std::string &Bytes,
                         std::vector<RaftMessage> &Result) {
   Result.clear();
-  Json In = parseCbor(Bytes);
-  if (!In.is_array())
-    return false;
   try {
-    for (const Json &Item : In)
-      Result.push_back({Item.at(0).get<DiskId>(), Item.at(1).get<DiskId>(),
-                        Item.at(2).get<Term>(), bodyFromJson(Item)});
-    return true;
-  } catch (const std::exception &) {
-    Result.clear();
-    return false;
+    CborReader In(Bytes);
+    for (size_t Left = In.array(); Left > 0; --Left)
+      Result.push_back(readMessage(In));
+    if (In.isAtEnd())
+      return true;
+  } catch (const CborError &) {
+    // Reported below.
   }
+  Result.clear();
+  return false;
 }
 
 std::string encodeMembers(const std::vector<Member> &Members) {
-  return toCborBytes(membersToJson(Members));
+  std::string Bytes;
+  CborWriter Out(Bytes);
+  writeMembers(Out, Members);
+  return Bytes;
 }
 
 bool decodeMembers(const std::string &Bytes, std::vector<Member> &Result) {
   Result.clear();
-  Json In = parseCbor(Bytes);
-  if (!In.is_array())
-    return false;
   try {
-    Result = membersFromJson(In);
+    CborReader In(Bytes);
+    std::vector<Member> Members = readMembers(In);
+    if (!In.isAtEnd())
+      return false;
+    Result = std::move(Members);
     return true;
-  } catch (const std::exception &) {
+  } catch (const CborError &) {
     return false;
   }
 }
--- a/Source/Fleet/CarriedOrders.cpp
+++ b/Source/Fleet/CarriedOrders.cpp
@@ -1,8 +1,9 @@
 #include "Fleet/CarriedOrders.h"
 
-#include "Core/JsonFields.h"
+#include "Core/Cbor.h"
 
-#include <utility>
+#include <optional>
+#include <string_view>
 
 namespace mimosashunt {
 
@@ -11,128 +12,202 @@
 // Values are arrays in a fixed order: they are encoded and decoded thousands of
 // times per second, and names would cost more than the values.
 
-Json encodeTask(const TaskId &Task) {
-  return Json::array({Task.Job, Task.Occurrence, Task.Step, Task.Index});
+void writeTask(CborWriter &Out, const TaskId &Task) {
+  Out.array(4);
+  Out.text(Task.Job);
+  Out.number(Task.Occurrence);
+  Out.number(Task.Step);
+  Out.number(Task.Index);
 }
 
-TaskId decodeTask(const Json &In) {
-  return {In.at(0).get<std::string>(), In.at(1).get<uint32_t>(),
-          In.at(2).get<uint32_t>(), In.at(3).get<uint32_t>()};
+TaskId readTask(CborReader &In) {
+  CborArrayReader Fields(In);
+  TaskId Task;
+  Task.Job = Fields.text();
+  Task.Occurrence = Fields.number<uint32_t>();
+  Task.Step = Fields.number<uint32_t>();
+  Task.Index = Fields.number<uint32_t>();
+  Fields.finish();
+  return Task;
 }
 
-struct OrderEncoder {
-  Json operator()(const StartOrder &Order) const {
-    return Json::array({"start", encodeTask(Order.Task), Order.Attempt,
-                        Order.Payload, Order.LeaseEndMs, Order.Token,
-                        Order.Checkpoint, Order.Ticket});
+void writeOptional(CborWriter &Out, const std::optional<int64_t> &Value) {
+  if (Value)
+    Out.number(*Value);
+  else
+    Out.null();
+}
+
+std::optional<int64_t> readOptional(CborReader &In) {
+  if (In.skipNull())
+    return std::nullopt;
+  return In.number<int64_t>();
+}
+
+struct OrderWriter {
+  CborWriter &Out;
+
+  void operator()(const StartOrder &Order) const {
+    Out.array(8);
+    Out.text("start");
+    writeTask(Out, Order.Task);
+    Out.number(Order.Attempt);
+    Out.text(Order.Payload);
+    Out.number(Order.LeaseEndMs);
+    Out.number(Order.Token);
+    Out.text(Order.Checkpoint);
+    Out.text(Order.Ticket);
   }
-  Json operator()(const StopOrder &Order) const {
-    return Json::array(
-        {"stop", encodeTask(Order.Task), Order.Attempt, Order.Token});
+  void operator()(const StopOrder &Order) const {
+    Out.array(4);
+    Out.text("stop");
+    writeTask(Out, Order.Task);
+    Out.number(Order.Attempt);
+    Out.number(Order.Token);
   }
-  Json operator()(const PaceOrder &Order) const {
-    return Json::array({"pace", encodeTask(Order.Task), Order.Attempt,
-                        Order.Percent, Order.Token});
+  void operator()(const PaceOrder &Order) const {
+    Out.array(5);
+    Out.text("pace");
+    writeTask(Out, Order.Task);
+    Out.number(Order.Attempt);
+    Out.number(Order.Percent);
+    Out.number(Order.Token);
   }
-  Json operator()(const PollOrder &Order) const {
-    Json LeaseEnd = Order.LeaseEndMs ? Json(*Order.LeaseEndMs) : Json();
-    return Json::array({"poll", LeaseEnd, Order.Token, Order.AcknowledgedEnds,
-                        Order.MaxWaitMs});
+  void operator()(const PollOrder &Order) const {
+    Out.array(5);
+    Out.text("poll");
+    writeOptional(Out, Order.LeaseEndMs);
+    Out.number(Order.Token);
+    Out.number(Order.AcknowledgedEnds);
+    Out.number(Order.MaxWaitMs);
   }
-  Json operator()(const RenewOrder &Order) const {
-    return Json::array(
-        {"renew", Order.LeaseEndMs, Order.Token, Order.AcknowledgedEnds});
+  void operator()(const RenewOrder &Order) const {
+    Out.array(4);
+    Out.text("renew");
+    Out.number(Order.LeaseEndMs);
+    Out.number(Order.Token);
+    Out.number(Order.AcknowledgedEnds);
   }
 };
 
-WorkerOrder decodeOrder(const Json &In) {
-  const auto &Kind = In.at(0).get_ref<const std::string &>();
+// Braced initializers are evaluated in order.
+WorkerOrder readOrder(CborReader &In) {
+  CborArrayReader Fields(In);
+  std::string_view Kind = Fields.next().text();
+  WorkerOrder Order;
   if (Kind == "start")
-    return StartOrder{decodeTask(In.at(1)),        In.at(2).get<uint32_t>(),
-                      In.at(3).get<std::string>(), In.at(4).get<int64_t>(),
-                      In.at(5).get<uint64_t>(),    In.at(6).get<std::string>(),
-                      In.at(7).get<std::string>()};
-  if (Kind == "stop")
-    return StopOrder{decodeTask(In.at(1)), In.at(2).get<uint32_t>(),
-                     In.at(3).get<uint64_t>()};
-  if (Kind == "pace")
-    return PaceOrder{decodeTask(In.at(1)), In.at(2).get<uint32_t>(),
-                     In.at(3).get<uint32_t>(), In.at(4).get<uint64_t>()};
-  if (Kind == "renew")
-    return RenewOrder{In.at(1).get<int64_t>(), In.at(2).get<uint64_t>(),
-                      In.at(3).get<uint64_t>()};
-  if (Kind != "poll")
-    throw std::invalid_argument("unknown kind of order");
-  PollOrder Order;
-  if (!In.at(1).is_null())
-    Order.LeaseEndMs = In.at(1).get<int64_t>();
-  Order.Token = In.at(2).get<uint64_t>();
-  Order.AcknowledgedEnds = In.at(3).get<uint64_t>();
-  Order.MaxWaitMs = In.at(4).get<int64_t>();
+    Order = StartOrder{readTask(Fields.next()),
+                       Fields.number<uint32_t>(),
+                       Fields.text(),
+                       Fields.number<int64_t>(),
+                       Fields.number<uint64_t>(),
+                       Fields.text(),
+                       Fields.text()};
+  else if (Kind == "stop")
+    Order = StopOrder{readTask(Fields.next()), Fields.number<uint32_t>(),
+                      Fields.number<uint64_t>()};
+  else if (Kind == "pace")
+    Order = PaceOrder{readTask(Fields.next()), Fields.number<uint32_t>(),
+                      Fields.number<uint32_t>(), Fields.number<uint64_t>()};
+  else if (Kind == "renew")
+    Order = RenewOrder{Fields.number<int64_t>(), Fields.number<uint64_t>(),
+                       Fields.number<uint64_t>()};
+  else if (Kind == "poll")
+    Order = PollOrder{readOptional(Fields.next()), Fields.number<uint64_t>(),
+                      Fields.number<uint64_t>(), Fields.number<int64_t>()};
+  else
+    throw CborError("unknown kind of order");
+  Fields.finish();
   return Order;
 }
 
-Json encodeResult(const CarriedResult &Result) {
+void writeResult(CborWriter &Out, const CarriedResult &Result) {
   const PollResponse &Response = Result.Response;
-  Json Running = Json::array();
-  for (const RunningTask &Row : Response.Running)
-    Running.push_back(
-        Json::array({encodeTask(Row.Task), Row.Attempt, Row.Checkpoint,
-                     Row.ProgressPercent, Row.Gauge}));
-  Json Finished = Json::array();
-  for (const FinishedRun &Row : Response.Finished)
-    Finished.push_back(
-        Json::array({Row.Number, encodeTask(Row.Task), Row.Attempt,
-                     static_cast<int>(Row.Kind), Row.Checkpoint}));
-  Json Clock = Response.ClockMs ? Json(*Response.ClockMs) : Json();
-  return Json::array({Result.Id, static_cast<int>(Response.Outcome), Clock,
-                      std::move(Running), std::move(Finished)});
+  Out.array(5);
+  Out.number(Result.Id);
+  Out.number(static_cast<uint8_t>(Response.Outcome));
+  writeOptional(Out, Response.ClockMs);
+  Out.array(Response.Running.size());
+  for (const RunningTask &Row : Response.Running) {
+    Out.array(5);
+    writeTask(Out, Row.Task);
+    Out.number(Row.Attempt);
+    Out.text(Row.Checkpoint);
+    Out.number(Row.ProgressPercent);
+    Out.number(Row.Gauge);
+  }
+  Out.array(Response.Finished.size());
+  for (const FinishedRun &Row : Response.Finished) {
+    Out.array(5);
+    Out.number(Row.Number);
+    writeTask(Out, Row.Task);
+    Out.number(Row.Attempt);
+    Out.number(static_cast<uint8_t>(Row.Kind));
+    Out.text(Row.Checkpoint);
+  }
 }
 
 /// Reads an enumerator that is at most \p Last.
-template <class Enum> Enum decodeEnum(const Json &In, Enum Last) {
-  auto Value = In.get<unsigned>();
+template <class Enum> Enum readEnum(CborReader &In, Enum Last) {
+  auto Value = In.number<unsigned>();
   if (Value > static_cast<unsigned>(Last))
-    throw std::invalid_argument("enumerator out of range");
+    throw CborError("enumerator out of range");
   return static_cast<Enum>(Value);
 }
 
-CarriedResult decodeResult(const Json &In) {
+RunningTask readRunning(CborReader &In) {
+  CborArrayReader Fields(In);
+  RunningTask Row{readTask(Fields.next()), Fields.number<uint32_t>(),
+                  Fields.text(), Fields.number<int32_t>(),
+                  Fields.number<int64_t>()};
+  Fields.finish();
+  return Row;
+}
+
+FinishedRun readFinished(CborReader &In) {
+  CborArrayReader Fields(In);
+  FinishedRun Row{Fields.number<uint64_t>(), readTask(Fields.next()),
+                  Fields.number<uint32_t>(),
+                  readEnum(Fields.next(), EndKind::Alone), Fields.text()};
+  Fields.finish();
+  return Row;
+}
+
+CarriedResult readResult(CborReader &In) {
+  CborArrayReader Fields(In);
   CarriedResult Result;
-  Result.Id = In.at(0).get<uint64_t>();
+  Result.Id = Fields.number<uint64_t>();
   PollResponse &Response = Result.Response;
-  Response.Outcome = decodeEnum(In.at(1), OrderOutcome::Unanswered);
-  if (!In.at(2).is_null())
-    Response.ClockMs = In.at(2).get<int64_t>();
-  for (const Json &Row : In.at(3))
-    Response.Running.push_back(
-        {decodeTask(Row.at(0)), Row.at(1).get<uint32_t>(),
-         Row.at(2).get<std::string>(), Row.at(3).get<int32_t>(),
-         Row.at(4).get<int64_t>()});
-  for (const Json &Row : In.at(4))
-    Response.Finished.push_back(
-        {Row.at(0).get<uint64_t>(), decodeTask(Row.at(1)),
-         Row.at(2).get<uint32_t>(), decodeEnum(Row.at(3), EndKind::Alone),
-         Row.at(4).get<std::string>()});
+  Response.Outcome = readEnum(Fields.next(), OrderOutcome::Unanswered);
+  Response.ClockMs = readOptional(Fields.next());
+  for (size_t Left = Fields.next().array(); Left > 0; --Left)
+    Response.Running.push_back(readRunning(In));
+  for (size_t Left = Fields.next().array(); Left > 0; --Left)
+    Response.Finished.push_back(readFinished(In));
+  Fields.finish();
   return Result;
 }
 
-std::string toBytes(const Json &Value) {
-  std::string Bytes;
-  Json::to_cbor(Value, Bytes);
-  return Bytes;
+CarriedOrder readCarriedOrder(CborReader &In) {
+  CborArrayReader Fields(In);
+  CarriedOrder Item;
+  Item.Id = Fields.number<uint64_t>();
+  Item.Worker = {Fields.text(), Fields.number<int64_t>()};
+  Item.Address = Fields.text();
+  Item.Order = readOrder(Fields.next());
+  Fields.finish();
+  return Item;
 }
 
-/// Calls \p Read with the decoded value. Returns false if there is none or \p
-/// Read throws.
-template <class Reader> bool readBytes(const std::string &Bytes, Reader Read) {
-  Json In = Json::from_cbor(Bytes, true, /*allow_exceptions=*/false);
-  if (!In.is_array())
-    return false;
+/// Calls \p Read with a reader of \p Bytes. Returns false if it throws or
+/// leaves bytes unread.
+template <class Function>
+bool readWhole(const std::string &Bytes, Function Read) {
   try {
+    CborReader In(Bytes);
     Read(In);
-    return true;
-  } catch (const std::exception &) {
+    return In.isAtEnd();
+  } catch (const CborError &) {
     return false;
   }
 }
@@ -140,40 +215,48 @@
 } // namespace
 
 std::string encodeOrders(const OrderBatch &Batch) {
-  Json Orders = Json::array();
-  for (const CarriedOrder &Item : Batch.Orders)
-    Orders.push_back(
-        Json::array({Item.Id, Item.Worker.Id, Item.Worker.Incarnation,
-                     Item.Address, std::visit(OrderEncoder(), Item.Order)}));
-  return toBytes(
-      Json::array({Batch.Term, Batch.ResultsAddress, std::move(Orders)}));
+  std::string Bytes;
+  CborWriter Out(Bytes);
+  Out.array(3);
+  Out.number(Batch.Term);
+  Out.text(Batch.ResultsAddress);
+  Out.array(Batch.Orders.size());
+  for (const CarriedOrder &Item : Batch.Orders) {
+    Out.array(5);
+    Out.number(Item.Id);
+    Out.text(Item.Worker.Id);
+    Out.number(Item.Worker.Incarnation);
+    Out.text(Item.Address);
+    std::visit(OrderWriter{Out}, Item.Order);
+  }
+  return Bytes;
 }
 
 bool decodeOrders(const std::string &Bytes, OrderBatch &Result) {
-  return readBytes(Bytes, [&Result](const Json &In) {
-    Result.Term = In.at(0).get<uint64_t>();
-    Result.ResultsAddress = In.at(1).get<std::string>();
-    for (const Json &Item : In.at(2))
-      Result.Orders.push_back(
-          {Item.at(0).get<uint64_t>(),
-           {Item.at(1).get<std::string>(), Item.at(2).get<int64_t>()},
-           Item.at(3).get<std::string>(),
-           decodeOrder(Item.at(4))});
+  return readWhole(Bytes, [&Result](CborReader &In) {
+    CborArrayReader Fields(In);
+    Result.Term = Fields.number<uint64_t>();
+    Result.ResultsAddress = Fields.text();
+    for (size_t Left = Fields.next().array(); Left > 0; --Left)
+      Result.Orders.push_back(readCarriedOrder(In));
+    Fields.finish();
   });
 }
 
 std::string encodeResults(const std::vector<CarriedResult> &Results) {
-  Json Rows = Json::array();
+  std::string Bytes;
+  CborWriter Out(Bytes);
+  Out.array(Results.size());
   for (const CarriedResult &Result : Results)
-    Rows.push_back(encodeResult(Result));
-  return toBytes(Rows);
+    writeResult(Out, Result);
+  return Bytes;
 }
 
 bool decodeResults(const std::string &Bytes,
                    std::vector<CarriedResult> &Result) {
-  return readBytes(Bytes, [&Result](const Json &In) {
-    for (const Json &Row : In)
-      Result.push_back(decodeResult(Row));
+  return readWhole(Bytes, [&Result](CborReader &In) {
+    for (size_t Left = In.array(); Left > 0; --Left)
+      Result.push_back(readResult(In));
   });
 }
 
--- a/Source/Jobs/JobCommands.cpp
+++ b/Source/Jobs/JobCommands.cpp
@@ -5,16 +5,16 @@
 namespace mimosashunt {
 
 std::string encodeJobCommand(const JobCommand &Command) {
-  std::vector<uint8_t> Bytes = Json::to_cbor(kindToJson(Command));
-  return {Bytes.begin(), Bytes.end()};
+  return kindToCbor(Command);
 }
 
 bool decodeJobCommand(const std::string &Bytes, JobCommand &Result) {
-  Json In = Json::from_cbor(Bytes, true, /*allow_exceptions=*/false);
-  if (In.is_discarded())
-    return false;
+  if (kindFromCbor(Bytes, Result))
+    return true;
+  // Commands of earlier versions, whose fields are ordered by name. An
+  // excessive size makes from_cbor() throw even if exceptions are off.
   try {
-    Result = kindFromJson<JobCommand>(In);
+    Result = kindFromJson<JobCommand>(Json::from_cbor(Bytes));
     return true;
   } catch (const std::exception &) {
     return false;
--- a/Source/Jobs/JobCommands.h
+++ b/Source/Jobs/JobCommands.h
@@ -3,6 +3,7 @@
 #ifndef MIMOSASHUNT_JOBS_JOBCOMMANDS_H
 #define MIMOSASHUNT_JOBS_JOBCOMMANDS_H
 
+#include "Core/CborFields.h"
 #include "Jobs/JobTypes.h"
 #include "Jobs/RunLoss.h"
 
@@ -288,17 +289,17 @@
 /// Encodes a described value as CBOR, for messages between processes of the
 /// system.
 template <class T> std::string toCbor(const T &Value) {
-  std::vector<uint8_t> Bytes = Json::to_cbor(Json(Value));
-  return {Bytes.begin(), Bytes.end()};
+  return fieldsToCbor(Value);
 }
 
-/// Decodes the output of toCbor(). Returns false if \p Bytes does not hold a T.
+/// Decodes the output of toCbor(), also of earlier versions, which order the
+/// fields by name. Returns false if \p Bytes does not hold a T.
 template <class T> bool fromCbor(const std::string &Bytes, T &Result) {
-  Json In = Json::from_cbor(Bytes, true, /*allow_exceptions=*/false);
-  if (In.is_discarded())
-    return false;
+  if (fieldsFromCbor(Bytes, Result))
+    return true;
+  // An excessive size makes from_cbor() throw even if exceptions are off.
   try {
-    Result = In.template get<T>();
+    Result = Json::from_cbor(Bytes).template get<T>();
     return true;
   } catch (const std::exception &) {
     return false;
--- a/Source/Storage/DiskLog.cpp
+++ b/Source/Storage/DiskLog.cpp
@@ -1,5 +1,6 @@
 #include "Storage/DiskLog.h"
 
+#include "Core/Cbor.h"
 #include "Core/JsonFields.h"
 #include "Storage/RecordFile.h"
 #include "Storage/StorageError.h"
@@ -60,21 +61,62 @@
   return {Bytes.begin(), Bytes.end()};
 }
 
+// The records of the log are written without a tree: they are most of what the
+// leader writes. The names are in the order in which Json::to_cbor() writes
+// them.
+
 std::string encodeState(const HardState &State) {
-  return encodeCbor({{"kind", "state"},
-                     {"term", State.CurrentTerm},
-                     {"vote", State.VotedFor}});
+  std::string Bytes;
+  CborWriter Out(Bytes);
+  Out.map(3);
+  Out.text("kind");
+  Out.text("state");
+  Out.text("term");
+  Out.number(State.CurrentTerm);
+  Out.text("vote");
+  Out.number(State.VotedFor);
+  return Bytes;
+}
+
+void writeMembers(CborWriter &Out, const std::vector<Member> &Members) {
+  Out.array(Members.size());
+  for (const Member &Peer : Members) {
+    Out.map(3);
+    Out.text("address");
+    Out.text(Peer.Address);
+    Out.text("disk");
+    Out.number(Peer.Disk);
+    Out.text("vm");
+    Out.text(Peer.Vm);
+  }
 }
 
 std::string encodeEntry(LogIndex Index, const LogEntry &Entry) {
-  Json Out = {{"kind", "entry"},
-              {"index", Index},
-              {"term", Entry.AtTerm},
-              {"type", static_cast<uint8_t>(Entry.Kind)},
-              {"payload", encodeBinary(Entry.Payload)}};
-  if (Entry.Kind == LogEntryKind::Membership)
-    Out["members"] = membershipToJson(Entry.Members);
-  return encodeCbor(Out);
+  constexpr size_t NamesBytes = 64;
+  bool HasMembers = Entry.Kind == LogEntryKind::Membership;
+  std::string Bytes;
+  Bytes.reserve(NamesBytes + Entry.Payload.size());
+  CborWriter Out(Bytes);
+  Out.map(HasMembers ? 6 : 5);
+  Out.text("index");
+  Out.number(Index);
+  Out.text("kind");
+  Out.text("entry");
+  if (HasMembers) {
+    Out.text("members");
+    Out.map(2);
+    Out.text("learners");
+    writeMembers(Out, Entry.Members.Learners);
+    Out.text("voters");
+    writeMembers(Out, Entry.Members.Voters);
+  }
+  Out.text("payload");
+  Out.bytes(Entry.Payload);
+  Out.text("term");
+  Out.number(Entry.AtTerm);
+  Out.text("type");
+  Out.number(static_cast<uint8_t>(Entry.Kind));
+  return Bytes;
 }
 
 LogEntry decodeEntry(const Json &In) {
--- a/Tests/Storage/DiskLogTest.cpp
+++ b/Tests/Storage/DiskLogTest.cpp
@@ -2,8 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include "Core/JsonFields.h"
 #include "Storage/DataFolder.h"
 #include "Storage/DiskLog.h"
+#include "Storage/RecordFile.h"
 #include "Storage/StorageError.h"
 #include "Support/TemporaryFolder.h"
 
@@ -185,5 +187,51 @@
   EXPECT_EQ(Opened.open(Folder.path(), "control-1", 42), StorageError::Damaged);
 }
 
+// An earlier version reads the log after a downgrade, and this one reads what
+// it wrote.
+RC_GTEST_PROP(DiskLog, WritesTheBytesOfTheGeneralEncoder,
+              (std::string Payload, uint64_t Number)) {
+  TemporaryFolder Folder;
+  DiskLog Log(Folder.path());
+  DurableLog Loaded;
+  RC_ASSERT(!Log.load(Loaded));
+  LogEntry Change;
+  Change.AtTerm = Number;
+  Change.Kind = LogEntryKind::Membership;
+  Change.Members = {{{Number, "vm", "address"}}, {{7, "new", "other"}}};
+  RaftOutput Output;
+  Output.StateChanged = true;
+  Output.State = {Number, 5};
+  Output.FirstAppendedIndex = 1;
+  Output.AppendedEntries = {makeCommand(Number, Payload), Change};
+  RC_ASSERT(!Log.write(Output));
+  std::vector<Json> Expected = {
+      {{"kind", "state"}, {"term", 0}, {"vote", 0}},
+      {{"kind", "state"}, {"term", Number}, {"vote", 5}},
+      {{"kind", "entry"},
+       {"index", 1},
+       {"term", Number},
+       {"type", 1},
+       {"payload", Json::binary({Payload.begin(), Payload.end()})}},
+      {{"kind", "entry"},
+       {"index", 2},
+       {"term", Number},
+       {"type", 2},
+       {"payload", Json::binary({})},
+       {"members",
+        {{"voters", {{{"disk", Number}, {"vm", "vm"}, {"address", "address"}}}},
+         {"learners", {{{"disk", 7}, {"vm", "new"}, {"address", "other"}}}}}}}};
+  std::string Bytes;
+  RC_ASSERT(!readFile(Folder.path() + "/log", Bytes));
+  ParsedRecords Records;
+  RC_ASSERT(!parseRecords(Bytes, 0, Records));
+  RC_ASSERT(Records.Payloads.size() == Expected.size());
+  for (size_t I = 0; I < Expected.size(); ++I) {
+    std::string Wanted;
+    Json::to_cbor(Expected[I], Wanted);
+    RC_ASSERT(Records.Payloads[I] == Wanted);
+  }
+}
+
 } // namespace
 } // namespace mimosashunt::test
