Codec: CBOR is written and read by libcbor

Cause: Core/Cbor encoded and parsed CBOR itself. This project takes codecs from libraries, and mimosashunt-core may link none.

Change: Source/Codec holds the writer, the reader and the layer for described types. The writer and the reader call libcbor (Debian libcbor-dev) for each item and keep their interfaces, bytes and limits. CborTest moves to CodecTests with one more test: tags, indefinite lengths and reserved items are refused. Dispatcher moves the fields of run_start and run_ended to the log.

--- a/Source/Agreement/RaftCodec.cpp
+++ b/Source/Agreement/RaftCodec.cpp
@@ -1,6 +1,6 @@
 #include "Agreement/RaftCodec.h"
 
-#include "Core/Cbor.h"
+#include "Codec/Cbor.h"
 
 #include <utility>
 
--- a/Source/Core/CborFields.h
+++ b/Source/Codec/CborFields.h
@@ -3,10 +3,10 @@
 // only that order is read; the caller decodes what cannot be read with
 // Json::from_cbor(), which takes any order.
 
-#ifndef MIMOSASHUNT_CORE_CBORFIELDS_H
-#define MIMOSASHUNT_CORE_CBORFIELDS_H
+#ifndef MIMOSASHUNT_CODEC_CBORFIELDS_H
+#define MIMOSASHUNT_CODEC_CBORFIELDS_H
 
-#include "Core/Cbor.h"
+#include "Codec/Cbor.h"
 #include "Core/JsonFields.h"
 
 #include <map>
--- a/Source/Fleet/CarriedOrders.cpp
+++ b/Source/Fleet/CarriedOrders.cpp
@@ -1,6 +1,6 @@
 #include "Fleet/CarriedOrders.h"
 
-#include "Core/Cbor.h"
+#include "Codec/Cbor.h"
 
 #include <optional>
 #include <string_view>
--- a/Source/Jobs/JobCommands.h
+++ b/Source/Jobs/JobCommands.h
@@ -3,7 +3,7 @@
 #ifndef MIMOSASHUNT_JOBS_JOBCOMMANDS_H
 #define MIMOSASHUNT_JOBS_JOBCOMMANDS_H
 
-#include "Core/CborFields.h"
+#include "Codec/CborFields.h"
 #include "Jobs/JobTypes.h"
 #include "Jobs/RunLoss.h"
 
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -319,7 +319,7 @@
   Fields["worker"] = Worker.key().Id;
   Fields["how"] = nameOf(End.Kind);
   Fields["ms"] = toMillis(Timers.now() - OrderedAt);
-  Hooks.LogEvent("run_ended", Fields);
+  Hooks.LogEvent("run_ended", std::move(Fields));
   if (End.Kind == EndKind::Done)
     ++Counters.CompletedRuns;
   else if (End.Kind == EndKind::Failed)
@@ -545,7 +545,7 @@
   Fields["left_ms"] = toMillis(Job.Objective - Timers.now());
   if (IsCanary)
     Fields["canary"] = true;
-  Hooks.LogEvent("run_start", Fields);
+  Hooks.LogEvent("run_start", std::move(Fields));
   std::shared_ptr<bool> IsAlive = AliveFlag;
   Port.startRun(Worker.Entry, Order,
                 [this, IsAlive, Key = Worker.key(), Task, Attempt,
--- a/Source/Storage/DiskLog.cpp
+++ b/Source/Storage/DiskLog.cpp
@@ -1,6 +1,6 @@
 #include "Storage/DiskLog.h"
 
-#include "Core/Cbor.h"
+#include "Codec/Cbor.h"
 #include "Core/JsonFields.h"
 #include "Storage/RecordFile.h"
 #include "Storage/StorageError.h"
--- a/Tests/Core/CborTest.cpp
+++ b/Tests/Codec/CborTest.cpp
@@ -2,7 +2,7 @@
 // Json::to_cbor(), the reader takes them back, and bytes that are no CBOR never
 // crash it.
 
-#include "Core/Cbor.h"
+#include "Codec/Cbor.h"
 #include "Core/JsonFields.h"
 
 #include <cmath>
@@ -125,6 +125,22 @@
       CborError);
 }
 
+// Guards against an item that libcbor decodes but the reader does not support
+// being taken for a value or skipped without what follows it.
+TEST(Cbor, RefusesTagsIndefiniteLengthsAndOtherSimpleValues) {
+  using namespace std::string_literals;
+  for (const std::string &Bytes :
+       {"\xc1\x01"s, "\xd8\x20\x01"s, "\x5f\x41\x61\xff"s, "\x7f\x61\x61\xff"s,
+        "\x9f\x01\xff"s, "\xbf\x61\x61\x01\xff"s, "\xff"s, "\xf7"s, "\xe0"s,
+        "\xf8\x20"s, "\x1c"s, "\x1f"s, "\x5c"s, "\x9d"s, "\xfc"s}) {
+    EXPECT_THROW(CborReader(Bytes).skip(), CborError);
+    EXPECT_THROW(CborReader(Bytes).number<int>(), CborError);
+    EXPECT_THROW(CborReader(Bytes).text(), CborError);
+    EXPECT_THROW(CborReader(Bytes).array(), CborError);
+  }
+  EXPECT_THROW(CborReader("\xf9\x7e\x01").floating(), CborError);
+}
+
 TEST(Cbor, RefusesLengthsBeyondTheBytes) {
   // A text, an array and a map of 2^32 - 1 elements.
   for (std::string Bytes : {"\x7a\xff\xff\xff\xff", "\x9a\xff\xff\xff\xff",
--- a/Utilities/install.sh
+++ b/Utilities/install.sh
@@ -3,7 +3,7 @@
 # Does nothing if all of them are installed.
 set -eu
 packages=(g++ cmake ninja-build pkg-config ccache clang-format clang-tidy jq curl
-  libh2o-evloop-dev libcapnp-dev prometheus-cpp-dev libgflags-dev
+  libh2o-evloop-dev libcapnp-dev prometheus-cpp-dev libgflags-dev libcbor-dev
   liblog4cxx-dev libgtest-dev librapidcheck-dev libbenchmark-dev
   nlohmann-json3-dev libvalijson-dev libopentracing-dev libxxhash-dev libssl-dev
   zlib1g-dev)
