--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -342,7 +342,7 @@
   Fields["worker"] = Worker.key().Id;
   Fields["how"] = nameOf(End.Kind);
   Fields["ms"] = toMillis(Timers.now() - OrderedAt);
-  Hooks.LogEvent("run_ended", Fields);
+  Hooks.LogEvent("run_ended", std::move(Fields));
   if (End.Kind == EndKind::Done)
     ++Counters.CompletedRuns;
   else if (End.Kind == EndKind::Failed)
--- a/Source/Scheduling/DispatcherStarts.cpp
+++ b/Source/Scheduling/DispatcherStarts.cpp
@@ -112,7 +112,7 @@
   Fields["left_ms"] = toMillis(Job.Objective - Timers.now());
   if (BookedRun->IsCanary)
     Fields["canary"] = true;
-  Hooks.LogEvent("run_start", Fields);
+  Hooks.LogEvent("run_start", std::move(Fields));
   std::shared_ptr<bool> IsAlive = AliveFlag;
   Port.startRun(Worker.Entry, Order,
                 [this, IsAlive, Start,
