Codec: a flag that is missing is false, whatever its default

Cause: BeginLeadership::RecordsPlacements is true by default and left out when false. Change: the reader sets a missing flag to false, as the JSON reader does.

--- a/Source/Codec/CborFields.h
+++ b/Source/Codec/CborFields.h
@@ -136,6 +136,7 @@
       readValue(In, Value);
   }
   void flag(const char *Key, bool &Value) const {
+    Value = false;
     if (takeKey(Key))
       readValue(In, Value);
   }
