--- a/Source/Fleet/SchedulerMetrics.cpp
+++ b/Source/Fleet/SchedulerMetrics.cpp
@@ -43,6 +43,25 @@
   return Registry.text();
 }
 
+void SchedulerDaemon::updateShareMetrics() {
+  for (const OrganisationShare &Organisation : Scheduler->shares().all()) {
+    auto SetGauge = [&](const char *Name, const char *Help, double Value) {
+      Registry.gauge(Name, Help, {{"organisation", Organisation.Name}})
+          .Set(Value);
+    };
+    SetGauge("mimosashunt_organisation_usage_over_share",
+             "Recent usage in proportion to what the organisation may use; 0 "
+             "without work",
+             Organisation.UsageOverShare);
+    SetGauge("mimosashunt_organisation_jobs_waiting",
+             "Short jobs with tasks that wait for capacity",
+             static_cast<double>(Organisation.WaitingJobs));
+    SetGauge("mimosashunt_organisation_jobs_beyond_rate",
+             "Short jobs that the organisation sent beyond its rate",
+             static_cast<double>(Organisation.JobsBeyondRate));
+  }
+}
+
 void SchedulerDaemon::updateSchedulerMetrics() {
   const DispatcherCounters &Counters = Scheduler->counters();
   auto SetGauge = [this](const char *Name, const char *Help, uint64_t Value) {
@@ -94,6 +113,20 @@
            static_cast<uint64_t>(toMillis(Scheduler->oldestRenewalAge())));
   SetGauge("mimosashunt_renewals", "Leases renewed apart from polls",
            Counters.Renewals);
+  SetGauge("mimosashunt_locality_waits",
+           "Waits for capacity near a task's data", Counters.LocalityWaits);
+  SetGauge("mimosashunt_locality_waits_paid_off",
+           "Waits after which the task started near its data",
+           Counters.LocalityWaitsPaidOff);
+  SetGauge("mimosashunt_locality_waited_milliseconds",
+           "Time that all waits for capacity near the data took",
+           Counters.LocalityWaitedMs);
+  SetGauge("mimosashunt_locality_waiting",
+           "Tasks and gangs that wait for capacity near their data",
+           Scheduler->localityWaitCount());
+  SetGauge("mimosashunt_run_time_kinds",
+           "Kinds of task whose run times are known",
+           Scheduler->runTimes().kindCount());
   SetGauge("mimosashunt_response_delay_milliseconds",
            "How late workers' responses are handled",
            static_cast<uint64_t>(toMillis(Scheduler->responseDelay())));
@@ -102,6 +135,18 @@
   SetGauge("mimosashunt_overloaded",
            "1 while new jobs are refused since the leader is behind",
            Scheduler->isOverloaded() ? 1 : 0);
+  SetGauge("mimosashunt_placements_recorded",
+           "Pairs of job and worker that were committed",
+           Counters.RecordedPlacements);
+  SetGauge("mimosashunt_starts_unrecorded",
+           "Starts that wait until their worker is on the job's record",
+           Scheduler->unrecordedStarts());
+  SetGauge("mimosashunt_starts_withdrawn",
+           "Starts that were booked and never ordered",
+           Counters.WithdrawnStarts);
+  SetGauge("mimosashunt_jobs_unlocated",
+           "Jobs that wait for workers of an earlier leader",
+           Scheduler->unlocatedJobs());
   SetGauge("mimosashunt_carriers", "Control VMs that carry orders",
            CarriedWorkers.usableCarriers());
   SetGauge("mimosashunt_orders_carried",
@@ -124,6 +169,8 @@
         .gauge("mimosashunt_workers", "Workers by condition",
                {{"condition", Condition}})
         .Set(static_cast<double>(Count));
+  if (Scheduler->usesShares())
+    updateShareMetrics();
   for (const QueueConfiguration &Queue : Configuration.Queues)
     Registry
         .gauge("mimosashunt_jobs_waiting", "Jobs that have not begun",
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -20,7 +20,8 @@
       FirstAttempt(static_cast<uint32_t>(Token - 1) *
                    Options.AttemptsPerLeadership),
       StartedAt(Timers.now()), Table(Options.Lease), Starts(Options.Starts),
-      Health(Options.Health), AliveFlag(std::make_shared<bool>(true)) {
+      Retries(Options.Retries), Records(Store), Health(Options.Health),
+      AliveFlag(std::make_shared<bool>(true)) {
   loadStore();
   TickTimer = Timers.scheduleEvery(TickPeriod, [this] { onTick(); });
 }
@@ -32,6 +33,7 @@
 }
 
 void Dispatcher::loadStore() {
+  loadShares();
   for (const auto &[Key, Entry] : Store.workers()) {
     TrackedWorker &Worker = Table.add(Entry, Timers.now());
     Worker.IsCommitted = true;
@@ -39,6 +41,9 @@
     Worker.LastReportAt = StartedAt;
     UnsyncedWorkers[Entry.Pool].insert(Key);
   }
+  LearnedRunTimes.restore(Store.runTimes());
+  ProposedRunTimes = LearnedRunTimes.version();
+  RunTimesProposedAt = StartedAt;
   for (const auto &[Id, Record] : Store.jobs())
     if (!Record.hasEnded())
       addJob(Record, /*IsInherited=*/true);
@@ -56,6 +61,9 @@
   auto Job =
       std::make_unique<JobProgress>(Record, *Queue, FirstAttempt, AcceptedAt);
   Job->IsInherited = IsInherited;
+  if (IsInherited)
+    Job->InheritedWorkers = Record.Placements;
+  Job->ShareIndex = Shares.indexOf(Record.Job.Organisation);
   double Work = static_cast<double>(Record.Job.Spec.totalCoreMs());
   constexpr double SmoothingFactor = 0.05;
   MeanJobCoreMs =
@@ -84,6 +92,7 @@
 }
 
 void Dispatcher::onConfigurationChanged() {
+  Shares.setConfiguration(Configuration);
   for (auto &[Id, Job] : Jobs) {
     const QueueConfiguration *Queue = Configuration.findQueue(Job->job().Queue);
     Job->Pool = Queue == nullptr ? std::string() : Queue->Pool;
@@ -250,14 +259,25 @@
   // Due times, objectives and advice depend on the time, so each pool with
   // unfinished jobs is scheduled again.
   PendingJobs.clear();
+  WaitingStarts = 0;
+  Shares.resetJobCounts();
+  UnixMillis WallNow = Hooks.WallNow();
   for (const auto &[Id, Job] : Jobs) {
     if (Job->HasEnded)
       continue;
+    if (usesShares() && !Job->isLongRunning())
+      countShareOfJob(*Job, WallNow);
     markPoolDirty(Job->Pool);
     PendingJobs[Job->job().Queue] += Job->HasStarted ? 0 : 1;
+    if (!Job->isLongRunning())
+      WaitingStarts += Job->countWaitingTasks();
   }
+  reportUnlocatedJobs();
+  updateShares();
+  removeStaleLocalityWaits();
   proposeResults();
   proposeLosses();
+  proposeRunTimes();
   probeCanaries();
 }
 
@@ -276,14 +296,18 @@
   return It == PendingJobs.end() ? 0 : It->second;
 }
 
-bool Dispatcher::isOverdueDemandCounted(const JobProgress &Job) const {
-  // Callers wait for three objectives. A job that has not started by then, such
-  // as one that fits on no worker, must not hold VMs indefinitely.
+bool Dispatcher::isStillAwaited(const JobProgress &Job) const {
+  // Callers wait for three objectives.
   constexpr int MaxObjectivesWaited = 3;
   Duration TimeSinceAccepted = Timers.now() - Job.AcceptedAt;
   return TimeSinceAccepted <
-             MaxObjectivesWaited * (Job.Objective - Job.AcceptedAt) &&
-         fitsSomeWorker(Job);
+         MaxObjectivesWaited * (Job.Objective - Job.AcceptedAt);
+}
+
+bool Dispatcher::isOverdueDemandCounted(const JobProgress &Job) const {
+  // A job that has not started by then, such as one that fits on no worker,
+  // must not hold VMs indefinitely.
+  return isStillAwaited(Job) && fitsSomeWorker(Job);
 }
 
 bool Dispatcher::fitsSomeWorker(const JobProgress &Job) const {
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -12,9 +12,16 @@
 #include "Scheduling/CrashSuspicion.h"
 #include "Scheduling/JobOrder.h"
 #include "Scheduling/JobProgress.h"
+#include "Scheduling/LocalityWait.h"
+#include "Scheduling/OrganisationShares.h"
 #include "Scheduling/Pacing.h"
 #include "Scheduling/Placement.h"
+#include "Scheduling/PlacementRecords.h"
+#include "Scheduling/RackForecast.h"
+#include "Scheduling/RateBuckets.h"
 #include "Scheduling/ResponseDelay.h"
+#include "Scheduling/RetryTime.h"
+#include "Scheduling/RunTimes.h"
 #include "Scheduling/StartWindow.h"
 #include "Scheduling/WorkerHealth.h"
 #include "Workers/WorkerTable.h"
@@ -63,6 +70,7 @@
   Duration RenewalInterval = milliseconds(600);
   Duration RenewalCheckInterval = milliseconds(100);
   StartWindowOptions Starts;
+  RetryTimeOptions Retries;
   /// A task counts as serving by responses that are no older: two polls of a
   /// busy worker.
   Duration MaxViewAge = milliseconds(1300);
@@ -75,12 +83,21 @@
   /// A worker that neither answers polls nor sends reports for this long is
   /// removed.
   Duration WorkerRemovalTimeout = seconds(12);
-  /// Commit on which workers a job may run before its first start there.
+  /// Rely on the record of the workers on which a job may run, for jobs that
+  /// have one. Jobs with a record are recorded in any case.
   bool RecordsPlacements = false;
+  /// How long no start is booked that needs a record after one was not
+  /// committed.
+  Duration RecordRetryInterval = milliseconds(100);
+  /// A job that waits for workers of an earlier leader is reported if it still
+  /// does so by then. Workers that answer have been read before.
+  Duration UnlocatedReportDelay = milliseconds(500);
   /// Let tasks wait for capacity near their data while that pays.
   bool WaitsForLocality = false;
   /// How many times as long a task runs far from its data.
   double RemoteFactor = 1;
+  /// Time between two proposals of what was learned of run times.
+  Duration RunTimesInterval = seconds(5);
   /// Size of the range of attempt numbers that each leader uses for a task. The
   /// ranges ascend with the fencing token, so a new leader's attempts are
   /// higher than all earlier ones.
@@ -144,6 +161,14 @@
   uint64_t UnrenewedRuns = 0;
   /// Renewals apart from polls.
   uint64_t Renewals = 0;
+  uint64_t RecordedPlacements = 0; // Pairs of job and worker.
+  /// Starts that were booked and never ordered.
+  uint64_t WithdrawnStarts = 0;
+  /// Waits for capacity near a task's data, the ones of them that got it, and
+  /// the time that all of them took.
+  uint64_t LocalityWaits = 0;
+  uint64_t LocalityWaitsPaidOff = 0;
+  uint64_t LocalityWaitedMs = 0;
 };
 
 /// Schedules jobs onto workers while this VM is leader.
@@ -163,6 +188,15 @@
   void onConfigurationChanged();
   void onEvacuationChanged();
 
+  /// Called before a job is proposed. Returns false if its organisation has
+  /// sent more jobs than its rate.
+  bool takeRateToken(const AcceptJob &Job);
+  const OrganisationShares &shares() const { return Shares; }
+  /// Returns true if the order of jobs depends on shares.
+  bool usesShares() const {
+    return std::holds_alternative<SharedValue>(Options.JobOrderPolicy);
+  }
+
   /// Processes a worker's report. \p Acknowledge is called once the report may
   /// be answered; its argument is false if the change was not committed.
   void handleReport(const WorkerReport &Report,
@@ -220,20 +254,53 @@
   /// so that new jobs would only make all of them late.
   bool isOverloaded() const { return Starts.isOverloaded(Timers.now()); }
   size_t startWindow() const { return Starts.size(); }
+  /// Returns after what time a job may be sent again that is rejected since the
+  /// leader is overloaded.
+  Duration retryTime(const JobId &Job) const {
+    return Retries.estimate(Timers.now(), WaitingStarts, Job);
+  }
+  /// Returns how many starts wait until their workers are recorded.
+  size_t unrecordedStarts() const { return Records.waitingStarts(); }
+  /// Returns how many jobs waited at the last tick for workers on which an
+  /// earlier leader may have started them.
+  size_t unlocatedJobs() const { return UnlocatedJobs; }
+  const RunTimes &runTimes() const { return LearnedRunTimes; }
+  /// Returns the number of steps and tasks that wait for capacity near their
+  /// data.
+  size_t localityWaitCount() const { return LocalityWaits.size(); }
   /// Returns the time since the oldest lease of a reachable worker with runs
   /// was renewed.
   Duration oldestRenewalAge() const;
-  /// Returns true once all runs in the pool that an earlier leader may have
-  /// started are known or their leases have expired.
-  bool isReconciled(const std::string &Pool) const;
 
 private:
   struct Flush {
     std::map<WorkerKey, uint64_t> ProcessedEnds;
   };
 
+  // Jobs of earlier leaders.
+  /// Returns true once all runs in the pool that an earlier leader may have
+  /// started are known or their leases have expired.
+  bool isReconciled(const std::string &Pool) const;
+  /// Returns true if the worker may have runs of an earlier leader that are not
+  /// known.
+  bool isUnread(const WorkerKey &Key) const;
+  /// Returns true if an earlier leader may have started tasks of the job that
+  /// are not known.
+  bool mayHaveUnlocatedRuns(const JobProgress &Job) const;
+  void reportUnlocatedJobs();
+
   void loadStore();
   void addJob(const JobRecord &Record, bool IsInherited);
+
+  // Shares and rates of organisations.
+  void loadShares();
+  /// Updates usage and shares, if the order of jobs depends on them, from the
+  /// jobs that countShareOfJob() has counted.
+  void updateShares();
+  void countShareOfJob(const JobProgress &Job, UnixMillis Now);
+  /// Records the usage for a later leader, from time to time while jobs wait.
+  void proposeUsage();
+
   bool mayIssueOrders() const {
     return Hooks.MayIssueOrders() && !HasBeenDeposed;
   }
@@ -335,14 +402,34 @@
                               StepProgress &Step, PlacementPass &Pass);
 
   // Starting and stopping of runs.
-  void startRun(JobProgress &Job, const TaskId &Task, TrackedWorker &Worker,
-                uint32_t Attempt, bool IsCanary);
+  /// Returns how many more starts the window lets in, besides those that are
+  /// booked.
+  size_t startsLeft() const;
+  /// Returns false while the job's record can probably not be committed.
+  bool mayBookStarts(const JobProgress &Job) const;
+  /// Books runs and orders them to start, now or once they are recorded. Starts
+  /// nothing if not all can be started.
+  void startRuns(JobProgress &Job, const StartGroup &Group, bool IsCanary);
+  void bookRun(JobProgress &Job, const BookedStart &Start, bool IsCanary);
+  /// Returns null if the start is no longer booked.
+  Run *findBookedRun(const BookedStart &Start);
+  void sendStart(const BookedStart &Start);
+  void proposePlacements();
+  void onPlacementsProposed(bool Committed);
+  /// Returns true if what held when the start was booked holds now.
+  bool isStillPossible(const BookedStart &Start);
+  /// Removes the group's runs, none of which was ordered to start.
+  void releaseBookings(const StartGroup &Group);
+  /// Removes a run that was not ordered to start, and those that go with it.
+  void withdrawStart(TrackedWorker &Worker, const TaskId &Task);
+  void withdrawStarts(TrackedWorker &Worker);
   void onStartResponse(const WorkerKey &Key, const TaskId &Task,
                        uint32_t Attempt, Instant SentAt,
                        const OrderResponse &Response);
   void stopRun(TrackedWorker &Worker, const TaskId &Task);
   void sendStop(TrackedWorker &Worker, const TaskId &Task);
   void removeRun(TrackedWorker &Worker, const TaskId &Task);
+  void eraseRun(TrackedWorker &Worker, const TaskId &Task);
   void stopAllRuns(JobProgress &Job);
   void stopStalledRuns(TrackedWorker &Worker);
   void adjustPaces(TrackedWorker &Worker);
@@ -361,6 +448,9 @@
   /// the pool at which the last pass ended so.
   void schedulePools(const std::set<std::string> &Pools);
   void schedulePool(const std::string &Pool);
+  /// Returns the organisation's CPU in use, in thousandths of a core, over its
+  /// weight.
+  double organisationLoad(const std::string &Organisation) const;
   std::vector<JobRank> rankJobs(const std::string &Pool,
                                 std::vector<JobProgress *> &List) const;
   /// Returns true if the step has tasks that may be placed now.
@@ -372,6 +462,8 @@
                     PlacementPass &Pass);
   void scheduleGang(JobProgress &Job, uint32_t Occurrence, uint32_t Step,
                     PlacementPass &Pass);
+  /// Returns true while the job's caller may still wait for it.
+  bool isStillAwaited(const JobProgress &Job) const;
   /// Returns true while an overdue job still counts in its pool's demand.
   bool isOverdueDemandCounted(const JobProgress &Job) const;
   /// Returns true if, for each step, some worker of the pool could hold one of
@@ -380,6 +472,59 @@
   /// Returns true if none of the workers that may run the task is reachable.
   bool areAllWorkersUnreachable(const TaskProgress &TaskState) const;
   bool isWithinQuota(const JobProgress &Job, const Resources &Extra) const;
+
+  // Run times, and waiting for capacity near the data.
+  /// Learns from a run that succeeded.
+  void learnRunTime(const JobProgress &Job, const StepSpec &Spec,
+                    const TrackedWorker &Worker, const Run &Ended);
+  /// Proposes what was learned, if it is time and something was.
+  void proposeRunTimes();
+  /// Returns true if the decision to wait may concern the task.
+  bool mayWaitForLocality(const JobProgress &Job, const StepSpec &Spec,
+                          const TaskProgress &TaskState, bool IsCanary) const;
+  bool isWaitingForLocality(const TaskProgress &TaskState) const;
+  /// Decides for a task that could run far from its data, and those of its step
+  /// that come after it, or for a gang that could run spread over racks.
+  /// Returns true if they wait from now on. \p Task names the first member of a
+  /// gang.
+  bool startLocalityWait(JobProgress &Job, const TaskId &Task,
+                         PlacementPass &Pass);
+  /// Returns true if some run of the step is far from the step's data.
+  bool runsFarFromData(const StepSpec &Spec, const StepProgress &Step) const;
+  /// Ends the wait of the task, if it waits. \p Outcome is for the log.
+  void endLocalityWait(const TaskId &Task, const char *Outcome);
+  /// Ends waits of jobs that have ended.
+  void removeStaleLocalityWaits();
+  /// Ends the waits for racks of the pool that take no tasks any more.
+  void endHopelessLocalityWaits(const std::string &Pool, PlacementPass &Pass);
+  void endLocalityWaitsFor(const std::string &Pool, const std::string &Rack,
+                           const char *Outcome);
+  /// Returns the part of the recent waits for the rack that got capacity there.
+  double waitSuccessRate(const std::string &Rack) const;
+  void recordWaitOutcome(const std::string &Rack, bool HasPaidOff);
+  /// A run as its rack's forecast sees it.
+  struct ForecastRun {
+    const RunTimeDistribution *Kind;
+    Resources Held;
+    double UnitMs; // Its estimate, there.
+    double AgeMs;
+    double ReportedMs; // Whole run time by its progress; zero if unknown.
+  };
+  /// The forecast of one rack in this pass.
+  struct PassForecast {
+    RackForecast Rack;
+    double Slowness = 1; // How many times as long runs take in it.
+  };
+  PassForecast &forecastRack(const std::string &Pool, const std::string &Rack,
+                             PlacementPass &Pass);
+  std::vector<ForecastRun> findForecastRuns(const TrackedWorker &Worker) const;
+  double rackSlowness(const std::string &Rack,
+                      const std::vector<std::vector<ForecastRun>> &Runs) const;
+  /// Counts a run that begins in the forecasts of this pass.
+  void updateForecast(const JobProgress &Job, const StepSpec &Spec,
+                      const TrackedWorker &Worker, bool IsRemote);
+  /// Returns the run time of a task near its data, unless the rack is slow.
+  TimeEstimate localRunTime(const JobProgress &Job, const StepSpec &Spec) const;
   void requestAdvice(JobProgress &Job, uint32_t Occurrence, uint32_t Step,
                      const std::vector<Candidate> &Candidates);
   /// Returns the resources that each organisation may be using for inherited
@@ -403,6 +548,11 @@
   ResponseDelay Delay;
   Instant RenewalsCheckedAt;
   StartWindow Starts;
+  RetryTime Retries;
+  size_t WaitingStarts = 0; // Of short jobs, as of the last tick.
+  PlacementRecords Records;
+  Instant RecordsRetriedAt; // No start that needs a record is booked before.
+  size_t UnlocatedJobs = 0;
   /// The pool whose pass the start window ended. The next pass begins behind
   /// it, so that no pool is always served last.
   std::string LastCutShortPool;
@@ -435,8 +585,31 @@
   bool ProposalInFlight = false;
   TimerId FlushTimer = 0;
   TimerId TickTimer = 0;
-  /// Moving mean of actual to estimated task duration, by queue.
-  std::map<std::string, double> EstimateFactors;
+  OrganisationShares Shares;
+  RateBuckets Rates;
+  Instant UsageProposedAt;
+  bool IsUsageInFlight = false;
+  RunTimes LearnedRunTimes;
+  uint64_t ProposedRunTimes = 0; // Version that was proposed last.
+  Instant RunTimesProposedAt;
+  /// A task, or a gang, that waits for capacity near its data.
+  struct LocalityWait {
+    std::string Pool;
+    std::string Rack;
+    StepSpec Spec;
+    size_t Count = 1;
+    TimeEstimate LocalMs;
+    Instant Since;
+    Instant Until;
+  };
+  std::map<TaskId, LocalityWait> LocalityWaits;
+  struct WaitSuccess {
+    double Rate = 1; // Moving mean, as of At.
+    Instant At;
+  };
+  std::map<std::string, WaitSuccess> WaitSuccesses; // By rack.
+  /// Forecasts of the racks of the pool that is being scheduled.
+  std::map<std::string, PassForecast> Forecasts;
   double MeanJobCoreMs = 0; // Moving mean over accepted jobs.
   DispatcherCounters Counters;
   bool HasBeenDeposed = false;
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -8,13 +8,30 @@
 
 namespace mimosashunt {
 
+namespace {
+
+bool spansRacks(const std::vector<Candidate *> &Places) {
+  return std::any_of(Places.begin(), Places.end(), [&](const Candidate *Place) {
+    return Place->Worker->Entry.rack() != Places.front()->Worker->Entry.rack();
+  });
+}
+
+} // namespace
+
 size_t Dispatcher::poolSize(const std::string &Pool) const {
   return Table.workersInPool(Pool).size();
 }
 
 double Dispatcher::estimateFactor(const JobProgress &Job) const {
-  auto It = EstimateFactors.find(Job.job().Queue);
-  return It == EstimateFactors.end() ? 1.0 : It->second;
+  return LearnedRunTimes.meanFactor(Job.job().Queue);
+}
+
+double Dispatcher::organisationLoad(const std::string &Organisation) const {
+  const OrganisationConfiguration *Owner =
+      Configuration.findOrganisation(Organisation);
+  double Weight =
+      Owner == nullptr ? 1 : std::max(Owner->Weight, MinOrganisationWeight);
+  return static_cast<double>(Table.resourcesUsedBy(Organisation).Cpu) / Weight;
 }
 
 std::vector<JobRank>
@@ -22,6 +39,7 @@
                      std::vector<JobProgress *> &List) const {
   std::vector<JobRank> Ranks;
   UnixMillis Now = Hooks.WallNow();
+  bool UsesLoad = std::holds_alternative<WeightedFair>(Options.JobOrderPolicy);
   for (const auto &[Id, Job] : Jobs) {
     if (Job->HasEnded || Job->Pool != Pool || !hasSchedulableStep(*Job, Now))
       continue;
@@ -37,14 +55,10 @@
     Rank.CriticalPathMs = Job->remainingCriticalPathMs(Factor);
     Rank.RemainingCoreMs = Job->remainingCoreMs(Factor);
     Rank.TotalCoreMs = static_cast<double>(Job->spec().totalCoreMs()) * Factor;
-    const OrganisationConfiguration *Owner =
-        Configuration.findOrganisation(Job->job().Organisation);
-    Rank.OrganisationWeight =
-        Owner == nullptr ? 1 : std::max(Owner->Weight, 1e-3);
-    Rank.OrganisationLoad =
-        static_cast<double>(
-            Table.resourcesUsedBy(Job->job().Organisation).Cpu) /
-        Rank.OrganisationWeight;
+    Rank.IsBeyondRate = Job->job().IsBeyondRate;
+    Rank.Level = Shares.level(Job->ShareIndex);
+    if (UsesLoad)
+      Rank.OrganisationLoad = organisationLoad(Job->job().Organisation);
     Ranks.push_back(Rank);
   }
   return Ranks;
@@ -53,7 +67,7 @@
 void Dispatcher::scheduleDirtyPools() {
   Starts.adjust(Timers.now(), responseDelay(), Table.all().size());
   // The response to a start wakes the loop.
-  if (DirtyPools.empty() || Starts.startsLeft() == 0)
+  if (DirtyPools.empty() || startsLeft() == 0)
     return;
   Duration Interval =
       Options.PassIntervalPerWorker * static_cast<int64_t>(Table.all().size());
@@ -84,7 +98,7 @@
       continue;
     }
     schedulePool(Pool);
-    IsCutShort = Starts.startsLeft() == 0;
+    IsCutShort = startsLeft() == 0;
     if (IsCutShort)
       LastCutShortPool = Pool;
   }
@@ -97,11 +111,18 @@
   PlacementPass Pass(findCandidates(Table, Pool, Health, Store, Timers.now()));
   if (Pass.candidates().empty())
     return;
+  Forecasts.clear();
+  if (!LocalityWaits.empty()) {
+    endHopelessLocalityWaits(Pool, Pass);
+    for (const auto &[Task, Wait] : LocalityWaits)
+      if (Wait.Pool == Pool)
+        Pass.preferOthersTo(Wait.Rack);
+  }
   std::vector<JobProgress *> List;
   std::vector<JobRank> Ranks = rankJobs(Pool, List);
   orderJobs(Options.JobOrderPolicy, Timers.now(), MeanJobCoreMs, Ranks);
   for (const JobRank &Rank : Ranks) {
-    if (Starts.startsLeft() == 0)
+    if (startsLeft() == 0)
       return markPoolDirty(Pool);
     scheduleJob(*List[Rank.Index], Pass);
   }
@@ -126,14 +147,14 @@
 }
 
 void Dispatcher::scheduleJob(JobProgress &Job, PlacementPass &Pass) {
+  if (!mayBookStarts(Job))
+    return;
   UnixMillis Now = Hooks.WallNow();
   for (uint32_t K = 0; K < Job.Occurrences.size(); ++K)
     for (uint32_t S = 0; S < Job.Occurrences[K].Steps.size(); ++S) {
       if (!isSchedulable(Job, K, S, Now))
         continue;
-      bool MayRunUnlocated = Job.IsInherited && !isReconciled(Job.Pool) &&
-                             !Job.stepSpec(S).Speculative;
-      if (MayRunUnlocated)
+      if (!Job.stepSpec(S).Speculative && mayHaveUnlocatedRuns(Job))
         continue;
       if (Job.stepSpec(S).Gang)
         scheduleGang(Job, K, S, Pass);
@@ -147,7 +168,7 @@
   if (Timers.now() >= StartedAt + Table.maxLeaseDuration())
     return Result;
   for (const auto &[Id, Job] : Jobs) {
-    if (!Job->IsInherited || Job->HasEnded || isReconciled(Job->Pool))
+    if (Job->HasEnded || !mayHaveUnlocatedRuns(*Job))
       continue;
     Resources &Sum = Result[Job->job().Organisation];
     for (uint32_t K = 0; K < Job->Occurrences.size(); ++K)
@@ -193,6 +214,7 @@
   const StepSpec &Spec = Job.stepSpec(Step);
   StepProgress &Progress = Job.Occurrences[Occurrence].Steps[Step];
   Candidate *PreviousChoice = nullptr;
+  bool IsWaitRefused = false; // The next task would wait longer.
   StepCaution Caution =
       assessStep(Spec, Progress, Options.Suspicion, Timers.now());
   for (uint32_t I = 0; I < Spec.Count; ++I) {
@@ -205,7 +227,7 @@
     if (!TaskState.Workers.empty() &&
         !(Spec.Speculative && areAllWorkersUnreachable(TaskState)))
       continue;
-    if (Starts.startsLeft() == 0 || !isWithinQuota(Job, Spec.TaskResources))
+    if (startsLeft() == 0 || !isWithinQuota(Job, Spec.TaskResources))
       return;
     TaskId Task{Job.id(), Occurrence, Step, I};
     if (!TaskState.AreLossesCommitted) {
@@ -223,7 +245,21 @@
                              std::max<uint32_t>(Remaining, 1),
                              Caution.NeedsCanary,
                              PreviousChoice};
-    Candidate *Chosen = Pass.placeTask(Request);
+    bool MayWait =
+        mayWaitForLocality(Job, Spec, TaskState, Caution.NeedsCanary);
+    Candidate *Chosen = MayWait ? Pass.placeTaskNear(Request) : nullptr;
+    if (Chosen == nullptr && MayWait && isWaitingForLocality(TaskState))
+      continue;
+    bool IsFar = Chosen == nullptr;
+    if (Chosen == nullptr)
+      Chosen = Pass.placeTask(Request);
+    if (Chosen != nullptr && MayWait && IsFar && !IsWaitRefused) {
+      IsWaitRefused = !startLocalityWait(Job, Task, Pass);
+      if (!IsWaitRefused) {
+        Pass.release(*Chosen, Request);
+        continue;
+      }
+    }
     PreviousChoice = Chosen;
     if (Chosen == nullptr) {
       if (Caution.NeedsCanary)
@@ -232,8 +268,8 @@
         requestAdvice(Job, Occurrence, Step, Pass.candidates());
       return;
     }
-    startRun(Job, Task, *Chosen->Worker, Job.nextAttempt(Task),
-             Caution.NeedsCanary);
+    startRuns(Job, {{Task, Chosen->Worker->key(), Job.nextAttempt(Task)}},
+              Caution.NeedsCanary);
   }
 }
 
@@ -255,7 +291,22 @@
   PlacementRequest Request{&Spec, &Progress, &Progress.Tasks.front(),
                            Job.NeedsAdvice, Timers.now()};
   Request.IsCanary = Caution.NeedsCanary;
-  auto Chosen = Pass.placeGang(Request, Spec.Count);
+  bool MayWait =
+      Spec.RackLocal && mayWaitForLocality(Job, Spec, Progress.Tasks.front(),
+                                           Caution.NeedsCanary);
+  bool IsWaiting = MayWait && isWaitingForLocality(Progress.Tasks.front());
+  auto Chosen = Pass.placeGang(Request, Spec.Count, /*InOneRack=*/IsWaiting);
+  if (!Chosen && IsWaiting)
+    return;
+  bool IsSpread = Chosen && spansRacks(*Chosen);
+  if (IsSpread && MayWait) {
+    // The forecast is made without the places that the gang would take.
+    for (Candidate *Place : *Chosen)
+      Pass.release(*Place, Request);
+    if (startLocalityWait(Job, {Job.id(), Occurrence, Step, 0}, Pass))
+      return;
+    Chosen = Pass.placeGang(Request, Spec.Count);
+  }
   if (!Chosen) {
     if (Caution.NeedsCanary)
       reserveWorkerForCanary(Job.Pool, Request, Progress, Pass);
@@ -264,9 +315,20 @@
     return;
   }
   uint32_t Attempt = Job.nextAttempt({Job.id(), Occurrence, Step, 0});
+  StartGroup Members;
   for (uint32_t I = 0; I < Spec.Count; ++I)
-    startRun(Job, {Job.id(), Occurrence, Step, I}, *(*Chosen)[I]->Worker,
-             Attempt, Caution.NeedsCanary);
+    Members.push_back({{Job.id(), Occurrence, Step, I},
+                       (*Chosen)[I]->Worker->key(),
+                       Attempt});
+  startRuns(Job, Members, Caution.NeedsCanary);
+  if (!Spec.RackLocal)
+    return;
+  for (const BookedStart &Member : Members) {
+    std::map<TaskId, Run> &Runs = Table.find(Member.Worker)->Runs;
+    auto Started = Runs.find(Member.Task);
+    if (Started != Runs.end())
+      Started->second.IsRemote = IsSpread;
+  }
 }
 
 void Dispatcher::requestAdvice(JobProgress &Job, uint32_t Occurrence,
--- a/Source/Scheduling/JobProgress.h
+++ b/Source/Scheduling/JobProgress.h
@@ -43,6 +43,8 @@
   bool AreLossesCommitted = true;
   /// The store may hold losses.
   bool WereLossesProposed = false;
+  /// Until when it waits, or waited, for capacity near its data; it waits once.
+  std::optional<Instant> LocalityWaitUntil;
 };
 
 /// The advice service's answers for one step.
@@ -106,9 +108,14 @@
   std::vector<RunLoss> lossesOf(const TaskId &Task);
   void addPlacement(const TaskId &Task, const WorkerKey &At, uint32_t Attempt);
   void removePlacement(const TaskId &Task, const WorkerKey &At);
+  /// Makes the number of an attempt that was never ordered available again, so
+  /// that failed proposals do not use up the leader's range.
+  void reuseAttempt(const TaskId &Task, uint32_t Attempt);
   /// Returns the attempt number for the next start of the task or of its gang.
   uint32_t nextAttempt(const TaskId &Task) const;
 
+  /// Returns how many tasks are neither done nor on a worker.
+  size_t countWaitingTasks() const;
   /// Returns the remaining work in core-milliseconds, with the estimates scaled
   /// by \p EstimateFactor.
   double remainingCoreMs(double EstimateFactor) const;
@@ -125,9 +132,15 @@
   /// The time by which the job should end.
   Instant Objective;
   Instant AcceptedAt;
+  /// The index of the job's organisation in OrganisationShares.
+  size_t ShareIndex = 0;
   /// True if an earlier leader may have started tasks of the job.
   bool IsInherited = false;
-  bool HasStarted = false; // A start of some task was ordered.
+  /// The workers that its record named when this leader began.
+  std::set<WorkerKey> InheritedWorkers;
+  /// That it waits for some of them has been logged.
+  bool IsUnlocatedReported = false;
+  bool HasStarted = false; // Some task was booked on a worker.
   /// The job is done, failed or cancelled, possibly not committed yet.
   bool HasEnded = false;
 
--- a/Source/Scheduling/Placement.cpp
+++ b/Source/Scheduling/Placement.cpp
@@ -97,28 +97,30 @@
 }
 
 /// A sort key for candidates; smaller is better.
-using Preference = std::tuple<bool, bool, uint32_t, int64_t>;
+using Preference = std::tuple<bool, bool, bool, uint32_t, int64_t>;
 
 Preference preferenceOf(const PlacementRequest &Request,
                         const Candidate &Target,
                         const std::map<WorkerKey, uint32_t> &Extra) {
   bool Failed = hasFailedThere(Request, Target);
   bool Far = isFarFromData(Request, Target);
+  bool Awaited = Target.IsAwaited && (Far || Request.Spec->DataRack.empty());
   // A canary that crashes its worker harms what else is there. Gangs are packed
   // below.
   if (Request.IsCanary && !Request.Spec->Gang)
-    return {Failed, Far, static_cast<uint32_t>(Target.Runs), Target.Free.Cpu};
+    return {Failed, Far, Awaited, static_cast<uint32_t>(Target.Runs),
+            Target.Free.Cpu};
   // Long-running tasks are spread, so that a lost worker costs a step few of
   // its tasks, but over workers that already run long-running tasks: the other
   // workers stay free to move to other pools.
   if (Request.Spec->LongRunning)
-    return {Failed, Far, countRunsOfStep(Request, Target, Extra),
+    return {Failed, Far, Awaited, countRunsOfStep(Request, Target, Extra),
             -static_cast<int64_t>(Target.LongRunningCount)};
   // Short-running steps are packed onto few workers, preferably ones that they
   // fill, so that the next step fits whole into what is free elsewhere.
   uint32_t Outside =
       Request.Remaining - countTasksThatFit(Request, Target, Extra);
-  return {Failed, Far, Outside, Target.Free.Cpu};
+  return {Failed, Far, Awaited, Outside, Target.Free.Cpu};
 }
 
 Candidate *selectBest(std::vector<Candidate> &Candidates,
@@ -164,6 +166,12 @@
       std::count_if(Worker.Runs.begin(), Worker.Runs.end(), IsUnproven));
 }
 
+bool isUsable(const TrackedWorker &Worker, const JobStore &Store) {
+  return Worker.IsCommitted && Worker.IsSynced && Worker.IsReachable &&
+         !Worker.Entry.Leaving && !Worker.IsCordoned &&
+         !Store.isEvacuated(Worker.Entry.DataCentre);
+}
+
 std::vector<Candidate> findCandidates(WorkerTable &Table,
                                       const std::string &Pool,
                                       const WorkerHealth &Health,
@@ -173,11 +181,7 @@
       Table.workersInPool(Pool);
   Result.reserve(Workers.size());
   for (const auto &[Key, Worker] : Workers) {
-    bool IsUsable = Worker->IsCommitted && Worker->IsSynced &&
-                    Worker->IsReachable && !Worker->Entry.Leaving &&
-                    !Worker->IsCordoned &&
-                    !Store.isEvacuated(Worker->Entry.DataCentre);
-    if (!IsUsable || Health.isEjected(Key, Now))
+    if (!isUsable(*Worker, Store) || Health.isEjected(Key, Now))
       continue;
     Result.push_back({Worker, Worker->freeResources(), Worker->Runs.size(),
                       Worker->LongRunningCount, Health.isOnProbation(Key, Now),
@@ -186,33 +190,103 @@
   return Result;
 }
 
-bool PlacementPass::isKnownUnplaceable(const Resources &Size) const {
+namespace {
+
+/// Returns true if \p Size is at least as large as one that did not fit.
+bool isAnyWithin(const std::vector<Resources> &TriedSizes,
+                 const Resources &Size) {
   return std::any_of(
-      UnplaceableSizes.begin(), UnplaceableSizes.end(),
+      TriedSizes.begin(), TriedSizes.end(),
       [&](const Resources &TriedSize) { return Size.canFit(TriedSize); });
 }
 
+/// Returns true if the task fits wherever another one of its size does.
+bool dependsOnSizeOnly(const PlacementRequest &Request) {
+  const StepSpec &Spec = *Request.Spec;
+  return !Request.IsCanary && Spec.RequiredLabel.empty() &&
+         Spec.MaxPerWorker == 0 && !Request.NeedsTicket &&
+         Request.TaskState->Workers.empty();
+}
+
+/// Returns true if the task goes to the worker of the step's previous task.
+bool maySharePreviousChoice(const PlacementRequest &Request) {
+  const Candidate *Previous = Request.PreviousChoice;
+  return Previous != nullptr && !Request.Spec->LongRunning &&
+         isAllowed(Request, *Previous, {}) &&
+         !hasFailedThere(Request, *Previous) &&
+         !isFarFromData(Request, *Previous);
+}
+
+} // namespace
+
+bool PlacementPass::isKnownUnplaceable(const Resources &Size) const {
+  return isAnyWithin(UnplaceableSizes, Size);
+}
+
 Candidate *PlacementPass::findBestCandidate(const PlacementRequest &Request) {
   const StepSpec &Spec = *Request.Spec;
   if (!Request.IsCanary && isKnownUnplaceable(Spec.reservedResources()))
     return nullptr;
   Candidate *Best = selectBest(Candidates, Request, {}, {});
-  bool DependsOnSizeOnly = !Request.IsCanary && Spec.RequiredLabel.empty() &&
-                           Spec.MaxPerWorker == 0 && !Request.NeedsTicket &&
-                           Request.TaskState->Workers.empty();
-  if (Best == nullptr && DependsOnSizeOnly)
+  if (Best == nullptr && dependsOnSizeOnly(Request))
     UnplaceableSizes.push_back(Spec.reservedResources());
   return Best;
 }
 
+PlacementPass::RackCandidates &
+PlacementPass::findRack(const std::string &Rack) {
+  auto [It, IsNew] = Racks.try_emplace(Rack);
+  if (IsNew)
+    for (Candidate &Target : Candidates)
+      if (Target.Worker->Entry.rack() == Rack)
+        It->second.Members.push_back(&Target);
+  return It->second;
+}
+
+Candidate *PlacementPass::placeTaskNear(const PlacementRequest &Request) {
+  RackCandidates &Near = findRack(Request.Spec->DataRack);
+  const Resources Size = Request.Spec->reservedResources();
+  if (isAnyWithin(Near.UnplaceableSizes, Size))
+    return nullptr;
+  Candidate *Best = nullptr;
+  if (maySharePreviousChoice(Request)) {
+    reserve(*Request.PreviousChoice, Request);
+    return Request.PreviousChoice;
+  }
+  Preference BestKey;
+  for (Candidate *Target : Near.Members) {
+    if (!isAllowed(Request, *Target, {}))
+      continue;
+    Preference Key = preferenceOf(Request, *Target, {});
+    if (Best != nullptr && !(Key < BestKey))
+      continue;
+    Best = Target;
+    BestKey = Key;
+  }
+  if (Best != nullptr)
+    reserve(*Best, Request);
+  else if (dependsOnSizeOnly(Request))
+    Near.UnplaceableSizes.push_back(Size);
+  return Best;
+}
+
+void PlacementPass::preferOthersTo(const std::string &Rack) {
+  for (Candidate *Target : findRack(Rack).Members)
+    Target->IsAwaited = true;
+}
+
+void PlacementPass::release(Candidate &Chosen,
+                            const PlacementRequest &Request) {
+  const StepSpec &Spec = *Request.Spec;
+  Chosen.Free += Spec.reservedResources();
+  --Chosen.Runs;
+  Chosen.LongRunningCount -= Spec.LongRunning ? 1 : 0;
+}
+
 Candidate *PlacementPass::placeTask(const PlacementRequest &Request) {
-  Candidate *Chosen = Request.PreviousChoice;
-  bool ReusePrevious = Chosen != nullptr && !Request.Spec->LongRunning &&
-                       isAllowed(Request, *Chosen, {}) &&
-                       !hasFailedThere(Request, *Chosen) &&
-                       !isFarFromData(Request, *Chosen);
-  if (!ReusePrevious)
-    Chosen = findBestCandidate(Request);
+  Candidate *Chosen = maySharePreviousChoice(Request)
+                          ? Request.PreviousChoice
+                          : findBestCandidate(Request);
   if (Chosen != nullptr)
     reserve(*Chosen, Request);
   return Chosen;
@@ -266,7 +340,8 @@
 }
 
 std::optional<std::vector<Candidate *>>
-PlacementPass::placeGang(const PlacementRequest &Request, size_t Count) {
+PlacementPass::placeGang(const PlacementRequest &Request, size_t Count,
+                         bool InOneRack) {
   if (!Request.IsCanary &&
       isKnownUnplaceable(Request.Spec->reservedResources()))
     return std::nullopt;
@@ -282,6 +357,8 @@
     for (const auto &[Free, Rack] : Racks)
       if (auto Places = tryPlaceGang(Request, Count, Rack))
         return Places;
+    if (InOneRack)
+      return std::nullopt;
   }
   return tryPlaceGang(Request, Count, {});
 }
--- a/Source/Scheduling/Placement.h
+++ b/Source/Scheduling/Placement.h
@@ -29,14 +29,19 @@
   bool IsOnProbation = false;
   bool IsReserved = false;  // Only a canary may be placed there.
   bool HoldsCanary = false; // Nothing may be placed there.
+  /// Tasks wait for capacity on its rack, so others go elsewhere if they can.
+  bool IsAwaited = false;
 };
 
 /// Returns the number of runs on the worker that may bring it down.
 /// Long-running tasks that have survived on it for some seconds do not count.
 size_t countUnproven(const TrackedWorker &Worker);
 
-/// Returns the pool's workers that may get new tasks. \p Store tells which data
-/// centres are evacuated.
+/// Returns true if the worker may get new tasks, as far as its own state says.
+/// \p Store tells which data centres are evacuated.
+bool isUsable(const TrackedWorker &Worker, const JobStore &Store);
+
+/// Returns the pool's workers that may get new tasks.
 std::vector<Candidate> findCandidates(WorkerTable &Table,
                                       const std::string &Pool,
                                       const WorkerHealth &Health,
@@ -70,10 +75,23 @@
   /// Returns the best candidate and reserves the resources on it, or returns
   /// null if there is none.
   Candidate *placeTask(const PlacementRequest &Request);
+  /// Like placeTask(), but only on the rack of the task's data.
+  Candidate *placeTaskNear(const PlacementRequest &Request);
   /// Returns one candidate for each task of a gang and reserves the resources,
-  /// or returns nothing if not all tasks fit at once.
+  /// or returns nothing if not all tasks fit at once. A gang that is to be on
+  /// one rack spans several ones if it fits on none, unless \p InOneRack.
   std::optional<std::vector<Candidate *>>
-  placeGang(const PlacementRequest &Request, size_t Count);
+  placeGang(const PlacementRequest &Request, size_t Count,
+            bool InOneRack = false);
+  /// Takes back what placeTask() or placeGang() reserved for a task that does
+  /// not start.
+  void release(Candidate &Chosen, const PlacementRequest &Request);
+  /// Keeps tasks whose data is elsewhere off the rack while others have room.
+  void preferOthersTo(const std::string &Rack);
+  /// Returns the candidates on the rack.
+  const std::vector<Candidate *> &candidatesIn(const std::string &Rack) {
+    return findRack(Rack).Members;
+  }
 
   /// Returns the worker that should be kept free for a canary: the one with the
   /// least on it of those that could hold the task, or null.
@@ -93,6 +111,13 @@
   std::vector<Candidate> Candidates;
   /// Sizes for which no candidate had enough free resources.
   std::vector<Resources> UnplaceableSizes;
+  struct RackCandidates {
+    std::vector<Candidate *> Members;
+    std::vector<Resources> UnplaceableSizes;
+  };
+  RackCandidates &findRack(const std::string &Rack);
+
+  std::map<std::string, RackCandidates> Racks; // Filled on first use.
 };
 
 } // namespace mimosashunt
--- a/Source/Workers/WorkerTable.h
+++ b/Source/Workers/WorkerTable.h
@@ -18,6 +18,7 @@
 namespace mimosashunt {
 
 enum class RunState : uint8_t {
+  Booked,      // The start order has not been sent.
   Starting,    // The start order is in flight.
   Unconfirmed, // The start order was not answered; it may be carried out later.
   Running,
@@ -32,7 +33,8 @@
   Resources ReservedResources;
   Resources QuotaUsage; // Counted against the organisation's quota.
   std::string Organisation;
-  /// When the start was ordered or went unanswered, or the run was adopted.
+  /// When the start was booked, ordered or went unanswered, or the run was
+  /// adopted.
   Instant OrderedAt;
   /// When the start was acknowledged; valid in state Running.
   Instant StartAckedAt;
@@ -50,6 +52,10 @@
   Instant PaceChangedAt; // When PacePercent last changed.
   bool UsesSpareCpu = false;
   bool LongRunning = false;
+  /// An earlier leader started it, at a time that is not known.
+  bool IsAdopted = false;
+  /// Its worker is far from its data, or from other members of its gang.
+  bool IsRemote = false;
   /// The worker takes no other task meanwhile. Changed only by WorkerTable.
   bool IsCanary = false;
   int64_t TailTargetMs = 0;
@@ -99,6 +105,8 @@
 
   const WorkerKey &key() const { return Entry.Key; }
   Resources freeResources() const;
+  /// Returns true if some run was ordered to start.
+  bool hasOrderedRuns() const;
   /// Returns for how long the run has been there for certain: a lower bound.
   Duration survivedTime(const Run &CurrentRun) const;
 };
@@ -162,6 +170,8 @@
 
   /// Returns the resources that \p Organisation uses on all workers.
   Resources resourcesUsedBy(const std::string &Organisation) const;
+  /// Returns what the organisation's runs that are not long-running reserve.
+  Resources shortRunsReservedBy(const std::string &Organisation) const;
 
 private:
   const LeaseOptions Options;
@@ -171,6 +181,7 @@
   // Workers with a scheduled poll, ordered by NextPollAt.
   std::set<std::pair<Instant, WorkerKey>> ScheduledPolls;
   std::map<std::string, Resources> UsageByOrganisation;
+  std::map<std::string, Resources> ShortRunsByOrganisation;
 };
 
 } // namespace mimosashunt
--- a/Tests/Support/SchedulerHarness.cpp
+++ b/Tests/Support/SchedulerHarness.cpp
@@ -1,5 +1,6 @@
 #include "Support/SchedulerHarness.h"
 
+#include <cstdlib>
 #include <utility>
 
 namespace mimosashunt::test {
@@ -8,6 +9,13 @@
 constexpr Duration CommitDelay = milliseconds(20);
 constexpr int64_t MemoryMb = 65536;
 constexpr UnixMillis WallStart = 1800000000000;
+
+/// Lets the tests run a second time with placement records.
+DispatcherOptions withRecords(DispatcherOptions Options) {
+  Options.RecordsPlacements |=
+      std::getenv("MIMOSASHUNT_TESTS_RECORD_PLACEMENTS") != nullptr;
+  return Options;
+}
 } // namespace
 
 JobSpec makeChainSpec(uint32_t Steps, uint32_t Width, int64_t Cpu, int64_t Ms) {
@@ -28,7 +36,8 @@
 SchedulerHarness::SchedulerHarness(
     VirtualWorkers::ActualDurationFn ActualDurationMs,
     DispatcherOptions Options)
-    : Workers(Timers, Store, std::move(ActualDurationMs)), Options(Options) {
+    : Workers(Timers, Store, std::move(ActualDurationMs)),
+      Options(withRecords(Options)) {
   Configuration.Version = 1;
   Configuration.Organisations.push_back({"org", {"key"}, 1, 0, {}});
 }
@@ -53,11 +62,12 @@
 }
 
 UnixMillis SchedulerHarness::wallNow() const {
-  return WallStart + toMillis(Timers.now().time_since_epoch());
+  return WallStart + WallOffsetMs + toMillis(Timers.now().time_since_epoch());
 }
 
 void SchedulerHarness::commitCommand(const JobCommand &Command) {
   Store.apply(Command);
+  std::visit([this](const auto &Item) { ++CommandCounts[Item.Kind]; }, Command);
   for (const auto &[Id, Record] : Store.jobs())
     if (Record.State == JobState::Completed)
       CompletedAt.try_emplace(Id, Timers.now());
@@ -116,6 +126,8 @@
   Command.MaxAttempts = Configuration.findQueue(Queue)->MaxAttempts;
   Command.AcceptedAt = wallNow();
   Command.Spec = std::move(Spec);
+  Command.RecordsPlacements = Options.RecordsPlacements;
+  Command.IsBeyondRate = Scheduler && !Scheduler->takeRateToken(Command);
   AcceptedAt[Job] = Timers.now();
   commitCommand(Command);
 }
--- a/Tests/Support/SchedulerHarness.h
+++ b/Tests/Support/SchedulerHarness.h
@@ -7,6 +7,7 @@
 #include "Scheduling/Dispatcher.h"
 #include "Support/VirtualWorkers.h"
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -53,11 +54,15 @@
   bool MayIssueOrders = true;
   bool FailsProposals = false; // Nothing is committed, and the leader hears so.
   bool WasDeposed = false;
+  int64_t WallOffsetMs = 0; // A jump of the wall clock.
   std::vector<std::pair<std::string, Json>> LoggedEvents;
+  /// Number of committed commands of each kind.
+  std::map<std::string, int> CommandCounts;
+
+  UnixMillis wallNow() const;
 
 private:
   void commitCommand(const JobCommand &Command);
-  UnixMillis wallNow() const;
 
   const DispatcherOptions Options;
   std::map<JobId, Instant> AcceptedAt;
