Scheduling, Fleet, Docs: findings of the read-through

Cause: a reader who had not seen the plan found that one free place could be promised to several tasks that leave an evacuated data centre, that gangs were not left alone, that an order could be answered while an opposite one was in flight, that a rack-local gang far from its data counted as near, and wording. Change: places are kept for long-running tasks that wait or stop; a step without a disruption budget loses one task at a time; evacuation orders are always proposed, and 409 is given only while none is in flight; comments and pages.

--- a/Source/Codec/Cbor.h
+++ b/Source/Codec/Cbor.h
@@ -1,7 +1,8 @@
 // Writes and reads CBOR (RFC 8949) without a tree in between. The writer gives
 // the bytes that Json::to_cbor() gives for the same values. The reader takes
-// what either of them writes: definite lengths, no tags, no half-precision
-// numbers. Both use libcbor's functions for single items.
+// definite lengths and no tags. It refuses half precision, which the writer
+// uses only for infinities and NaN. Both use libcbor's functions for single
+// items.
 
 #ifndef MIMOSASHUNT_CODEC_CBOR_H
 #define MIMOSASHUNT_CODEC_CBOR_H
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -536,13 +536,16 @@
   if (!isKnownDataCentre(Order.DataCentre))
     return Refuse(ReasonCode::NotFound, "no such data centre");
   // The end of an evacuation may be sent again, the end of none is a mistake.
-  if (!Order.Active && !State.evacuations().count(Order.DataCentre))
+  // While an order is in flight it is not known which of the two this is.
+  if (!Order.Active && EvacuationsInFlight == 0 &&
+      !State.evacuations().count(Order.DataCentre))
     return Refuse(ReasonCode::Conflict,
                   "the data centre has not been evacuated");
-  if (State.isEvacuated(Order.DataCentre) == Order.Active)
-    return Exchange->respond(Ports.Control.acknowledgement());
+  // Also if it changes nothing: an order in flight may change the state first.
+  ++EvacuationsInFlight;
   propose(SetEvacuation{Order.DataCentre, Order.Active, wallNow()},
           [this, Exchange, Order](ProposalOutcome Outcome) {
+            --EvacuationsInFlight;
             bool Committed = Outcome == ProposalOutcome::Committed;
             Events.log("evacuation", {{"data_centre", Order.DataCentre},
                                       {"active", Order.Active},
--- a/Source/Fleet/SchedulerDaemon.h
+++ b/Source/Fleet/SchedulerDaemon.h
@@ -144,6 +144,7 @@
   std::unique_ptr<Maintenance> WaveMaintenance;
   std::unique_ptr<PoolMover> Mover;
   bool LeadershipProposed = false; // In the current term.
+  size_t EvacuationsInFlight = 0;  // Proposed orders.
   std::unique_ptr<SettingsWatcher> Watcher;
   bool Stopping = false;
   Instant StopStartedAt;
--- a/Source/Jobs/JobCommands.h
+++ b/Source/Jobs/JobCommands.h
@@ -183,8 +183,8 @@
 struct BeginLeadership {
   static constexpr const char *Kind = "lead";
   std::string Vm;
-  /// The leader records placements for jobs that ask for it. Earlier versions
-  /// do not, so what they lead makes the records incomplete.
+  /// False for leaders of earlier versions, whose encoding lacks the field.
+  /// They start tasks without records, so existing records become invalid.
   bool RecordsPlacements = true;
   bool operator==(const BeginLeadership &) const = default;
 
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -390,19 +390,24 @@
          It->second.ProgressPercent >= ServingPercent;
 }
 
-bool Dispatcher::mayDrain(const TaskId &Task) const {
-  auto Job = Jobs.find(Task.Job);
-  if (Job == Jobs.end() || Job->second->HasEnded)
-    return false;
-  const StepSpec &Spec = Job->second->stepSpec(Task.Step);
-  const StepProgress &Step = *Job->second->findStep(Task);
+uint32_t Dispatcher::countUnavailableSiblings(const StepProgress &Step,
+                                              const TaskId &Task) const {
   uint32_t Unavailable = 0;
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
     TaskId Sibling = Task;
     Sibling.Index = I;
     Unavailable += I == Task.Index || isServing(Step, Sibling) ? 0 : 1;
   }
-  return Spec.MaxUnavailable == 0 || Unavailable < Spec.MaxUnavailable;
+  return Unavailable;
+}
+
+bool Dispatcher::mayDrain(const TaskId &Task) const {
+  auto Job = Jobs.find(Task.Job);
+  if (Job == Jobs.end() || Job->second->HasEnded)
+    return false;
+  uint32_t Max = Job->second->stepSpec(Task.Step).MaxUnavailable;
+  return Max == 0 ||
+         countUnavailableSiblings(*Job->second->findStep(Task), Task) < Max;
 }
 
 bool Dispatcher::drainVm(const std::string &Vm) {
@@ -437,30 +442,64 @@
     drainEvacuatedPool(Pool);
 }
 
+void Dispatcher::reserveForWaitingTasks(const std::string &Pool,
+                                        PlacementPass &Pass) {
+  for (auto &[Id, Job] : Jobs) {
+    if (Job->HasEnded || Job->Pool != Pool || !Job->isLongRunning())
+      continue;
+    for (uint32_t K = 0; K < Job->Occurrences.size(); ++K)
+      for (uint32_t S = 0; S < Job->Occurrences[K].Steps.size(); ++S) {
+        StepProgress &Step = Job->Occurrences[K].Steps[S];
+        for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
+          const std::vector<WorkerKey> &At = Step.Tasks[I].Workers;
+          const TrackedWorker *Worker =
+              At.empty() ? nullptr : Table.find(At.front());
+          TaskId Task{Id, K, S, I};
+          bool IsPlaced = Worker != nullptr && Worker->Runs.count(Task) > 0 &&
+                          Worker->Runs.at(Task).State != RunState::Stopping;
+          if (!IsPlaced)
+            Pass.placeTask({&Job->stepSpec(S), &Step, &Step.Tasks[I],
+                            Job->NeedsAdvice, Timers.now()});
+        }
+      }
+  }
+}
+
+bool Dispatcher::mayLeaveEvacuated(const TaskId &Task,
+                                   const Run &CurrentRun) const {
+  auto Job = Jobs.find(Task.Job);
+  if (!CurrentRun.LongRunning || CurrentRun.State != RunState::Running ||
+      Job == Jobs.end() || Job->second->HasEnded)
+    return false;
+  const StepSpec &Spec = Job->second->stepSpec(Task.Step);
+  // A step without a disruption budget loses one task at a time; to stop a
+  // member ends its gang.
+  bool HasBudget =
+      Spec.MaxUnavailable > 0 ||
+      countUnavailableSiblings(*Job->second->findStep(Task), Task) == 0;
+  return !Spec.Gang && HasBudget && mayDrain(Task);
+}
+
 void Dispatcher::drainEvacuatedPool(const std::string &Pool) {
   PlacementPass Pass(findCandidates(Table, Pool, Health, Store, Timers.now()));
-  // One task of a step at a time, so that a step without a disruption budget
-  // is not taken down as a whole.
+  reserveForWaitingTasks(Pool, Pass);
+  // One task of a step in each tick.
   std::set<std::pair<JobId, uint32_t>> Moved;
   for (const auto &[Key, Worker] : Table.workersInPool(Pool)) {
     if (!Worker->IsReachable || !isEvacuated(Worker->Entry.DataCentre))
       continue;
     for (auto &[Task, CurrentRun] : Worker->Runs) {
-      auto Job = Jobs.find(Task.Job);
-      bool MayMove = CurrentRun.LongRunning &&
-                     CurrentRun.State == RunState::Running &&
-                     Job != Jobs.end() && !Job->second->HasEnded &&
-                     !Moved.count({Task.Job, Task.Step}) && mayDrain(Task);
-      if (!MayMove)
+      if (Moved.count({Task.Job, Task.Step}) ||
+          !mayLeaveEvacuated(Task, CurrentRun))
         continue;
-      StepProgress &Step = *Job->second->findStep(Task);
-      PlacementRequest Request{&Job->second->stepSpec(Task.Step), &Step,
-                               &Step.Tasks[Task.Index],
-                               Job->second->NeedsAdvice, Timers.now()};
+      JobProgress &Job = *Jobs.at(Task.Job);
+      StepProgress &Step = *Job.findStep(Task);
+      PlacementRequest Request{&Job.stepSpec(Task.Step), &Step,
+                               &Step.Tasks[Task.Index], Job.NeedsAdvice,
+                               Timers.now()};
       if (Pass.placeTask(Request) == nullptr) {
-        if (Job->second->NeedsAdvice)
-          requestAdvice(*Job->second, Task.Occurrence, Task.Step,
-                        Pass.candidates());
+        if (Job.NeedsAdvice)
+          requestAdvice(Job, Task.Occurrence, Task.Step, Pass.candidates());
         continue;
       }
       Moved.emplace(Task.Job, Task.Step);
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -83,14 +83,14 @@
   /// A worker that neither answers polls nor sends reports for this long is
   /// removed.
   Duration WorkerRemovalTimeout = seconds(12);
-  /// Rely on the record of the workers on which a job may run, for jobs that
-  /// have one. Jobs with a record are recorded in any case.
+  /// Whether a new leader relies on JobRecord::Placements. Starts of jobs with
+  /// AcceptJob::RecordsPlacements are recorded in any case.
   bool RecordsPlacements = false;
-  /// How long no start is booked that needs a record after one was not
-  /// committed.
+  /// Pause after a RecordPlacements that was not committed before starts that
+  /// need a record are booked again.
   Duration RecordRetryInterval = milliseconds(100);
-  /// A job that waits for workers of an earlier leader is reported if it still
-  /// does so by then. Workers that answer have been read before.
+  /// `job_unlocated` is logged for jobs that still wait this long after the
+  /// leadership began; workers that answer have been read by then.
   Duration UnlocatedReportDelay = milliseconds(500);
   /// Let tasks wait for capacity near their data while that pays.
   bool WaitsForLocality = false;
@@ -308,6 +308,9 @@
 
   /// Returns true if, by a recent response, the task does its full work.
   bool isServing(const StepProgress &Step, const TaskId &Task) const;
+  /// Returns how many other tasks of the step are not serving.
+  uint32_t countUnavailableSiblings(const StepProgress &Step,
+                                    const TaskId &Task) const;
   /// Returns true if the task's step can do without it now.
   bool mayDrain(const TaskId &Task) const;
   /// Returns true if the leader is so far behind that it would not start
@@ -319,6 +322,9 @@
   /// capacity elsewhere.
   void drainEvacuatedDataCentres();
   void drainEvacuatedPool(const std::string &Pool);
+  /// Keeps capacity in the pass for long-running tasks that wait or stop.
+  void reserveForWaitingTasks(const std::string &Pool, PlacementPass &Pass);
+  bool mayLeaveEvacuated(const TaskId &Task, const Run &CurrentRun) const;
 
   // Polling of workers.
   void pollDueWorkers();
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -327,7 +327,7 @@
     std::map<TaskId, Run> &Runs = Table.find(Member.Worker)->Runs;
     auto Started = Runs.find(Member.Task);
     if (Started != Runs.end())
-      Started->second.IsRemote = IsSpread;
+      Started->second.IsRemote |= IsSpread;
   }
 }
 
--- a/Source/Scheduling/OrganisationShares.h
+++ b/Source/Scheduling/OrganisationShares.h
@@ -28,10 +28,10 @@
   /// it again below the other one. The gap keeps the order from flapping.
   double ExceededAbove = 1.1;
   double WithinBelow = 1.0;
-  /// Jobs arrive by chance, so the usage of an organisation whose share is n
-  /// jobs of mean size deviates by the square root of n. So many deviations do
-  /// not count as more than its share: without them the share of an
-  /// organisation with few jobs is exceeded by each of them.
+  /// The usage of an organisation whose share is n jobs of mean size varies by
+  /// the square root of n jobs. It is over its share only beyond this many
+  /// standard deviations; otherwise each job of an organisation with few jobs
+  /// would exceed its share.
   double ToleratedDeviations = 2.0;
   /// An organisation without waiting jobs for this long leaves its unused share
   /// to the others.
--- a/Source/Scheduling/RackForecast.cpp
+++ b/Source/Scheduling/RackForecast.cpp
@@ -93,12 +93,12 @@
 std::optional<TimeEstimate> RackForecast::findForGang(const StepSpec &Spec,
                                                       size_t Count) const {
   // The members run at once, so none makes room for another one.
-  constexpr double Endless = 1e12;
+  constexpr double NeverEndsMs = 1e12; // Longer than any run.
   RackForecast Trial = *this;
   TimeEstimate Latest;
   for (size_t I = 0; I < Count; ++I) {
-    std::optional<TimeEstimate> Time = Trial.reserve(Spec, {Endless, 0});
-    if (!Time || Time->Mean >= Endless)
+    std::optional<TimeEstimate> Time = Trial.reserve(Spec, {NeverEndsMs, 0});
+    if (!Time || Time->Mean >= NeverEndsMs)
       return std::nullopt;
     if (Time->Mean >= Latest.Mean)
       Latest = *Time;
--- a/Source/Scheduling/RateBuckets.cpp
+++ b/Source/Scheduling/RateBuckets.cpp
@@ -50,8 +50,8 @@
 void RateBuckets::restore(const std::map<JobId, JobRecord> &Jobs,
                           const RateFn &RateOf, Instant Now,
                           UnixMillis WallNow) {
-  // What is older matters only to an organisation that has stayed at its rate
-  // since; its bucket then has too many tokens, but never more than are full.
+  // Older jobs matter only to an organisation that has sent at its full rate
+  // since; its bucket is then too full by at most one burst.
   constexpr double MaxAgeMs = 60000;
   std::vector<EarlierJob> Earlier;
   std::map<std::string, double> Rates;
--- a/Source/Scheduling/RetryTime.h
+++ b/Source/Scheduling/RetryTime.h
@@ -14,10 +14,10 @@
 namespace mimosashunt {
 
 struct RetryTimeOptions {
-  /// The least that callers can be told.
+  /// Retry-After is in whole seconds.
   Duration Min = seconds(1);
-  /// Callers give a job up after three objectives, the shortest of which is
-  /// about 1 s, so a later retry finds nobody.
+  /// A longer time would exceed what callers of short jobs wait for, three
+  /// objectives.
   Duration Max = seconds(5);
   /// Answers that count towards the rate are no older.
   Duration Window = seconds(4);
--- a/Source/Scheduling/RunTimes.cpp
+++ b/Source/Scheduling/RunTimes.cpp
@@ -15,11 +15,12 @@
 /// Weight of a run in the factor of its rack. Workers become slow within
 /// seconds, so it follows about ten runs.
 constexpr double RackSmoothing = 0.1;
-/// A run longer than this counts as this in a mean, so that one straggler does
-/// not hide what the others show.
+/// Upper bound of a run's ratio to the mean of its kind in the factor of its
+/// rack, so that single stragglers weigh little.
 constexpr double MaxRackRatio = 8;
-/// Stragglers alone move the factor of a rack by less.
+/// Smaller factors count as 1: single stragglers cause them.
 constexpr double MinRackFactor = 1.5;
+/// Upper end of the histogram's axis; longer runs count as this.
 constexpr double MaxRatio = 128;
 /// Weight of the assumption that a run takes as long again as it has.
 constexpr double UnseenWeight = 0.5;
--- a/Tests/Jobs/EvacuationTest.cpp
+++ b/Tests/Jobs/EvacuationTest.cpp
@@ -102,6 +102,22 @@
   EXPECT_EQ(Fleet.countRuns("west"), 4U);
 }
 
+// A place for one task must not be promised to tasks of several steps.
+TEST(Evacuation, OnePlaceElsewhereMovesOneTask) {
+  TwoDataCentres Fleet(2, 4);
+  Fleet.beginLeadership();
+  Fleet.advanceTime(milliseconds(100));
+  for (int I = 0; I < 5; ++I)
+    Fleet.submitJob("j" + std::to_string(I), "p", makeLongRunningSpec(3, 1));
+  Fleet.advanceTime(seconds(2));
+  ASSERT_EQ(Fleet.countRuns("east") + Fleet.countRuns("west"), 15U);
+  ASSERT_EQ(Fleet.countRuns("west"), 7U);
+  Fleet.setEvacuation("east", true);
+  Fleet.advanceTime(seconds(6));
+  EXPECT_EQ(Fleet.countRuns("west"), 8U);
+  EXPECT_EQ(Fleet.countRuns("east"), 7U);
+}
+
 TEST(Evacuation, ANewLeaderStartsNothingThere) {
   TwoDataCentres Fleet(2);
   Fleet.beginLeadership();
