Tests: findings of the linter

Cause: clang-tidy refuses parameters that are copied for nothing, vectors that grow in a loop and a widened product. Change: references, reserve, a 64-bit factor.

--- a/Tests/Codec/CborTest.cpp
+++ b/Tests/Codec/CborTest.cpp
@@ -85,7 +85,8 @@
   RC_ASSERT(directCbor(Value) == generalCbor(Value));
 }
 
-RC_GTEST_PROP(Cbor, ReadsWhatWasWritten, (std::string Text, double Double)) {
+RC_GTEST_PROP(Cbor, ReadsWhatWasWritten,
+              (const std::string &Text, double Double)) {
   int64_t Number = *numbers();
   std::string Bytes;
   CborWriter Out(Bytes);
@@ -168,7 +169,8 @@
         CborError);
 }
 
-RC_GTEST_PROP(Cbor, ArbitraryBytesAreReadOrRefused, (std::string Bytes)) {
+RC_GTEST_PROP(Cbor, ArbitraryBytesAreReadOrRefused,
+              (const std::string &Bytes)) {
   for (int Function = 0; Function < 7; ++Function) {
     CborReader In(Bytes);
     try {
--- a/Tests/Fleet/CarriedOrdersTest.cpp
+++ b/Tests/Fleet/CarriedOrdersTest.cpp
@@ -18,7 +18,7 @@
 }
 
 RC_GTEST_PROP(CarriedOrders, GiveTheBytesOfPositionalArrays,
-              (std::string Text, uint64_t Number, int64_t Signed,
+              (const std::string &Text, uint64_t Number, int64_t Signed,
                uint32_t Small)) {
   TaskId Task{Text, 1, Small, 3};
   Json TaskRow = Json::array({Text, 1, Small, 3});
@@ -134,7 +134,8 @@
         << Row;
 }
 
-RC_GTEST_PROP(CarriedOrders, ArbitraryBytesDoNotCrash, (std::string Bytes)) {
+RC_GTEST_PROP(CarriedOrders, ArbitraryBytesDoNotCrash,
+              (const std::string &Bytes)) {
   OrderBatch Batch;
   decodeOrders(Bytes, Batch);
   std::vector<CarriedResult> Results;
--- a/Tests/Jobs/CommandCodecTest.cpp
+++ b/Tests/Jobs/CommandCodecTest.cpp
@@ -172,7 +172,8 @@
   }
 }
 
-RC_GTEST_PROP(CommandCodec, ArbitraryBytesDoNotCrash, (std::string Bytes)) {
+RC_GTEST_PROP(CommandCodec, ArbitraryBytesDoNotCrash,
+              (const std::string &Bytes)) {
   JobCommand Command;
   decodeJobCommand(Bytes, Command);
   JobRequest Request;
--- a/Tests/Jobs/OrganisationSharesTest.cpp
+++ b/Tests/Jobs/OrganisationSharesTest.cpp
@@ -73,6 +73,7 @@
   auto Numbers = *rc::gen::nonEmpty(
       rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 400)));
   std::vector<double> Result;
+  Result.reserve(Numbers.size());
   for (int Number : Numbers)
     Result.push_back(Number / 10.0);
   return Result;
@@ -102,6 +103,7 @@
 
 std::vector<size_t> indicesOf(const std::vector<JobRank> &Ranks) {
   std::vector<size_t> Result;
+  Result.reserve(Ranks.size());
   for (const JobRank &Rank : Ranks)
     Result.push_back(Rank.Index);
   return Result;
--- a/Tests/Jobs/RetryTimeTest.cpp
+++ b/Tests/Jobs/RetryTimeTest.cpp
@@ -16,7 +16,7 @@
   RetryTime Times{RetryTimeOptions()};
   for (int I = 0; I < 4 * PerSecond; ++I)
     Times.onStartAnswered(Now - seconds(3) - milliseconds(400) +
-                          Duration(3400000LL * I / (4 * PerSecond)));
+                          Duration(3400000LL * I / (int64_t{4} * PerSecond)));
   return Times;
 }
 
