Scheduling: the log tells whether a lost run was listed, and where one was found

Change: run_lost has 'listed'; run_found has 'task', 'born' and 'pool'. Measured: nothing; no logic is changed.

--- a/Source/Scheduling/DispatcherLosses.cpp
+++ b/Source/Scheduling/DispatcherLosses.cpp
@@ -27,6 +27,8 @@
     Fields["why"] = Why;
     Fields["age_ms"] = toMillis(Timers.now() - CurrentRun.OrderedAt);
     Fields["beside"] = Worker.Runs.size() - 1;
+    // What this process never listed may have been taken by the next one.
+    Fields["listed"] = CurrentRun.ListedAt > Instant();
     Hooks.LogEvent("run_lost", Fields);
   }
 }
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -273,10 +273,12 @@
     else
       IsWanted = false;
   }
-  Hooks.LogEvent("run_found", {{"job", Reported.Task.Job},
-                               {"worker", Worker.key().Id},
-                               {"attempt", Reported.Attempt},
-                               {"wanted", IsWanted}});
+  Json Fields = taskFields(Reported.Task, Reported.Attempt);
+  Fields["worker"] = Worker.key().Id;
+  Fields["born"] = Worker.key().Incarnation;
+  Fields["pool"] = Worker.Entry.Pool;
+  Fields["wanted"] = IsWanted;
+  Hooks.LogEvent("run_found", std::move(Fields));
   if (TaskState != nullptr) {
     Job->second->addPlacement(Reported.Task, Worker.key(), Reported.Attempt);
     if (!Reported.Checkpoint.empty())
