Tests: a start for a worker's ended process, taken by the next one, runs twice

Cause: a worker that restarts may keep its id, and orders name a worker by its id. What the leader sends between the restart and the moment it hears of it is carried out by the next process; the leader forgets it with the ended one and starts the task elsewhere. The lease in such an order is an instant of the ended process's clock, so the next one keeps it up to its own limit of 6 s where the leader believes in 2.8 s. Change: the workers of the tests knew the process that an order was meant for, which no worker of the platform does; now they know their id, and shorten long leases also in starts.

--- /dev/null
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -0,0 +1,78 @@
+// Tests of orders that are meant for one process of a worker and reach the next
+// one, which has the same id and knows nothing of the first.
+
+#include "Support/SchedulerHarness.h"
+
+#include <gtest/gtest.h>
+
+using namespace mimosashunt;
+using namespace mimosashunt::test;
+
+namespace {
+
+/// A pool of four workers, the first of which has just restarted; the leader
+/// does not know. Job "a" is running there by an order for the first process.
+class RestartedWorker : public testing::Test {
+protected:
+  RestartedWorker() {
+    Harness.addPool("p", 4, 8);
+    Harness.beginLeadership();
+    Harness.advanceTime(seconds(5));
+    Harness.Workers.restart("p-0");
+    Harness.submitJob("a", "p", makeChainSpec(1, 1, 1000, 4000));
+    Harness.advanceTime(milliseconds(20));
+    EXPECT_EQ(Harness.Workers.at("p-0").Runs.size(), 1U);
+  }
+
+  SchedulerHarness Harness;
+};
+
+TEST_F(RestartedWorker, AStartThatTheNextProcessTookIsNotRepeatedElsewhere) {
+  Harness.sendHeartbeats();
+  Harness.advanceTime(seconds(6));
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  EXPECT_EQ(Harness.Workers.StartCounts.begin()->second, 1);
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
+// A poll may tell of the restart before a report does.
+TEST_F(RestartedWorker, AStartIsNotRepeatedAfterAPollOfTheNextProcess) {
+  Harness.SendsHeartbeats = false;
+  Harness.advanceTime(seconds(6));
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+  Harness.SendsHeartbeats = true;
+  Harness.advanceTime(seconds(3));
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
+TEST_F(RestartedWorker, ANewLeaderWaitsForTheNextProcessToBeRead) {
+  Harness.Workers.at("p-0").Faults.IsUnreachable = true;
+  Harness.beginLeadership();
+  Harness.advanceTime(milliseconds(100));
+  Harness.Workers.at("p-0").Faults.IsUnreachable = false;
+  Harness.sendHeartbeats();
+  // The next process is known and silent when the leader could start the job.
+  Harness.Workers.at("p-0").Faults.IsUnreachable = true;
+  Harness.advanceTime(seconds(2));
+  Harness.Workers.at("p-0").Faults.IsUnreachable = false;
+  Harness.advanceTime(seconds(8));
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
+// The lease in the order is an instant of the first process's clock, which is
+// far ahead of the next one's.
+TEST_F(RestartedWorker, TheLeaseOfTheNextProcessIsNotTakenForAShortOne) {
+  Harness.sendHeartbeats();
+  Harness.advanceTime(milliseconds(100));
+  Harness.submitJob("b", "p", makeChainSpec(1, 12, 1000, 9000));
+  Harness.advanceTime(milliseconds(100));
+  EXPECT_GT(Harness.Workers.at("p-0").Runs.size(), 1U);
+  Harness.Workers.at("p-0").Faults.IsUnreachable = true;
+  Harness.advanceTime(seconds(25));
+  EXPECT_EQ(Harness.jobState("b"), JobState::Completed);
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
+} // namespace
--- a/Tests/Support/SchedulerHarness.cpp
+++ b/Tests/Support/SchedulerHarness.cpp
@@ -148,7 +148,8 @@
     Timers.advance(Timers.now() + milliseconds(1));
     if (Scheduler == nullptr)
       continue;
-    if (toMillis(Timers.now().time_since_epoch()) % HeartbeatIntervalMs == 0)
+    if (SendsHeartbeats &&
+        toMillis(Timers.now().time_since_epoch()) % HeartbeatIntervalMs == 0)
       sendHeartbeats();
     Scheduler->processDueWork();
   }
--- a/Tests/Support/SchedulerHarness.h
+++ b/Tests/Support/SchedulerHarness.h
@@ -52,6 +52,7 @@
   WorkerPort *LeaderPort = &Workers;
   std::unique_ptr<Dispatcher> Scheduler;
   bool MayIssueOrders = true;
+  bool SendsHeartbeats = true; // By itself, as time advances.
   bool FailsProposals = false; // Nothing is committed, and the leader hears so.
   bool WasDeposed = false;
   int64_t WallOffsetMs = 0; // A jump of the wall clock.
--- a/Tests/Support/VirtualWorkers.cpp
+++ b/Tests/Support/VirtualWorkers.cpp
@@ -172,9 +172,8 @@
     if (Receiver->Faults.IsDown) {
       Answer.Outcome = OrderOutcome::NotSent;
     } else {
-      Answer.Outcome = Receiver->Entry.Key == To.Key
-                           ? Run()
-                           : OrderOutcome::WrongIncarnation;
+      // Orders name a worker by its id, which a restarted one keeps.
+      Answer.Outcome = Run();
       Answer.ClockMs = workerClockMs(*Receiver);
     }
     Timers.scheduleAt(Timers.now() + OneWayDelay, [this, To, Done, Answer] {
@@ -258,8 +257,7 @@
     NewRun.EndsAt = Timers.now() + milliseconds(50);
   }
   Worker.Runs[Order.Task] = NewRun;
-  Worker.LeaseEnd = std::max(Worker.LeaseEnd,
-                             Worker.StartedAt + milliseconds(Order.LeaseEndMs));
+  extendLease(Worker, Order.LeaseEndMs);
   RunningByOrganisation[Record->Job.Organisation] += Spec.TaskResources;
   ++StartCounts[Order.Task];
   scheduleCrash(Worker, Order);
@@ -373,9 +371,12 @@
   std::erase_if(Worker.Finished, [&](const FinishedRun &End) {
     return End.Number <= AcknowledgedEnds;
   });
-  if (!LeaseEndMs)
-    return;
-  Instant Until = Worker.StartedAt + milliseconds(*LeaseEndMs);
+  if (LeaseEndMs)
+    extendLease(Worker, *LeaseEndMs);
+}
+
+void VirtualWorkers::extendLease(VirtualWorker &Worker, int64_t LeaseEndMs) {
+  Instant Until = Worker.StartedAt + milliseconds(LeaseEndMs);
   Until = std::min(Until, Timers.now() + LongestLease);
   Worker.LeaseEnd = std::max(Worker.LeaseEnd, Until);
 }
@@ -412,8 +413,6 @@
     VirtualWorker &Worker = *find(To);
     if (Worker.Faults.IsDown)
       return Done({OrderOutcome::NotSent, std::nullopt, {}, {}});
-    if (Worker.Entry.Key != To.Key)
-      return Done({OrderOutcome::WrongIncarnation, std::nullopt, {}, {}});
     if (Order.Token < Worker.Token)
       return Done({OrderOutcome::Fenced, std::nullopt, {}, {}});
     Worker.Token = Order.Token;
--- a/Tests/Support/VirtualWorkers.h
+++ b/Tests/Support/VirtualWorkers.h
@@ -132,6 +132,7 @@
   /// Forgets acknowledged ends and extends the lease, if there is one.
   void acceptLease(VirtualWorker &Worker, uint64_t AcknowledgedEnds,
                    std::optional<int64_t> LeaseEndMs);
+  void extendLease(VirtualWorker &Worker, int64_t LeaseEndMs);
   OrderOutcome handleStop(VirtualWorker &Worker, const StopOrder &Order);
   void endRun(VirtualWorker &Worker, const TaskId &Task, EndKind How);
   void onTick();
