Scheduling: a start for a worker's ended process is looked for on the next one

Cause: an order names a worker by its id, which a restarted worker keeps, so the next process carries out what was meant for the ended one: starts, and the lease in them. When the leader heard of the restart, it forgot the ended process with all its runs and started them elsewhere at once. Class: the outcome of an order is credited to the incarnation that it was meant for, and not to the one that may have carried it out. Change: a worker that restarts is replaced by its next process. Runs that the ended one had listed are gone with it, as before. Starts that it never listed stay booked on the next one until its list shows them or a stop of the attempt is acknowledged there. Its leases end by the worker's own limit after the last order for the ended process. A new leader does not take the worker for read until its next process is, and finds that through the ended one in the store. A poll or renewal that the next process answers says so (Restarted) where it was taken for another worker at the address. A worker that has stopped answering is sent no acknowledgements, as its next process counts ends anew. Polls do not wait while a start is in doubt. Batches that control VMs carry for each other have a new path, since their format has changed. Why it works: an attempt is either on a list that the next process has given, or stopped there, which guards against its late arrival.

--- a/Source/Fleet/CarriedOrders.cpp
+++ b/Source/Fleet/CarriedOrders.cpp
@@ -123,7 +123,7 @@
 
 void writeResult(CborWriter &Out, const CarriedResult &Result) {
   const PollResponse &Response = Result.Response;
-  Out.array(5);
+  Out.array(6);
   Out.number(Result.Id);
   Out.number(static_cast<uint8_t>(Response.Outcome));
   writeOptional(Out, Response.ClockMs);
@@ -145,6 +145,7 @@
     Out.number(static_cast<uint8_t>(Row.Kind));
     Out.text(Row.Checkpoint);
   }
+  Out.number(Response.Incarnation);
 }
 
 /// Reads an enumerator that is at most \p Last.
@@ -178,12 +179,13 @@
   CarriedResult Result;
   Result.Id = Fields.number<uint64_t>();
   PollResponse &Response = Result.Response;
-  Response.Outcome = readEnum(Fields.next(), OrderOutcome::Unanswered);
+  Response.Outcome = readEnum(Fields.next(), OrderOutcome::Restarted);
   Response.ClockMs = readOptional(Fields.next());
   for (size_t Left = Fields.next().array(); Left > 0; --Left)
     Response.Running.push_back(readRunning(In));
   for (size_t Left = Fields.next().array(); Left > 0; --Left)
     Response.Finished.push_back(readFinished(In));
+  Response.Incarnation = Fields.number<int64_t>();
   Fields.finish();
   return Result;
 }
--- a/Source/Fleet/InternalMessages.h
+++ b/Source/Fleet/InternalMessages.h
@@ -63,8 +63,10 @@
 inline constexpr const char *Sync = "/internal/sync";
 inline constexpr const char *Configuration = "/internal/configuration";
 inline constexpr const char *Call = "/internal/call";
-inline constexpr const char *Orders = "/internal/orders";
-inline constexpr const char *Results = "/internal/results";
+// The number changes with the format: a control VM of another version answers
+// 404 and carries nothing.
+inline constexpr const char *Orders = "/internal/orders/2";
+inline constexpr const char *Results = "/internal/results/2";
 } // namespace internal_path
 
 /// Delay after which a caller that was refused for lack of a leader may retry:
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -333,6 +333,7 @@
     DispatcherOptions Options;
     Options.Lease.LeaseDuration =
         std::min(Options.Lease.LeaseDuration, Settings.MaxLeaseDuration);
+    Options.Lease.MaxAcceptedLease = Settings.MaxLeaseDuration;
     Options.RecordsPlacements = Settings.RecordPlacements;
     if (Settings.OrganisationShares)
       Options.JobOrderPolicy = SharedValue{};
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -38,6 +38,7 @@
     TrackedWorker &Worker = Table.add(Entry, Timers.now());
     Worker.IsCommitted = true;
     Worker.LeaseEnd = StartedAt + Table.maxLeaseDuration();
+    Worker.RenewedAt = StartedAt; // By an earlier leader, at the latest.
     Worker.LastReportAt = StartedAt;
     UnsyncedWorkers[Entry.Pool].insert(Key);
   }
@@ -110,8 +111,6 @@
 }
 
 bool Dispatcher::isReconciled(const std::string &Pool) const {
-  if (Timers.now() >= StartedAt + Table.maxLeaseDuration())
-    return true;
   auto It = UnsyncedWorkers.find(Pool);
   return It == UnsyncedWorkers.end() || It->second.empty();
 }
@@ -123,27 +122,25 @@
   const WorkerKey &Key = Report.Entry.Key;
   TrackedWorker *Newest = Table.findLatest(Key.Id);
   TrackedWorker *SameAddress = Table.findByAddress(Report.Entry.Address);
-  bool Superseded =
-      (Newest != nullptr && Newest->key().Incarnation > Key.Incarnation) ||
-      (SameAddress != nullptr &&
-       SameAddress->key().Incarnation > Key.Incarnation);
+  bool Superseded = (Newest != nullptr && Newest->hasReplaced(Key)) ||
+                    (SameAddress != nullptr &&
+                     SameAddress->key().Incarnation > Key.Incarnation);
   if (Superseded)
     return Acknowledge(true);
   TrackedWorker *Tracked = Table.find(Key);
   if (Tracked != nullptr && Report.Sequence <= Tracked->LastReportSequence)
     return Acknowledge(true);
-  UpdateWorkers Command;
   if (Tracked == nullptr) {
-    // Any other incarnation under this id or at this address has ended.
+    // Any other worker at this address has ended.
     std::vector<WorkerKey> Ended;
     for (const auto &[Other, Worker] : Table.all())
-      if (Other.Id == Key.Id || Worker.Entry.Address == Report.Entry.Address)
+      if (Other.Id != Key.Id && Worker.Entry.Address == Report.Entry.Address)
         Ended.push_back(Other);
-    for (const WorkerKey &Other : Ended) {
+    for (const WorkerKey &Other : Ended)
       removeWorker(Other, "superseded", /*HasCrashed=*/true);
-      Command.Removed.push_back(Other);
-    }
-    Tracked = &Table.add(Report.Entry, Timers.now());
+    Tracked = Newest != nullptr
+                  ? &replaceRestarted(*Newest, Report.Entry, "superseded")
+                  : &Table.add(Report.Entry, Timers.now());
   }
   bool Changed = !Tracked->IsCommitted || Tracked->Entry != Report.Entry;
   bool WasMarkedLeaving = Tracked->Entry.Leaving;
@@ -158,7 +155,9 @@
     return Acknowledge(true);
   if (Tracked->Entry.Leaving != WasMarkedLeaving)
     Hooks.LogEvent("worker_leaving", {{"worker", Key.Id}});
+  UpdateWorkers Command;
   Command.Workers.push_back(Tracked->Entry);
+  Command.Removed = Tracked->Predecessors;
   std::shared_ptr<bool> IsAlive = AliveFlag;
   Hooks.Propose(Command, [this, IsAlive, Key, Acknowledge](bool Committed) {
     Acknowledge(Committed);
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -284,6 +284,10 @@
   /// Returns true if the worker may have runs of an earlier leader that are not
   /// known.
   bool isUnread(const WorkerKey &Key) const;
+  bool hasUnreadWorkers() const;
+  /// Called once no run of an earlier leader can be on the worker without being
+  /// known, and so none on the processes before it.
+  void markRead(const WorkerKey &Key);
   /// Returns true if an earlier leader may have started tasks of the job that
   /// are not known.
   bool mayHaveUnlocatedRuns(const JobProgress &Job) const;
@@ -354,6 +358,18 @@
   void expireLease(TrackedWorker &Worker);
   /// \p HasCrashed is false if the worker's end was ordered, or is not known.
   void removeWorker(const WorkerKey &Key, const char *Reason, bool HasCrashed);
+  /// Removes the worker and its runs from the table alone.
+  void dropWorker(TrackedWorker &Worker, const char *Reason, bool HasCrashed);
+  /// Replaces a worker that has restarted by its next process \p Next, and
+  /// returns that. Starts that the ended process never listed may have been
+  /// carried out by the next one; they are looked for there.
+  TrackedWorker &replaceRestarted(TrackedWorker &Ended, const WorkerEntry &Next,
+                                  const char *Reason);
+  /// Books a start that the worker may have carried out.
+  void expectRun(TrackedWorker &Worker, const TaskId &Task, const Run &Ordered);
+  /// Called when a response shows that incarnation \p Incarnation has replaced
+  /// the worker.
+  void onRestarted(TrackedWorker &Worker, int64_t Incarnation);
   void onFenced(const WorkerKey &Key);
 
   // Runs that are lost with their workers.
@@ -376,8 +392,8 @@
   /// silent within \p Window of this one.
   bool hasCommonCause(const WorkerKey &Key, const JobId &Job,
                       size_t OtherWorkers, Duration Window) const;
-  /// Removes the loss of one run that never began.
-  void removeLoss(const WorkerKey &Key, const TaskId &Task, uint32_t Attempt);
+  /// Removes the loss of a run that never began, or that was not lost.
+  void removeLoss(const TaskId &Task, uint32_t Attempt);
   void onLossesChanged(const TaskId &Task);
   /// Ends the job whose task crashes its workers.
   void failForCrashes(JobProgress &Job, const TaskId &Task);
@@ -573,7 +589,8 @@
   std::map<std::string, uint64_t> PendingJobs;
   /// By organisation, as of this turn.
   std::map<std::string, Resources> UnlocatedUsage;
-  // Workers, by pool, that may have runs of an earlier leader.
+  // Workers, by pool, that may have runs of an earlier leader; those that have
+  // restarted stay until their next process was read.
   std::map<std::string, std::set<WorkerKey>> UnsyncedWorkers;
   /// Tasks with suspected losses, by the worker whose fate is open.
   std::map<WorkerKey, std::set<TaskId>> OpenLosses;
--- a/Source/Scheduling/DispatcherLosses.cpp
+++ b/Source/Scheduling/DispatcherLosses.cpp
@@ -190,14 +190,14 @@
   return IsUnrelated;
 }
 
-void Dispatcher::removeLoss(const WorkerKey &Key, const TaskId &Task,
-                            uint32_t Attempt) {
+void Dispatcher::removeLoss(const TaskId &Task, uint32_t Attempt) {
   TaskProgress *TaskState = findWantedTask(Task);
   if (TaskState == nullptr)
     return;
-  size_t Removed = std::erase_if(TaskState->Losses, [&](const RunLoss &Loss) {
-    return Loss.Attempt == Attempt && Loss.Worker == Key;
-  });
+  size_t Removed =
+      std::erase_if(TaskState->Losses, [Attempt](const RunLoss &Loss) {
+        return Loss.Attempt == Attempt;
+      });
   if (Removed > 0)
     onLossesChanged(Task);
 }
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -165,7 +165,7 @@
 
 std::map<std::string, Resources> Dispatcher::computeUnlocatedUsage() const {
   std::map<std::string, Resources> Result;
-  if (Timers.now() >= StartedAt + Table.maxLeaseDuration())
+  if (!hasUnreadWorkers())
     return Result;
   for (const auto &[Id, Job] : Jobs) {
     if (Job->HasEnded || !mayHaveUnlocatedRuns(*Job))
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -84,10 +84,13 @@
           return removeWorker(Key, "wrong_life", /*HasCrashed=*/true);
         if (Response.Outcome == OrderOutcome::Accepted)
           Delay.record(Timers.now(), Timers.now() - SentAt);
-        // Whether a worker is reachable is decided by its polls.
         TrackedWorker *Renewed = Table.find(Key);
         if (Renewed == nullptr)
           return;
+        if (Response.Outcome == OrderOutcome::Restarted)
+          return handleFailedPoll(*Renewed, Response.Outcome,
+                                  /*WasSudden=*/true);
+        // Otherwise its polls decide whether a worker is reachable.
         if (Response.ClockMs)
           Table.recordClock(*Renewed, SentAt, Timers.now(), *Response.ClockMs);
         if (Response.Outcome == OrderOutcome::Accepted)
@@ -105,14 +108,19 @@
 void Dispatcher::pollWorker(TrackedWorker &Worker) {
   PollOrder Order;
   Order.Token = Token;
-  Order.AcknowledgedEnds = Worker.CommittedEnds;
+  // A worker that has stopped answering may have restarted and counts its ends
+  // anew.
+  if (Worker.IsReachable && Worker.FailedPolls == 0)
+    Order.AcknowledgedEnds = Worker.CommittedEnds;
   // A worker that does not answer gets no new lease: its runs must end
   // eventually, so that the tasks can be started elsewhere.
   if (Worker.IsSynced && Worker.IsReachable && Worker.FailedPolls == 0) {
     Order.LeaseEndMs = Table.grantLease(Worker, Timers.now());
     Duration Wait =
         Worker.Runs.empty() ? Options.IdlePollTimeout : Options.BusyPollTimeout;
-    Order.MaxWaitMs = toMillis(Wait);
+    // The lists tell what became of a start that was not answered.
+    if (!Worker.hasStartInDoubt())
+      Order.MaxWaitMs = toMillis(Wait);
   }
   Worker.PollInFlight = true;
   ++Counters.Polls;
@@ -145,6 +153,8 @@
     return onFenced(Key);
   case OrderOutcome::WrongIncarnation:
     return removeWorker(Key, "wrong_life", /*HasCrashed=*/true);
+  case OrderOutcome::Restarted:
+    return onRestarted(*Worker, Response.Incarnation);
   default:
     return handleFailedPoll(*Worker, Response.Outcome,
                             Timers.now() - SentAt < MaxWait + SuddenMargin);
@@ -175,9 +185,7 @@
 
 void Dispatcher::markSynced(TrackedWorker &Worker) {
   Worker.IsSynced = true;
-  auto It = UnsyncedWorkers.find(Worker.Entry.Pool);
-  if (It != UnsyncedWorkers.end())
-    It->second.erase(Worker.key());
+  markRead(Worker.key());
   Hooks.LogEvent("worker_synced", {{"worker", Worker.key().Id},
                                    {"pool", Worker.Entry.Pool},
                                    {"runs", Worker.Runs.size()}});
@@ -198,8 +206,10 @@
     return;
   if (CurrentRun.ListedAt == Instant())
     CurrentRun.ListedAt = Timers.now();
-  if (CurrentRun.State == RunState::Unconfirmed)
+  if (CurrentRun.State == RunState::Unconfirmed) {
     CurrentRun.State = RunState::Running;
+    removeLoss(Reported.Task, Reported.Attempt);
+  }
   if (CurrentRun.State == RunState::Starting) {
     CurrentRun.State = RunState::Running;
     CurrentRun.StartAckedAt = SentAt;
@@ -469,9 +479,7 @@
 }
 
 void Dispatcher::expireLease(TrackedWorker &Worker) {
-  auto It = UnsyncedWorkers.find(Worker.Entry.Pool);
-  if (It != UnsyncedWorkers.end() && It->second.erase(Worker.key()))
-    markPoolDirty(Worker.Entry.Pool);
+  markRead(Worker.key());
   withdrawStarts(Worker);
   if (Worker.Runs.empty())
     return;
@@ -491,28 +499,96 @@
   TrackedWorker *Worker = Table.find(Key);
   if (Worker == nullptr)
     return;
-  withdrawStarts(*Worker);
-  Hooks.LogEvent(
-      "worker_gone",
-      {{"worker", Key.Id}, {"why", Reason}, {"runs", Worker->Runs.size()}});
-  reportLostRuns(*Worker, Reason);
-  Counters.LostRuns += Worker->Runs.size();
+  UpdateWorkers Command;
+  if (Worker->IsCommitted)
+    Command.Removed.push_back(Key);
+  else
+    Command.Removed = Worker->Predecessors;
+  dropWorker(*Worker, Reason, HasCrashed);
+  markRead(Key);
+  if (!Command.Removed.empty())
+    Hooks.Propose(Command, [](bool) {});
+}
+
+void Dispatcher::dropWorker(TrackedWorker &Worker, const char *Reason,
+                            bool HasCrashed) {
+  const WorkerKey Key = Worker.key();
+  withdrawStarts(Worker);
+  Hooks.LogEvent("worker_gone", {{"worker", Key.Id},
+                                 {"born", Key.Incarnation},
+                                 {"why", Reason},
+                                 {"runs", Worker.Runs.size()}});
+  reportLostRuns(Worker, Reason);
+  Counters.LostRuns += Worker.Runs.size();
   if (HasCrashed)
-    recordLosses(*Worker, /*WasSudden=*/true);
+    recordLosses(Worker, /*WasSudden=*/true);
   resolveLosses(Key, HasCrashed);
-  while (!Worker->Runs.empty())
-    removeRun(*Worker, Worker->Runs.begin()->first);
-  for (auto &[Pool, Keys] : UnsyncedWorkers)
-    Keys.erase(Key);
-  markPoolDirty(Worker->Entry.Pool);
+  while (!Worker.Runs.empty())
+    removeRun(Worker, Worker.Runs.begin()->first);
+  markPoolDirty(Worker.Entry.Pool);
   Health.forgetWorker(Key);
-  bool WasCommitted = Worker->IsCommitted;
   Table.erase(Key);
-  if (!WasCommitted)
-    return;
-  UpdateWorkers Command;
-  Command.Removed.push_back(Key);
-  Hooks.Propose(Command, [](bool) {});
+}
+
+TrackedWorker &Dispatcher::replaceRestarted(TrackedWorker &Ended,
+                                            const WorkerEntry &Next,
+                                            const char *Reason) {
+  withdrawStarts(Ended);
+  std::map<TaskId, Run> Unlisted;
+  for (const auto &[Task, CurrentRun] : Ended.Runs)
+    if (CurrentRun.ListedAt == Instant())
+      Unlisted.emplace(Task, CurrentRun);
+  std::vector<WorkerKey> Predecessors = {Ended.key()};
+  if (!Ended.IsCommitted)
+    Predecessors.insert(Predecessors.end(), Ended.Predecessors.begin(),
+                        Ended.Predecessors.end());
+  Instant LeaseEnd = Table.inheritedLeaseEnd(Ended);
+  bool WasUnread = isUnread(Ended.key());
+  dropWorker(Ended, Reason, /*HasCrashed=*/true);
+  bool IsKnown = Table.find(Next.Key) != nullptr;
+  TrackedWorker &Replacement =
+      IsKnown ? *Table.find(Next.Key) : Table.add(Next, Timers.now());
+  if (!IsKnown)
+    Replacement.LastReportAt = Timers.now();
+  Replacement.Predecessors = std::move(Predecessors);
+  Replacement.LeaseEnd = std::max(Replacement.LeaseEnd, LeaseEnd);
+  // An earlier leader's orders may have reached it, too. Jobs that the ended
+  // process may have run wait for the next one.
+  if (WasUnread)
+    UnsyncedWorkers[Next.Pool].insert(Next.Key);
+  for (const auto &[Task, CurrentRun] : Unlisted)
+    if (!Replacement.Runs.count(Task))
+      expectRun(Replacement, Task, CurrentRun);
+  return Replacement;
+}
+
+void Dispatcher::expectRun(TrackedWorker &Worker, const TaskId &Task,
+                           const Run &Ordered) {
+  Run Expected;
+  Expected.Attempt = Ordered.Attempt;
+  Expected.State = RunState::Unconfirmed;
+  Expected.ReservedResources = Ordered.ReservedResources;
+  Expected.QuotaUsage = Ordered.QuotaUsage;
+  Expected.Organisation = Ordered.Organisation;
+  Expected.OrderedAt = Expected.ProgressChangedAt = Timers.now();
+  Expected.UsesSpareCpu = Ordered.UsesSpareCpu;
+  Expected.LongRunning = Ordered.LongRunning;
+  Expected.TailTargetMs = Ordered.TailTargetMs;
+  Expected.IsRemote = Ordered.IsRemote;
+  Table.addRun(Worker, Task, std::move(Expected));
+  auto Job = Jobs.find(Task.Job);
+  if (Job != Jobs.end() && Job->second->findTask(Task) != nullptr)
+    Job->second->addPlacement(Task, Worker.key(), Ordered.Attempt);
+  if (findWantedTask(Task) == nullptr)
+    stopRun(Worker, Task);
+}
+
+void Dispatcher::onRestarted(TrackedWorker &Worker, int64_t Incarnation) {
+  // What it offers is known with its report; until then it gets no tasks.
+  WorkerEntry Next = Worker.Entry;
+  Next.Key.Incarnation = Incarnation;
+  Next.Leaving = false;
+  replaceRestarted(Worker, Next, "restarted");
 }
 
 void Dispatcher::onFenced(const WorkerKey &Key) {
@@ -560,7 +636,7 @@
     return;
   }
   ++Counters.RejectedStarts;
-  removeLoss(Key, Task, Attempt);
+  removeLoss(Task, Attempt);
   bool Gang = false;
   auto Job = Jobs.find(Task.Job);
   TaskProgress *TaskState =
--- a/Source/Scheduling/DispatcherStarts.cpp
+++ b/Source/Scheduling/DispatcherStarts.cpp
@@ -216,8 +216,23 @@
       [&](const auto &PoolAndKeys) { return PoolAndKeys.second.count(Key); });
 }
 
+bool Dispatcher::hasUnreadWorkers() const {
+  return std::any_of(
+      UnsyncedWorkers.begin(), UnsyncedWorkers.end(),
+      [](const auto &PoolAndKeys) { return !PoolAndKeys.second.empty(); });
+}
+
+void Dispatcher::markRead(const WorkerKey &Key) {
+  for (auto &[Pool, Keys] : UnsyncedWorkers) {
+    size_t Erased = std::erase_if(
+        Keys, [&](const WorkerKey &Unread) { return Unread.Id == Key.Id; });
+    if (Erased > 0)
+      markPoolDirty(Pool);
+  }
+}
+
 bool Dispatcher::mayHaveUnlocatedRuns(const JobProgress &Job) const {
-  if (!Job.IsInherited || Timers.now() >= StartedAt + Table.maxLeaseDuration())
+  if (!Job.IsInherited || !hasUnreadWorkers())
     return false;
   if (!Options.RecordsPlacements || !Job.job().RecordsPlacements)
     return !isReconciled(Job.Pool);
@@ -227,7 +242,7 @@
 
 void Dispatcher::reportUnlocatedJobs() {
   UnlocatedJobs = 0;
-  if (Timers.now() >= StartedAt + Table.maxLeaseDuration())
+  if (!hasUnreadWorkers())
     return;
   UnixMillis Now = Hooks.WallNow();
   for (const auto &[Id, Job] : Jobs) {
--- a/Source/Workers/WorkerPort.h
+++ b/Source/Workers/WorkerPort.h
@@ -22,10 +22,14 @@
   NoCapacity,   // The worker's free resources are too small.
   NoTicket,     // The ticket is missing or no longer valid.
   Unhealthy, // The worker refused as overloaded or unavailable and did nothing.
-  WrongIncarnation, // Another worker process answers at that address.
+  WrongIncarnation, // Another worker answers at that address.
   Invalid,          // The worker could not parse the order.
   NotSent,          // No connection; the worker did not receive the order.
   Unanswered, // No usable response; the order may be carried out, also later.
+  /// The worker has restarted under its id, and the next process answers. It
+  /// cannot tell whom an order was meant for, so it may have carried out this
+  /// and earlier ones.
+  Restarted,
 };
 
 const char *nameOf(OrderOutcome Outcome);
@@ -112,6 +116,9 @@
   std::optional<int64_t> ClockMs;
   std::vector<RunningTask> Running;
   std::vector<FinishedRun> Finished;
+  /// With outcome Restarted: the incarnation that answers, in Unix
+  /// milliseconds.
+  int64_t Incarnation = 0;
 };
 
 /// The advice service's response for a step: the workers that may run it, with
--- a/Source/Workers/WorkerTable.cpp
+++ b/Source/Workers/WorkerTable.cpp
@@ -29,6 +29,8 @@
     return "not_sent";
   case OrderOutcome::Unanswered:
     return "lost";
+  case OrderOutcome::Restarted:
+    return "restarted";
   }
   return "unknown";
 }
@@ -45,6 +47,23 @@
   });
 }
 
+bool TrackedWorker::hasReplaced(const WorkerKey &Earlier) const {
+  // A wall clock that was set back may give the next process an earlier start.
+  bool IsPredecessor = std::find(Predecessors.begin(), Predecessors.end(),
+                                 Earlier) != Predecessors.end();
+  return Earlier.Id == key().Id &&
+         (IsPredecessor || Earlier.Incarnation < key().Incarnation);
+}
+
+bool TrackedWorker::hasStartInDoubt() const {
+  return std::any_of(Runs.begin(), Runs.end(), [](const auto &TaskAndRun) {
+    const Run &Ordered = TaskAndRun.second;
+    bool IsKnown = Ordered.StartAckedAt > Instant();
+    return !IsKnown && (Ordered.State == RunState::Unconfirmed ||
+                        Ordered.State == RunState::Stopping);
+  });
+}
+
 Duration TrackedWorker::survivedTime(const Run &CurrentRun) const {
   Duration Survived{};
   if (CurrentRun.StartAckedAt > Instant())
@@ -200,6 +219,15 @@
          2 * Options.ExpiryMargin;
 }
 
+Instant WorkerTable::inheritedLeaseEnd(const TrackedWorker &Ended) const {
+  if (Ended.RenewedAt == Instant())
+    return Instant();
+  Duration WithDrift =
+      Options.MaxAcceptedLease * 100 / (100 - Options.MaxClockDriftPercent);
+  return Ended.RenewedAt + Options.MaxOrderTransit + WithDrift +
+         Options.ExpiryMargin;
+}
+
 Resources
 WorkerTable::shortRunsReservedBy(const std::string &Organisation) const {
   auto It = ShortRunsByOrganisation.find(Organisation);
--- a/Source/Workers/WorkerTable.h
+++ b/Source/Workers/WorkerTable.h
@@ -73,6 +73,9 @@
   /// The worker's incarnation is committed in the replicated state, so a later
   /// leader knows it.
   bool IsCommitted = false;
+  /// The incarnations before this one, as far back as the last one that is
+  /// committed: until this one is, a later leader finds it through that one.
+  std::vector<WorkerKey> Predecessors;
   /// Its lists of runs were read under this leader's fencing token.
   bool IsSynced = false;
   bool IsReachable = false;
@@ -104,9 +107,14 @@
   int FailedPolls = 0;
 
   const WorkerKey &key() const { return Entry.Key; }
+  /// Returns true if \p Earlier is a process of this worker that has ended.
+  bool hasReplaced(const WorkerKey &Earlier) const;
   Resources freeResources() const;
   /// Returns true if some run was ordered to start.
   bool hasOrderedRuns() const;
+  /// Returns true if a start was ordered of which neither its answer nor a list
+  /// has told whether it was carried out.
+  bool hasStartInDoubt() const;
   /// Returns for how long the run has been there for certain: a lower bound.
   Duration survivedTime(const Run &CurrentRun) const;
 };
@@ -121,6 +129,11 @@
   /// Added to the computed end of a lease for rounding and for the time that
   /// stopping takes.
   Duration ExpiryMargin = milliseconds(150);
+  /// The longest lease that a worker accepts; a longer one is shortened to it.
+  Duration MaxAcceptedLease = seconds(6);
+  /// An order that was not carried out after this time never is, unless it has
+  /// reached its worker.
+  Duration MaxOrderTransit = milliseconds(1400);
 };
 
 class WorkerTable {
@@ -167,6 +180,10 @@
   /// Returns an upper bound of the time until every lease granted so far has
   /// ended, including those of earlier leaders.
   Duration maxLeaseDuration() const;
+  /// Returns when the leases end that the worker's next process may have from
+  /// orders for \p Ended. They are instants of another clock, so only the
+  /// worker's own limit bounds them.
+  Instant inheritedLeaseEnd(const TrackedWorker &Ended) const;
 
   /// Returns the resources that \p Organisation uses on all workers.
   Resources resourcesUsedBy(const std::string &Organisation) const;
--- a/Tests/Jobs/IncarnationsTest.cpp
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -20,7 +20,7 @@
     Harness.advanceTime(seconds(5));
     Harness.Workers.restart("p-0");
     Harness.submitJob("a", "p", makeChainSpec(1, 1, 1000, 4000));
-    Harness.advanceTime(milliseconds(20));
+    Harness.advanceTime(milliseconds(30));
     EXPECT_EQ(Harness.Workers.at("p-0").Runs.size(), 1U);
   }
 
--- a/Tests/Support/VirtualWorkers.cpp
+++ b/Tests/Support/VirtualWorkers.cpp
@@ -432,7 +432,11 @@
                void();
       PollResponse Lists = makePollResponse(Receiver);
       if (Receiver.Entry.Key != To.Key)
-        Lists = {OrderOutcome::WrongIncarnation, std::nullopt, {}, {}};
+        Lists = {OrderOutcome::Restarted,
+                 std::nullopt,
+                 {},
+                 {},
+                 Receiver.Entry.Key.Incarnation};
       Timers.scheduleAt(Timers.now() + OneWayDelay,
                         [Done, Lists] { Done(Lists); });
     };
