Scheduling: a run whose end is not on the page is not started again

Cause: a worker lists at most 500 ended runs in a response; the rest follows once these are acknowledged. The scheduler took a run that was neither running nor among those for one that had vanished, and a new leader took a worker for read whose list it had seen in part. Class: an incomplete answer taken for a complete one. Change: a response says whether its lists are partial (as the platform's page size tells); then no run vanishes and the worker is not yet read.

--- a/Source/Fleet/CarriedOrders.cpp
+++ b/Source/Fleet/CarriedOrders.cpp
@@ -123,7 +123,7 @@
 
 void writeResult(CborWriter &Out, const CarriedResult &Result) {
   const PollResponse &Response = Result.Response;
-  Out.array(6);
+  Out.array(7);
   Out.number(Result.Id);
   Out.number(static_cast<uint8_t>(Response.Outcome));
   writeOptional(Out, Response.ClockMs);
@@ -146,6 +146,7 @@
     Out.text(Row.Checkpoint);
   }
   Out.number(Response.Incarnation);
+  Out.boolean(Response.IsPartial);
 }
 
 /// Reads an enumerator that is at most \p Last.
@@ -186,6 +187,7 @@
   for (size_t Left = Fields.next().array(); Left > 0; --Left)
     Response.Finished.push_back(readFinished(In));
   Response.Incarnation = Fields.number<int64_t>();
+  Response.IsPartial = Fields.next().boolean();
   Fields.finish();
   return Result;
 }
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -172,10 +172,11 @@
     handleRunEnd(*Worker, End);
   for (const RunningTask &Reported : Response.Running)
     updateRun(*Worker, Reported, SentAt);
-  removeVanishedRuns(*Worker, Response, SentAt);
+  if (!Response.IsPartial)
+    removeVanishedRuns(*Worker, Response, SentAt);
   // The last lease of runs that another leader started may be about to end.
   bool MustRenewNow = !Worker->IsSynced && !Worker->Runs.empty();
-  if (!Worker->IsSynced)
+  if (!Worker->IsSynced && !Response.IsPartial)
     markSynced(*Worker);
   stopStalledRuns(*Worker);
   adjustPaces(*Worker);
--- a/Source/Workers/WorkerPort.h
+++ b/Source/Workers/WorkerPort.h
@@ -119,6 +119,9 @@
   /// With outcome Restarted: the incarnation that answers, in Unix
   /// milliseconds.
   int64_t Incarnation = 0;
+  /// The lists hold less than the worker has: a run that they do not name may
+  /// be there, or have ended.
+  bool IsPartial = false;
 };
 
 /// The advice service's response for a step: the workers that may run it, with
--- a/Tests/Fleet/CarriedOrdersTest.cpp
+++ b/Tests/Fleet/CarriedOrdersTest.cpp
@@ -61,7 +61,7 @@
         Signed,
         {{Task, 4, Text, Percent, Signed}, {Task, 5, "", 0, 0}},
         {{Number, Task, 6, EndKind::Alone, Text}}}},
-      {7, {OrderOutcome::Restarted, std::nullopt, {}, {}, Signed}}};
+      {7, {OrderOutcome::Restarted, std::nullopt, {}, {}, Signed, true}}};
   Json Expected = Json::array(
       {Json::array(
            {Number, static_cast<int>(OrderOutcome::Unanswered), Signed,
@@ -69,9 +69,9 @@
                          Json::array({TaskRow, 5, "", 0, 0})}),
             Json::array({Json::array(
                 {Number, TaskRow, 6, static_cast<int>(EndKind::Alone), Text})}),
-            0}),
+            0, false}),
        Json::array({7, static_cast<int>(OrderOutcome::Restarted), nullptr,
-                    Json::array(), Json::array(), Signed})});
+                    Json::array(), Json::array(), Signed, true})});
   std::string Bytes = encodeResults(Results);
   RC_ASSERT(Bytes == generalCbor(Expected));
   std::vector<CarriedResult> Decoded;
@@ -120,14 +120,15 @@
 }
 
 TEST(CarriedResults, WhatIsNotWholeIsRefused) {
-  Json Result = Json::array({1, 0, 5, Json::array(), Json::array(), 0});
+  Json Result = Json::array({1, 0, 5, Json::array(), Json::array(), 0, false});
   std::vector<CarriedResult> Ignored;
   ASSERT_TRUE(decodeResults(generalCbor(Json::array({Result})), Ignored));
-  std::vector<Json> Malformed(5, Result);
+  std::vector<Json> Malformed(6, Result);
   Malformed[0][1] = static_cast<int>(OrderOutcome::Restarted) + 1;
   Malformed[1][2] = "noon";
   Malformed[2].erase(4);
-  Malformed[4].erase(5);
+  Malformed[4].erase(6);
+  Malformed[5][6] = 1;
   Malformed[3][4].push_back(
       Json::array({1, Json::array({"job", 1, 2, 3}), 1,
                    static_cast<int>(EndKind::Alone) + 1, ""}));
--- a/Tests/Jobs/IncarnationsTest.cpp
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -75,4 +75,39 @@
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
+// A response holds a limited number of ends; what ended beyond them is neither
+// running nor listed as ended.
+TEST(Incarnations, ARunWhoseEndIsNotOnThePageIsNotStartedAgain) {
+  SchedulerHarness Harness;
+  Harness.Workers.MaxEndsPerResponse = 3;
+  Harness.addPool("p", 4, 8);
+  Harness.beginLeadership();
+  Harness.advanceTime(milliseconds(100));
+  Harness.submitJob("a", "p", makeChainSpec(2, 8, 1000, 200));
+  Harness.advanceTime(milliseconds(50));
+  // The tasks end while there is no leader.
+  Harness.Scheduler.reset();
+  Harness.advanceTime(milliseconds(500));
+  Harness.beginLeadership();
+  Harness.advanceTime(seconds(4));
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  for (const auto &[Task, Count] : Harness.Workers.StartCounts)
+    EXPECT_EQ(Count, 1) << Task.Step << "." << Task.Index;
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
+TEST(Incarnations, EndsBeyondThePageDoNotMakeRunsVanish) {
+  SchedulerHarness Harness;
+  Harness.Workers.MaxEndsPerResponse = 3;
+  Harness.addPool("p", 2, 8);
+  Harness.beginLeadership();
+  Harness.advanceTime(milliseconds(100));
+  Harness.submitJob("a", "p", makeChainSpec(2, 16, 1000, 200));
+  Harness.advanceTime(seconds(5));
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  for (const auto &[Task, Count] : Harness.Workers.StartCounts)
+    EXPECT_EQ(Count, 1) << Task.Step << "." << Task.Index;
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
 } // namespace
--- a/Tests/Support/VirtualWorkers.cpp
+++ b/Tests/Support/VirtualWorkers.cpp
@@ -362,6 +362,9 @@
     Answer.Running.push_back(Listed);
   }
   Answer.Finished = Worker.Finished;
+  Answer.IsPartial = Answer.Finished.size() >= MaxEndsPerResponse;
+  if (Answer.IsPartial)
+    Answer.Finished.resize(MaxEndsPerResponse);
   return Answer;
 }
 
--- a/Tests/Support/VirtualWorkers.h
+++ b/Tests/Support/VirtualWorkers.h
@@ -117,6 +117,8 @@
   /// Number of workers that crashed while they ran the task.
   std::map<TaskId, int> CrashCounts;
   int TotalCrashes = 0;
+  /// The most ends that a response to a poll holds.
+  size_t MaxEndsPerResponse = 500;
   /// The gauge that workers report for a task.
   std::map<TaskId, int64_t> Gauges;
 
