Scheduling: a report from a worker's address ends nothing there by itself

Cause: a report of another worker from the same address was proof enough that the first had ended. One entry of another writer with a wrong address was enough. Class: another writer's word moves what a worker's own answers decide. Change: the address is asked who answers there. A worker is given up once another one does; until then the report is not acknowledged and comes again. Measured: Incarnations.AReportFromAWorkersAddressEndsNothingThere, red before (eight tasks twice), green now. WorkerFaults.AWorkerAtTheSameAddressReplacesTheEarlierOne let the first worker answer at the address where another was said to be; now another one answers there, with the same bound of 50 ms.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -131,13 +131,12 @@
   if (Tracked != nullptr && Report.Sequence <= Tracked->LastReportSequence)
     return Acknowledge(true);
   if (Tracked == nullptr) {
-    // Any other worker at this address has ended.
-    std::vector<WorkerKey> Ended;
-    for (const auto &[Other, Worker] : Table.all())
-      if (Other.Id != Key.Id && Worker.Entry.Address == Report.Entry.Address)
-        Ended.push_back(Other);
-    for (const WorkerKey &Other : Ended)
-      removeWorker(Other, "superseded", /*HasCrashed=*/true);
+    if (SameAddress != nullptr && SameAddress->key().Id != Key.Id) {
+      // Only what answers there shows which of the two it is. The reporting
+      // worker tries again.
+      probeAddress(*SameAddress);
+      return Acknowledge(false);
+    }
     Tracked = Newest != nullptr
                   ? &replaceRestarted(*Newest, Report.Entry, "superseded")
                   : &Table.add(Report.Entry, Timers.now());
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -338,6 +338,8 @@
   void renewAgingLeases();
   bool mayRenew(const TrackedWorker &Worker) const;
   void renewLease(TrackedWorker &Worker);
+  /// Asks whether the worker still answers at its address, beside its polls.
+  void probeAddress(TrackedWorker &Worker);
   void schedulePollAfter(TrackedWorker &Worker, Duration Pause);
   Duration pollInterval() const;
   void onPollResponse(const WorkerKey &Key, Instant SentAt, Duration MaxWait,
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -139,6 +139,27 @@
       });
 }
 
+void Dispatcher::probeAddress(TrackedWorker &Worker) {
+  if (Worker.ProbeInFlight || !mayIssueOrders())
+    return;
+  Worker.ProbeInFlight = true;
+  PollOrder Order;
+  Order.Token = Token;
+  std::shared_ptr<bool> IsAlive = AliveFlag;
+  Port.pollWorker(
+      Worker.Entry, Order,
+      [this, IsAlive, Key = Worker.key()](const PollResponse &Response) {
+        TrackedWorker *Probed = *IsAlive ? Table.find(Key) : nullptr;
+        if (Probed == nullptr)
+          return;
+        Probed->ProbeInFlight = false;
+        if (Response.Outcome == OrderOutcome::WrongIncarnation)
+          removeWorker(Key, "address_taken", /*HasCrashed=*/true);
+        if (Response.Outcome == OrderOutcome::Restarted)
+          onRestarted(*Probed, Response.Incarnation);
+      });
+}
+
 void Dispatcher::onPollResponse(const WorkerKey &Key, Instant SentAt,
                                 Duration MaxWait,
                                 const PollResponse &Response) {
--- a/Source/Workers/WorkerTable.h
+++ b/Source/Workers/WorkerTable.h
@@ -101,7 +101,8 @@
   /// Results of ended runs up to this number are committed.
   uint64_t CommittedEnds = 0;
   bool PollInFlight = false;
-  Instant NextPollAt; // Changed only by WorkerTable::schedulePoll().
+  bool ProbeInFlight = false; // A poll that only asks who answers.
+  Instant NextPollAt;         // Changed only by WorkerTable::schedulePoll().
   /// When the last order that renews the lease was issued.
   Instant RenewedAt;
   int FailedPolls = 0;
--- a/Tests/Jobs/IncarnationsTest.cpp
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -75,6 +75,32 @@
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
+/// A report that names the address of \p Worker as its own.
+WorkerReport otherReportFrom(const VirtualWorker &Worker) {
+  WorkerReport Report{Worker.Entry, 1, 5};
+  Report.Entry.Key = {"other", Worker.Entry.Key.Incarnation + 500};
+  return Report;
+}
+
+// Another writer may name an address that is not its own.
+TEST(Incarnations, AReportFromAWorkersAddressEndsNothingThere) {
+  SchedulerHarness Harness;
+  Harness.addPool("p", 4, 8);
+  Harness.beginLeadership();
+  Harness.submitJob("a", "p", makeChainSpec(1, 8, 1000, 3000));
+  Harness.advanceTime(milliseconds(200));
+  bool WasAcknowledged = true;
+  Harness.Scheduler->handleReport(
+      otherReportFrom(Harness.Workers.at("p-0")),
+      [&WasAcknowledged](bool Done) { WasAcknowledged = Done; });
+  Harness.advanceTime(seconds(5));
+  EXPECT_FALSE(WasAcknowledged);
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  for (const auto &[Task, Count] : Harness.Workers.StartCounts)
+    EXPECT_EQ(Count, 1) << Task.Index;
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
 // A response holds a limited number of ends; what ended beyond them is neither
 // running nor listed as ended.
 TEST(Incarnations, ARunWhoseEndIsNotOnThePageIsNotStartedAgain) {
--- a/Tests/Jobs/WorkerFaultsTest.cpp
+++ b/Tests/Jobs/WorkerFaultsTest.cpp
@@ -187,6 +187,7 @@
   WorkerEntry Other = Harness.Workers.at("p-0").Entry;
   Other.Key = {"other", Other.Key.Incarnation + 500};
   Other.Pool = "q";
+  Harness.Workers.at("p-0").Faults.IsReplaced = true;
   Harness.Scheduler->handleReport({Other, 1, 5}, [](bool) {});
   Harness.advanceTime(milliseconds(50));
   EXPECT_EQ(Harness.Scheduler->workers().find({"p-0", 1000}), nullptr);
--- a/Tests/Support/VirtualWorkers.cpp
+++ b/Tests/Support/VirtualWorkers.cpp
@@ -171,6 +171,8 @@
     OrderResponse Answer;
     if (Receiver->Faults.IsDown) {
       Answer.Outcome = OrderOutcome::NotSent;
+    } else if (Receiver->Faults.IsReplaced) {
+      Answer.Outcome = OrderOutcome::WrongIncarnation;
     } else {
       // Orders name a worker by its id, which a restarted one keeps.
       Answer.Outcome = Run();
@@ -416,6 +418,8 @@
     VirtualWorker &Worker = *find(To);
     if (Worker.Faults.IsDown)
       return Done({OrderOutcome::NotSent, std::nullopt, {}, {}});
+    if (Worker.Faults.IsReplaced)
+      return Done({OrderOutcome::WrongIncarnation, std::nullopt, {}, {}});
     if (Order.Token < Worker.Token)
       return Done({OrderOutcome::Fenced, std::nullopt, {}, {}});
     Worker.Token = Order.Token;
--- a/Tests/Support/VirtualWorkers.h
+++ b/Tests/Support/VirtualWorkers.h
@@ -25,6 +25,7 @@
   bool IsUnreachable = false; // No messages arrive at or come from the worker.
   /// The worker's process has ended; connections to it are refused.
   bool IsDown = false;
+  bool IsReplaced = false; // Another worker answers at its address.
   /// It starts what it is told to start, also without free resources.
   bool StartsBeyondCapacity = false;
   bool FailsAllRuns = false; // Each run fails after 50 ms.
