Scheduling: leases rest on clocks that workers answer with, not on reports

Cause: a lease is an instant of the worker's clock, and the highest reading of it is kept as a lower bound. A report's reading counted too. One report of another writer 0.4 s ahead lengthens all leases after it by 0.25 s more than the margin, until the clock falls back behind it at 2%. Change: only readings in the worker's own answers count. Measured: Incarnations.AReportedClockDoesNotLengthenLeases, red before (eight tasks twice), green now.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -148,8 +148,6 @@
   Table.update(*Tracked, Entry);
   Tracked->LastReportSequence = Report.Sequence;
   Tracked->LastReportAt = Timers.now();
-  // A report may have been under way for any time.
-  Table.recordClock(*Tracked, Instant(), Timers.now(), Report.ClockMs);
   if (!Changed)
     return Acknowledge(true);
   if (Tracked->Entry.Leaving != WasMarkedLeaving)
--- a/Tests/Jobs/IncarnationsTest.cpp
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -101,6 +101,27 @@
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
+// Reports may come from another writer; a lease must rest on the worker's own
+// answers.
+TEST(Incarnations, AReportedClockDoesNotLengthenLeases) {
+  SchedulerHarness Harness;
+  Harness.addPool("p", 4, 8);
+  Harness.beginLeadership();
+  Harness.advanceTime(milliseconds(100));
+  Harness.submitJob("a", "p", makeChainSpec(1, 8, 1000, 9000));
+  Harness.advanceTime(milliseconds(500));
+  const VirtualWorker &Worker = Harness.Workers.at("p-0");
+  Harness.Scheduler->handleReport(
+      {Worker.Entry, 1000,
+       toMillis(Harness.Timers.now() - Worker.StartedAt) + 400},
+      [](bool) {});
+  Harness.advanceTime(seconds(2));
+  Harness.Workers.at("p-0").Faults.IsUnreachable = true;
+  Harness.advanceTime(seconds(20));
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
 // A response holds a limited number of ends; what ended beyond them is neither
 // running nor listed as ended.
 TEST(Incarnations, ARunWhoseEndIsNotOnThePageIsNotStartedAgain) {
