Scheduling: a job recorded on an ended process waits for the next one

Cause: with placement records a new leader waits for the workers on a job's record alone. The record names the process that a start was ordered for; if the next process has taken it, that one is not on the record. Same class as the start for an ended process. Change: a worker on a record counts as unread while any process with its id is.

--- a/Source/Scheduling/DispatcherStarts.cpp
+++ b/Source/Scheduling/DispatcherStarts.cpp
@@ -211,9 +211,13 @@
 // Jobs of earlier leaders.
 
 bool Dispatcher::isUnread(const WorkerKey &Key) const {
-  return std::any_of(
-      UnsyncedWorkers.begin(), UnsyncedWorkers.end(),
-      [&](const auto &PoolAndKeys) { return PoolAndKeys.second.count(Key); });
+  // A start for an ended process may have been taken by the next one.
+  return std::any_of(UnsyncedWorkers.begin(), UnsyncedWorkers.end(),
+                     [&Key](const auto &PoolAndKeys) {
+                       auto It = PoolAndKeys.second.lower_bound({Key.Id, 0});
+                       return It != PoolAndKeys.second.end() &&
+                              It->Id == Key.Id;
+                     });
 }
 
 bool Dispatcher::hasUnreadWorkers() const {
