Pools: an accepted order ends the workers that it was sent for

What callers saw: a task could run twice at the same time (TWICE). A VM order that was carried out and not answered, or answered late, is answered with success once the VM's next worker is up and runs tasks; these tasks were then started elsewhere.

The cause: on success the scheduler removed every worker on the VM, by the VM's name, with its runs.

Maintenance and PoolMover now keep the incarnations that were on the VM when it was first ordered, and only these are removed. Workers that come up later stay. The answer to a maintenance order is also no longer taken for that of an order of another wave for the same VM.

--- a/Source/Pools/Maintenance.cpp
+++ b/Source/Pools/Maintenance.cpp
@@ -199,8 +199,9 @@
       return;
     if ((!Pace.IncludeBusyPools && isPoolBusy(Vm)) || !canPoolSpare(Vm))
       continue;
-    InProgress[Vm] = {Number, Stage::Draining, Timers.now(), Timers.now(),
-                      false};
+    VmMaintenance &Entry = InProgress[Vm];
+    Entry.Wave = Number;
+    Entry.Since = Entry.RetryAt = Timers.now();
     Scheduler.setCordoned(Vm, true);
     Hooks.LogEvent("maintenance_begins", {{"pool_vm", Vm},
                                           {"wave", Number},
@@ -225,6 +226,7 @@
     if (!IsIdle || !canOrder(Vm))
       return;
     Entry.CurrentStage = Stage::Ordering;
+    Entry.OrderedWorkers = Scheduler.workersOn(Vm);
   }
   if (Entry.CurrentStage == Stage::Ordering && !Entry.OrderInFlight &&
       Entry.RetryAt <= Timers.now())
@@ -240,17 +242,21 @@
   Entry.OrderInFlight = true;
   Scheduler.setCordoned(Vm, true);
   std::shared_ptr<bool> StillAlive = Alive;
-  Port.startMaintenance(Vm, Entry.Wave, Scheduler.token(), Hooks.MayIssueOrders,
-                        [this, StillAlive, Vm](VmOrderOutcome Outcome) {
-                          if (*StillAlive)
-                            handleOrderOutcome(Vm, Outcome);
-                        });
+  Port.startMaintenance(
+      Vm, Entry.Wave, Scheduler.token(), Hooks.MayIssueOrders,
+      [this, StillAlive, Wave = Entry.Wave, Vm](VmOrderOutcome Outcome) {
+        if (*StillAlive)
+          handleOrderOutcome(Wave, Vm, Outcome);
+      });
 }
 
-void Maintenance::handleOrderOutcome(const std::string &Vm,
+void Maintenance::handleOrderOutcome(uint64_t Wave, const std::string &Vm,
                                      VmOrderOutcome Outcome) {
   auto Found = InProgress.find(Vm);
-  if (Found == InProgress.end())
+  // The VM may have left meanwhile, and may be back in another wave.
+  bool IsAwaited = Found != InProgress.end() && Found->second.OrderInFlight &&
+                   Found->second.Wave == Wave;
+  if (!IsAwaited)
     return;
   VmMaintenance &Entry = Found->second;
   Entry.OrderInFlight = false;
@@ -260,7 +266,7 @@
   if (Outcome == VmOrderOutcome::Accepted) {
     Entry.CurrentStage = Stage::Ordered;
     Entry.Since = Timers.now();
-    Scheduler.onVmTerminated(Vm);
+    Scheduler.onWorkersTerminated(Entry.OrderedWorkers);
     return;
   }
   if (Outcome == VmOrderOutcome::Fenced)
--- a/Source/Pools/Maintenance.h
+++ b/Source/Pools/Maintenance.h
@@ -63,6 +63,10 @@
     Instant Since; // When draining began, or the order was accepted.
     Instant RetryAt;
     bool OrderInFlight = false;
+    /// The incarnations on the VM when it was first ordered, which the order
+    /// ends. Those that come up later run on, also when a repeated order is
+    /// answered.
+    std::set<WorkerKey> OrderedWorkers;
   };
 
   void onTick();
@@ -74,7 +78,8 @@
   /// outstanding.
   bool canOrder(const std::string &Vm) const;
   void sendOrder(const std::string &Vm, VmMaintenance &Entry);
-  void handleOrderOutcome(const std::string &Vm, VmOrderOutcome Outcome);
+  void handleOrderOutcome(uint64_t Wave, const std::string &Vm,
+                          VmOrderOutcome Outcome);
   void finishVm(uint64_t Wave, const std::string &Vm);
   bool hasUnfinishedWave() const;
   /// Returns how many VMs of the wave are being drained or are down, those
--- a/Source/Pools/PoolMover.cpp
+++ b/Source/Pools/PoolMover.cpp
@@ -141,13 +141,16 @@
                              {"wanted", Planner.targetVmCount(Chosen.To)}});
   std::shared_ptr<bool> StillAlive = Alive;
   Port.moveVm(Chosen.Vm, Chosen.To, Scheduler.token(), Hooks.MayIssueOrders,
-              [this, StillAlive, Chosen](VmOrderOutcome Outcome) {
+              [this, StillAlive, Chosen,
+               OrderedWorkers =
+                   Scheduler.workersOn(Chosen.Vm)](VmOrderOutcome Outcome) {
                 if (*StillAlive)
-                  handleOrderOutcome(Chosen, Outcome);
+                  handleOrderOutcome(Chosen, OrderedWorkers, Outcome);
               });
 }
 
 void PoolMover::handleOrderOutcome(const VmMove &Chosen,
+                                   const std::set<WorkerKey> &OrderedWorkers,
                                    VmOrderOutcome Outcome) {
   if (Outcome != VmOrderOutcome::Accepted)
     Hooks.LogEvent("vm_move_not_taken",
@@ -156,7 +159,7 @@
     return Hooks.OnDeposed();
   auto Found = InFlight.find(Chosen.Vm);
   if (Outcome == VmOrderOutcome::Accepted) {
-    Scheduler.onVmTerminated(Chosen.Vm);
+    Scheduler.onWorkersTerminated(OrderedWorkers);
     Vms[Chosen.Vm].Pool = Chosen.To;
     Vms[Chosen.Vm].Phase = VmPhase::Moving;
     if (Found != InFlight.end()) {
--- a/Source/Pools/PoolMover.h
+++ b/Source/Pools/PoolMover.h
@@ -62,7 +62,11 @@
   std::map<std::string, PoolDemand> collectDemands() const;
   std::vector<PoolVm> listCandidates();
   void sendOrder(const VmMove &Chosen);
-  void handleOrderOutcome(const VmMove &Chosen, VmOrderOutcome Outcome);
+  /// \p OrderedWorkers were on the VM when the order was sent; it ends no
+  /// others.
+  void handleOrderOutcome(const VmMove &Chosen,
+                          const std::set<WorkerKey> &OrderedWorkers,
+                          VmOrderOutcome Outcome);
 
   const ServiceConfiguration &Configuration;
   Dispatcher &Scheduler;
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -512,11 +512,15 @@
   return StartMs;
 }
 
-void Dispatcher::onVmTerminated(const std::string &Vm) {
-  std::vector<WorkerKey> Ended;
+std::set<WorkerKey> Dispatcher::workersOn(const std::string &Vm) const {
+  std::set<WorkerKey> Keys;
   for (const auto &[Key, Worker] : Table.all())
     if (Worker.Entry.Vm == Vm)
-      Ended.push_back(Key);
+      Keys.insert(Key);
+  return Keys;
+}
+
+void Dispatcher::onWorkersTerminated(const std::set<WorkerKey> &Ended) {
   for (const WorkerKey &Key : Ended)
     removeWorker(Key, "vm_ended", /*HasCrashed=*/false);
 }
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -233,9 +233,10 @@
   /// Returns when the VM's worker started, in Unix milliseconds, or zero if the
   /// VM has no known worker.
   int64_t workerStartTime(const std::string &Vm) const;
-  /// Removes the VM's workers. Called once a platform order has ended
-  /// everything that ran on the VM.
-  void onVmTerminated(const std::string &Vm);
+  /// Returns the incarnations that are known on the VM.
+  std::set<WorkerKey> workersOn(const std::string &Vm) const;
+  /// Removes workers that a platform order has ended, with everything on them.
+  void onWorkersTerminated(const std::set<WorkerKey> &Ended);
 
   /// Computes the capacity that the pool's jobs would use now if nothing held
   /// them up.
--- a/Tests/Jobs/PlacementRecordsTest.cpp
+++ b/Tests/Jobs/PlacementRecordsTest.cpp
@@ -427,7 +427,7 @@
   RecordingFleet Fleet(1);
   Fleet.submitJob("a", "p", makeChainSpec(1, 4, 1000, 200));
   Fleet.advanceTime(BeforeCommit);
-  Fleet.Scheduler->onVmTerminated("vm-p-0");
+  Fleet.Scheduler->onWorkersTerminated(Fleet.Scheduler->workersOn("vm-p-0"));
   Fleet.Workers.at("p-0").Faults.IsDown = true;
   Fleet.advanceTime(seconds(1));
   EXPECT_EQ(Fleet.startsOf("a"), 0);
--- a/Tests/Jobs/PoolsTest.cpp
+++ b/Tests/Jobs/PoolsTest.cpp
@@ -166,7 +166,7 @@
           break;
         }
     }
-    Fleet.Timers.scheduleAt(Fleet.Timers.now() + milliseconds(2), [Done, Lost] {
+    Fleet.Timers.scheduleAt(Fleet.Timers.now() + AnswerDelay, [Done, Lost] {
       Done(Lost ? VmOrderOutcome::Unanswered : VmOrderOutcome::Accepted);
     });
   }
@@ -178,6 +178,7 @@
   size_t MaxVmsDown = 0;
   size_t RunsAtOrder = 0;
   int AnswersToLose = 0;
+  Duration AnswerDelay = milliseconds(2); // For maintenance orders.
   std::vector<std::pair<Instant, std::string>> Moves;
   /// While set, move orders stay on the network.
   bool HoldsOrders = false;
@@ -387,6 +388,24 @@
   EXPECT_LE(Harness.Platform.MaxVmsDown, 1U);
 }
 
+// The answer to an order, or to its repetition, ends none of the workers that
+// have come up on the VM since: what runs there would be started again.
+TEST(Maintenance, LateAnswersEndNoLaterWorkers) {
+  for (int AnswersToLose : {0, 4}) {
+    MaintenanceHarness Harness(2, 1);
+    Harness.Platform.AnswersToLose = AnswersToLose;
+    Harness.Platform.AnswerDelay = milliseconds(1650);
+    for (int I = 0; I < 40; ++I) {
+      Harness.Fleet.submitJob("j" + std::to_string(I), "p",
+                              makeChainSpec(1, 16, 2000, 700));
+      Harness.Fleet.advanceTime(milliseconds(400));
+    }
+    Harness.Fleet.advanceTime(seconds(25));
+    EXPECT_TRUE(Harness.Fleet.Store.waves().at(1).isCompleted());
+    EXPECT_EQ(Harness.Fleet.Workers.Violations, std::vector<std::string>());
+  }
+}
+
 TEST(Maintenance, RemovedVmsCountAsMaintained) {
   MaintenanceHarness Harness(3, 1);
   Harness.Platform.RemovedVms.insert("vm-p-1");
