Pools: a VM whose move timed out is usable again

What callers saw: a VM whose move order was neither answered nor carried out got no tasks, and was not moved, as long as the leader led.

The cause: the mover forgot the move after its timeout, but left the VM cordoned.

The cordon now ends with the move: when the order is accepted, when it has timed out, or when a worker on the VM reports the other pool though the order was not answered.

PoolMover.AVmWhoseMoveTimedOutIsUsableAgain failed before (five VMs stay cordoned) and passes now.

--- a/Source/Pools/PoolMover.cpp
+++ b/Source/Pools/PoolMover.cpp
@@ -112,9 +112,7 @@
     requestVmList();
   if (!HasVmList)
     return;
-  std::erase_if(InFlight, [&](const auto &Item) {
-    return Timers.now() - Item.second.Since > Options.MoveTimeout;
-  });
+  endUnansweredMoves();
   std::map<std::string, size_t> Arriving;
   for (const auto &[Vm, Item] : InFlight)
     ++Arriving[Item.To];
@@ -132,6 +130,26 @@
   }
 }
 
+bool PoolMover::hasArrived(const std::string &Vm,
+                           const std::string &Pool) const {
+  const std::map<WorkerKey, TrackedWorker> &Workers = Scheduler.workers().all();
+  return std::any_of(Workers.begin(), Workers.end(), [&](const auto &Item) {
+    const WorkerEntry &Entry = Item.second.Entry;
+    return Entry.Vm == Vm && Entry.Pool == Pool;
+  });
+}
+
+void PoolMover::endUnansweredMoves() {
+  std::erase_if(InFlight, [this](const auto &Item) {
+    const auto &[Vm, Entry] = Item;
+    bool HasEnded = Timers.now() - Entry.Since > Options.MoveTimeout ||
+                    (!Entry.IsAccepted && hasArrived(Vm, Entry.To));
+    if (HasEnded)
+      Scheduler.setCordoned(Vm, false);
+    return HasEnded;
+  });
+}
+
 void PoolMover::sendOrder(const VmMove &Chosen) {
   InFlight[Chosen.Vm] = {Chosen.To, Timers.now(), false};
   Scheduler.setCordoned(Chosen.Vm, true);
@@ -159,6 +177,7 @@
     return Hooks.OnDeposed();
   auto Found = InFlight.find(Chosen.Vm);
   if (Outcome == VmOrderOutcome::Accepted) {
+    Scheduler.setCordoned(Chosen.Vm, false);
     Scheduler.onWorkersTerminated(OrderedWorkers);
     Vms[Chosen.Vm].Pool = Chosen.To;
     Vms[Chosen.Vm].Phase = VmPhase::Moving;
@@ -169,7 +188,7 @@
     return;
   }
   // An unanswered order may still be carried out. The VM gets no tasks until
-  // the move timeout has passed and a list shows where it is.
+  // its worker reports the other pool or the move timeout has passed.
   if (Outcome == VmOrderOutcome::Unanswered)
     return;
   Scheduler.setCordoned(Chosen.Vm, false);
--- a/Source/Pools/PoolMover.h
+++ b/Source/Pools/PoolMover.h
@@ -61,6 +61,11 @@
   void requestVmList();
   std::map<std::string, PoolDemand> collectDemands() const;
   std::vector<PoolVm> listCandidates();
+  /// Ends moves that have timed out, or that were carried out without an
+  /// answer.
+  void endUnansweredMoves();
+  /// Returns true if a worker on the VM reports the pool.
+  bool hasArrived(const std::string &Vm, const std::string &Pool) const;
   void sendOrder(const VmMove &Chosen);
   /// \p OrderedWorkers were on the VM when the order was sent; it ends no
   /// others.
--- a/Tests/Jobs/PoolsTest.cpp
+++ b/Tests/Jobs/PoolsTest.cpp
@@ -468,6 +468,20 @@
   EXPECT_FALSE(Harness.Platform.Orders.empty());
 }
 
+// A VM whose move was neither answered nor carried out was kept from tasks and
+// from moves for good.
+TEST(PoolMover, AVmWhoseMoveTimedOutIsUsableAgain) {
+  TakeoverHarness Harness;
+  Harness.Platform.HoldsOrders = true;
+  Harness.Fleet.advanceTime(seconds(3));
+  ASSERT_FALSE(Harness.Platform.HeldOrders.empty());
+  for (int I = 0; I < 30; ++I)
+    Harness.Fleet.cancelJob("j" + std::to_string(I));
+  Harness.Fleet.advanceTime(seconds(10));
+  for (const auto &[Key, Worker] : Harness.Fleet.Scheduler->workers().all())
+    EXPECT_FALSE(Worker.IsCordoned) << Key.Id;
+}
+
 TEST(WavePace, UsesTheLowestSufficientConcurrency) {
   WaveProgress Progress{20, 0, 10, seconds(49), milliseconds(4500)};
   EXPECT_EQ(computeWavePace(Progress), (WavePace{3, false}));
