Scheduling: workers that register on a claimed VM get no tasks

What callers saw: a worker that restarted or came up while its VM waited for an order to be repeated got tasks, which the repeated order ended.

The cause: a worker was cordoned only at the next tick of Maintenance, up to 0.1 s after it had registered, and an order was repeated without a look at what ran on the VM by then.

The scheduler now keeps the names of cordoned VMs and cordons a worker as it registers. Maintenance repeats an order only if the VM is idle, and lifts the cordon as soon as the order is accepted.

--- a/Source/Pools/Maintenance.cpp
+++ b/Source/Pools/Maintenance.cpp
@@ -211,8 +211,12 @@
 }
 
 void Maintenance::advanceVm(const std::string &Vm, VmMaintenance &Entry) {
-  // Also cordons a worker that has started on the VM in the meantime.
-  Scheduler.setCordoned(Vm, Entry.CurrentStage != Stage::Ordered);
+  if (Entry.CurrentStage == Stage::Ordered)
+    return;
+  // A move that was refused has taken the cordon back.
+  Scheduler.setCordoned(Vm, true);
+  if (Entry.OrderInFlight)
+    return;
   if (Entry.CurrentStage == Stage::Draining) {
     auto Listed = Vms.find(Vm);
     bool IsUnavailable =
@@ -222,15 +226,15 @@
       InProgress.erase(Vm);
       return;
     }
-    bool IsIdle = Scheduler.drainVm(Vm);
-    if (!IsIdle || !canOrder(Vm))
-      return;
-    Entry.CurrentStage = Stage::Ordering;
-    Entry.OrderedWorkers = Scheduler.workersOn(Vm);
   }
-  if (Entry.CurrentStage == Stage::Ordering && !Entry.OrderInFlight &&
-      Entry.RetryAt <= Timers.now())
-    sendOrder(Vm, Entry);
+  // A repeated order may be the first that is carried out, and would end a
+  // worker that has come up since.
+  bool IsIdle = Scheduler.drainVm(Vm);
+  if (!IsIdle || !canOrder(Vm) || Timers.now() < Entry.RetryAt)
+    return;
+  if (std::exchange(Entry.CurrentStage, Stage::Ordering) == Stage::Draining)
+    Entry.OrderedWorkers = Scheduler.workersOn(Vm);
+  sendOrder(Vm, Entry);
 }
 
 bool Maintenance::canOrder(const std::string &Vm) const {
@@ -240,7 +244,6 @@
 
 void Maintenance::sendOrder(const std::string &Vm, VmMaintenance &Entry) {
   Entry.OrderInFlight = true;
-  Scheduler.setCordoned(Vm, true);
   std::shared_ptr<bool> StillAlive = Alive;
   Port.startMaintenance(
       Vm, Entry.Wave, Scheduler.token(), Hooks.MayIssueOrders,
@@ -266,6 +269,7 @@
   if (Outcome == VmOrderOutcome::Accepted) {
     Entry.CurrentStage = Stage::Ordered;
     Entry.Since = Timers.now();
+    Scheduler.setCordoned(Vm, false);
     Scheduler.onWorkersTerminated(Entry.OrderedWorkers);
     return;
   }
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -146,6 +146,7 @@
   WorkerEntry Entry = Report.Entry;
   Entry.Leaving |= WasMarkedLeaving;
   Table.update(*Tracked, Entry);
+  Tracked->IsCordoned = CordonedVms.count(Entry.Vm) > 0;
   Tracked->LastReportSequence = Report.Sequence;
   Tracked->LastReportAt = Timers.now();
   if (!Changed)
@@ -359,6 +360,10 @@
 }
 
 void Dispatcher::setCordoned(const std::string &Vm, bool On) {
+  if (On)
+    CordonedVms.insert(Vm);
+  else
+    CordonedVms.erase(Vm);
   for (auto &[Key, Worker] : Table.all())
     if (Worker.Entry.Vm == Vm)
       Worker.IsCordoned = On;
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -220,8 +220,8 @@
     return PendingJobs;
   }
 
-  /// Sets whether new tasks are kept off the VM's workers, before maintenance
-  /// or a move.
+  /// Sets whether new tasks are kept off the VM's workers, also off those that
+  /// register later, before maintenance or a move.
   void setCordoned(const std::string &Vm, bool On);
   /// Stops each long-running task on the VM that its step can do without for
   /// now. Returns true once its workers are idle, as by isKnownIdle().
@@ -570,6 +570,7 @@
   const Instant StartedAt;
 
   WorkerTable Table;
+  std::set<std::string> CordonedVms;
   ResponseDelay Delay;
   Instant RenewalsCheckedAt;
   StartWindow Starts;
--- a/Tests/Jobs/PoolsTest.cpp
+++ b/Tests/Jobs/PoolsTest.cpp
@@ -150,6 +150,12 @@
   void startMaintenance(const std::string &Vm, uint64_t, uint64_t Token,
                         VmOrderGuard, OrderCallback Done) override {
     receiveToken(Vm, Token);
+    if (OrdersToLose > 0) {
+      --OrdersToLose;
+      Fleet.Timers.scheduleAt(Fleet.Timers.now() + AnswerDelay,
+                              [Done] { Done(VmOrderOutcome::Unanswered); });
+      return;
+    }
     bool Lost = AnswersToLose > 0;
     AnswersToLose -= Lost ? 1 : 0;
     if (!DownUntil.count(Vm)) {
@@ -177,6 +183,7 @@
   std::vector<std::pair<Instant, std::string>> Orders;
   size_t MaxVmsDown = 0;
   size_t RunsAtOrder = 0;
+  int OrdersToLose = 0; // Maintenance orders that never arrive.
   int AnswersToLose = 0;
   Duration AnswerDelay = milliseconds(2); // For maintenance orders.
   std::vector<std::pair<Instant, std::string>> Moves;
@@ -406,6 +413,27 @@
   }
 }
 
+// A worker that restarts while its VM waits for an order got tasks before the
+// next tick, which the repeated order ended.
+TEST(Maintenance, WorkersThatRegisterOnAClaimedVmGetNoTasks) {
+  MaintenanceHarness Harness(2, 1);
+  Harness.Platform.OrdersToLose = 1;
+  for (int I = 0; Harness.Platform.OrdersToLose > 0; ++I) {
+    ASSERT_LT(I, 1000);
+    Harness.Fleet.advanceTime(milliseconds(10));
+  }
+  for (const char *Id : {"p-0", "p-1"})
+    Harness.Fleet.Workers.restart(Id);
+  Harness.Fleet.submitJob("a", "p", makeChainSpec(1, 64, 1000, 2000));
+  // Both are known at once; the order is repeated 0.4 s after the first one.
+  Harness.Fleet.advanceTime(milliseconds(320));
+  Harness.Fleet.sendHeartbeats();
+  Harness.Fleet.advanceTime(seconds(25));
+  EXPECT_TRUE(Harness.Fleet.Store.waves().at(1).isCompleted());
+  EXPECT_EQ(Harness.Platform.RunsAtOrder, 0U);
+  EXPECT_EQ(Harness.Fleet.Workers.Violations, std::vector<std::string>());
+}
+
 TEST(Maintenance, RemovedVmsCountAsMaintained) {
   MaintenanceHarness Harness(3, 1);
   Harness.Platform.RemovedVms.insert("vm-p-1");
