Scheduling: a new leader looks in every pool that a job's queue has had

What callers saw: a task could run twice at the same time (TWICE) when a configuration directed its queue to another pool and the leader changed while workers of the former pool did not answer.

The cause: a new leader started an earlier leader's jobs once it had read the workers of the pool that the queue has now. Tasks that were started before may still run in the pool that the queue had then.

The job store notes under which configuration version a job was accepted, and a control VM notes for each queue since which version it has had its pool. A job that was accepted before waits for the workers of all pools; other changes of the configuration cost nothing. Commands are encoded as before.

LeaderChange.TasksMayStillRunInThePoolThatTheirQueueHadBefore failed before (three tasks run twice at once) and passes now. It also asserts that jobs whose queue has kept its pool, and those accepted since, do not wait.

--- a/Source/Core/JsonFields.h
+++ b/Source/Core/JsonFields.h
@@ -26,6 +26,11 @@
     if (!Value.empty())
       Out[Key] = Value;
   }
+  /// A number that is left out while it is zero.
+  template <class T> void number(const char *Key, T Value) const {
+    if (Value != 0)
+      Out[Key] = Value;
+  }
   /// A boolean that is left out while it is false.
   void flag(const char *Key, bool Value) const {
     if (Value)
@@ -45,6 +50,9 @@
     if (In.contains(Key))
       Value = In.at(Key).template get<T>();
   }
+  template <class T> void number(const char *Key, T &Value) const {
+    Value = In.value(Key, T(0));
+  }
   void flag(const char *Key, bool &Value) const {
     Value = In.value(Key, false);
   }
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -234,6 +234,8 @@
 
 void SchedulerDaemon::restore(const std::string &Data) {
   State.restore(Data);
+  HasMissedConfiguration |=
+      State.configurationVersion() != Configuration.Version;
   refreshConfiguration();
 }
 
@@ -245,8 +247,11 @@
           Ports.Configurations.read(State.configurationText(), Parsed)) {
     Events.log("configuration_unreadable",
                {{"version", State.configurationVersion()}, {"fault", *Fault}});
+    HasMissedConfiguration = true;
     return;
   }
+  bool IsNext = !std::exchange(HasMissedConfiguration, false);
+  Parsed.setPoolVersions(IsNext ? Configuration : ServiceConfiguration());
   Configuration = std::move(Parsed);
   Events.log("configuration_in_force", {{"version", Configuration.Version}});
   if (Scheduler)
--- a/Source/Fleet/SchedulerDaemon.h
+++ b/Source/Fleet/SchedulerDaemon.h
@@ -137,6 +137,8 @@
   std::unique_ptr<Replica> Group;
   JobStore State;
   ServiceConfiguration Configuration; // Parsed from State's text.
+  /// Some configuration after Configuration was skipped or not read.
+  bool HasMissedConfiguration = false;
   ConfigurationReply
       CompressedConfiguration; // Cached for the version last requested.
   // Set exactly while this VM is the leader and its leadership is committed.
--- a/Source/Jobs/JobStore.cpp
+++ b/Source/Jobs/JobStore.cpp
@@ -65,6 +65,7 @@
     return false;
   JobRecord &Record = It->second;
   Record.Job = Command;
+  Record.ConfigurationVersion = ConfigurationVersion;
   Record.Tasks.resize(Command.Spec.Recurrence.occurrences());
   for (auto &Occurrence : Record.Tasks)
     for (const StepSpec &Step : Command.Spec.Steps) {
--- a/Source/Jobs/JobStore.h
+++ b/Source/Jobs/JobStore.h
@@ -43,6 +43,9 @@
   /// Registered workers on which tasks of the job may have been started, if
   /// Job.RecordsPlacements. Cleared when the job has ended.
   std::set<WorkerKey> Placements;
+  /// The version that was in force when the job was accepted; zero in snapshots
+  /// of earlier versions.
+  uint64_t ConfigurationVersion = 0;
   bool operator==(const JobRecord &) const = default;
 
   bool hasEnded() const {
@@ -57,6 +60,7 @@
     Field("open", Self.UnfinishedTasks);
     Field.list("losses", Self.Losses);
     Field.list("placements", Self.Placements);
+    Field.number("version", Self.ConfigurationVersion);
   }
 };
 
--- a/Source/Jobs/ServiceConfiguration.cpp
+++ b/Source/Jobs/ServiceConfiguration.cpp
@@ -53,6 +53,15 @@
   return Best;
 }
 
+void ServiceConfiguration::setPoolVersions(
+    const ServiceConfiguration &Previous) {
+  for (QueueConfiguration &Queue : Queues) {
+    const QueueConfiguration *Earlier = Previous.findQueue(Queue.Name);
+    bool HasKeptPool = Earlier != nullptr && Earlier->Pool == Queue.Pool;
+    Queue.PoolSince = HasKeptPool ? Earlier->PoolSince : Version;
+  }
+}
+
 std::string ServiceConfiguration::validationError() const {
   std::set<std::string> PoolNames;
   for (const PoolConfiguration &Pool : Pools)
--- a/Source/Jobs/ServiceConfiguration.h
+++ b/Source/Jobs/ServiceConfiguration.h
@@ -7,6 +7,7 @@
 
 #include "Jobs/JobTypes.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -37,6 +38,9 @@
   double Stretch = 1;
   bool IsPublic = false; // Callers need no key.
   std::optional<AdvicePolicy> Advice;
+  /// The version since which the queue is known to have had this pool; not part
+  /// of the text.
+  uint64_t PoolSince = 0;
   bool operator==(const QueueConfiguration &) const = default;
 };
 
@@ -78,6 +82,9 @@
   /// if none matches.
   const QueueConfiguration *matchQueue(std::string_view Host,
                                        std::string_view Path) const;
+  /// Sets PoolSince of each queue. \p Previous is the configuration that this
+  /// one replaced, or an empty one if some in between are not known.
+  void setPoolVersions(const ServiceConfiguration &Previous);
   /// Returns the first inconsistency of the configuration; empty if it is
   /// valid.
   std::string validationError() const;
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -98,6 +98,7 @@
     const QueueConfiguration *Queue = Configuration.findQueue(Job->job().Queue);
     Job->Pool = Queue == nullptr ? std::string() : Queue->Pool;
     if (Queue != nullptr) {
+      Job->PoolSince = Queue->PoolSince;
       Job->Priority = Queue->Priority;
       Job->NeedsAdvice = Queue->Advice.has_value();
     }
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -290,7 +290,8 @@
   /// known, and so none on the processes before it.
   void markRead(const WorkerKey &Key);
   /// Returns true if an earlier leader may have started tasks of the job that
-  /// are not known.
+  /// are not known: on recorded workers, or on any in the pools that the job's
+  /// queue may have had.
   bool mayHaveUnlocatedRuns(const JobProgress &Job) const;
   void reportUnlocatedJobs();
 
--- a/Source/Scheduling/DispatcherStarts.cpp
+++ b/Source/Scheduling/DispatcherStarts.cpp
@@ -239,7 +239,7 @@
   if (!Job.IsInherited || !hasUnreadWorkers())
     return false;
   if (!Options.RecordsPlacements || !Job.job().RecordsPlacements)
-    return !isReconciled(Job.Pool);
+    return Job.mayHaveChangedPool() || !isReconciled(Job.Pool);
   return std::any_of(Job.InheritedWorkers.begin(), Job.InheritedWorkers.end(),
                      [this](const WorkerKey &Key) { return isUnread(Key); });
 }
--- a/Source/Scheduling/JobProgress.cpp
+++ b/Source/Scheduling/JobProgress.cpp
@@ -12,11 +12,11 @@
 JobProgress::JobProgress(const JobRecord &Record,
                          const QueueConfiguration &Queue, uint32_t FirstAttempt,
                          Instant AcceptedAt)
-    : Pool(Queue.Pool), Priority(Queue.Priority),
+    : Pool(Queue.Pool), PoolSince(Queue.PoolSince), Priority(Queue.Priority),
       NeedsAdvice(Queue.Advice.has_value()),
       MaxAttempts(Record.Job.MaxAttempts), AcceptedAt(AcceptedAt),
-      Job(Record.Job), FirstAttempt(FirstAttempt),
-      LongRunning(Record.Job.Spec.isLongRunning()) {
+      Job(Record.Job), ConfigurationVersion(Record.ConfigurationVersion),
+      FirstAttempt(FirstAttempt), LongRunning(Record.Job.Spec.isLongRunning()) {
   auto StretchedMs = static_cast<int64_t>(
       Queue.Stretch * static_cast<double>(Job.Spec.criticalPathMs()));
   Objective = AcceptedAt + milliseconds(StretchedMs + Queue.TargetMs);
--- a/Source/Scheduling/JobProgress.h
+++ b/Source/Scheduling/JobProgress.h
@@ -94,6 +94,9 @@
   const AcceptJob &job() const { return Job; }
   const StepSpec &stepSpec(uint32_t Step) const { return Job.Spec.Steps[Step]; }
   bool isLongRunning() const { return LongRunning; }
+  /// Returns true if the job's queue may have had another pool since the job
+  /// was accepted.
+  bool mayHaveChangedPool() const { return ConfigurationVersion < PoolSince; }
 
   /// Returns true if all steps that this one depends on are done.
   bool isReady(uint32_t Occurrence, uint32_t Step) const;
@@ -125,6 +128,8 @@
 
   std::vector<OccurrenceProgress> Occurrences;
   std::string Pool;
+  /// The configuration version since which the queue has had this pool.
+  uint64_t PoolSince = 0;
   int64_t Priority = 0;
   /// Only workers with a ticket from the advice service may run its steps.
   bool NeedsAdvice = false;
@@ -147,6 +152,7 @@
 private:
   // A copy, since the store may be replaced during the lifetime of this object.
   const AcceptJob Job;
+  const uint64_t ConfigurationVersion; // When the job was accepted.
   uint32_t FirstAttempt;
   bool LongRunning;
 };
--- a/Tests/Jobs/LeaderChangeTest.cpp
+++ b/Tests/Jobs/LeaderChangeTest.cpp
@@ -104,6 +104,37 @@
   EXPECT_EQ(Running, 3U);
 }
 
+// A queue was directed to another pool while its tasks ran. A new leader looked
+// for them in the new pool alone and started them again there.
+TEST(LeaderChange, TasksMayStillRunInThePoolThatTheirQueueHadBefore) {
+  SchedulerHarness Harness;
+  Harness.addPool("p", 3, 8);
+  Harness.addPool("q", 2, 8);
+  Harness.beginLeadership();
+  Harness.advanceTime(milliseconds(100));
+  Harness.submitJob("a", "p", makeChainSpec(1, 3, 1000, 20000));
+  Harness.submitJob("c", "q", makeChainSpec(2, 1, 1000, 300));
+  Harness.advanceTime(milliseconds(100));
+  Harness.Scheduler.reset();
+  Harness.Store.apply(PutConfiguration{2, {}});
+  ServiceConfiguration Previous = Harness.Configuration;
+  Harness.Configuration.Version = 2;
+  Harness.Configuration.Queues.front().Pool = "q";
+  Harness.Configuration.setPoolVersions(Previous);
+  Harness.submitJob("b", "p", makeChainSpec(1, 2, 1000, 200));
+  Harness.Store.restore(Harness.Store.snapshot());
+  for (const char *Id : {"p-0", "p-1", "p-2"})
+    Harness.Workers.at(Id).Faults.IsUnreachable = true;
+  Harness.beginLeadership();
+  Harness.advanceTime(seconds(2));
+  // Jobs that can have run in one pool alone wait for no other.
+  EXPECT_EQ(Harness.jobState("b"), JobState::Completed);
+  EXPECT_EQ(Harness.jobState("c"), JobState::Completed);
+  Harness.advanceTime(seconds(25));
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
 TEST(LeaderChange, ADeposedLeaderIssuesNoOrders) {
   SchedulerHarness Harness;
   Harness.addPool("p", 1, 8);
