Fleet: results of an earlier process's orders are ignored

A control VM that led, restarted and led again could take a carrier's late response to an order of its earlier process for that to another order. A refusal taken so frees a run that has started, and the task is started again elsewhere.

The cause: the ids of carried orders began at one in each process, and results carry nothing else.

Ids now begin with the term of the leadership. The metric of carried orders has a counter of its own. The encoding is the same.

Carrier.ResultsOfAnEarlierProcessesOrdersAreIgnored failed before (the response of the other order arrived) and passes now.

--- a/Source/Fleet/CarriedOrders.h
+++ b/Source/Fleet/CarriedOrders.h
@@ -18,7 +18,7 @@
 
 /// One order of the leader, to be carried to a worker.
 struct CarriedOrder {
-  uint64_t Id = 0; // Unique for the sender's process.
+  uint64_t Id = 0; // Unique among the orders of the leader's VM.
   WorkerKey Worker;
   std::string Address;
   WorkerOrder Order;
--- a/Source/Fleet/CarriedWorkerPort.cpp
+++ b/Source/Fleet/CarriedWorkerPort.cpp
@@ -17,6 +17,10 @@
 /// Longer than the carrier itself waits for a worker, with the way both ways.
 constexpr Duration CarriedOrderTimeout = milliseconds(1400);
 
+/// Ids begin with the term, so that a carrier's response to an order of this
+/// VM's earlier process is not taken for that to another order.
+constexpr int IdBitsPerTerm = 32;
+
 WorkerPort::PollCallback withoutLists(WorkerPort::OrderCallback Done) {
   return [Done = std::move(Done)](const PollResponse &Response) {
     Done({Response.Outcome, Response.ClockMs});
@@ -56,6 +60,7 @@
 void CarriedWorkerPort::setCarriers(
     const std::vector<CarrierAddress> &Addresses, uint64_t NewTerm) {
   Term = NewTerm;
+  LastId = std::max(LastId, NewTerm << IdBitsPerTerm);
   std::map<std::string, bool> Wanted;
   for (const CarrierAddress &Item : Addresses)
     Wanted[Item.Internal] = Item.IsKnownAlive;
@@ -106,6 +111,7 @@
                               WorkerOrder Order, Duration Timeout,
                               PollCallback Done) {
   uint64_t Id = ++LastId;
+  ++CarriedOrders;
   Pending[Id] = {Address, Loop.timers().now() + Timeout, std::move(Done)};
   Carriers.at(Address)->Sender->add({Id, To.Key, To.Address, std::move(Order)});
 }
--- a/Source/Fleet/CarriedWorkerPort.h
+++ b/Source/Fleet/CarriedWorkerPort.h
@@ -63,7 +63,7 @@
                      AdviceCallback Done) override;
 
   size_t usableCarriers() const;
-  uint64_t carriedOrders() const { return LastId; }
+  uint64_t carriedOrders() const { return CarriedOrders; }
 
 private:
   struct Carrier {
@@ -105,6 +105,7 @@
   std::map<std::string, std::unique_ptr<Carrier>> Carriers; // By address.
   std::map<uint64_t, PendingOrder> Pending;                 // By order id.
   uint64_t LastId = 0;
+  uint64_t CarriedOrders = 0;
   TimerId TickTimer = 0;
 };
 
--- a/Tests/Fleet/CarrierTest.cpp
+++ b/Tests/Fleet/CarrierTest.cpp
@@ -234,6 +234,30 @@
       encodeResults({{1, {OrderOutcome::Accepted, std::nullopt, {}, {}}}})));
 }
 
+// The response to an order of this VM's earlier process, whose ids began anew,
+// was taken for the response to another order: a refusal freed a run that had
+// started.
+TEST(Carrier, ResultsOfAnEarlierProcessesOrdersAreIgnored) {
+  CarrierHarness &Env = *new CarrierHarness();
+  Env.useCarrier();
+  Env.CarrierTerm = 3;
+  auto &Earlier = *new CarriedWorkerPort(Env.Loop, Env.DirectWorkers,
+                                         Env.LeaderAddress.text(),
+                                         [](const char *, const Json &) {});
+  Earlier.setCarriers({{Env.CarrierAddress.text(), true}}, 3);
+  bool IsFirstAnswered = false;
+  Env.CarriedTo.IsSilent = true;
+  Env.Leader.startRun(Env.Worker, Env.Order,
+                      [&](const OrderResponse &) { IsFirstAnswered = true; });
+  Env.runUntil([&] { return Env.CarriedTo.Starts.size() == 1; });
+  Env.CarriedTo.IsSilent = false;
+  Env.CarriedTo.Response.Outcome = OrderOutcome::NoCapacity;
+  Earlier.startRun(Env.Worker, Env.Order, [](const OrderResponse &) {});
+  Env.runUntil([&] { return Env.CarriedTo.Starts.size() == 2; });
+  EXPECT_EQ(Env.start(Env.Order), OrderOutcome::NoCapacity);
+  EXPECT_FALSE(IsFirstAnswered);
+}
+
 TEST(Carrier, ARemovedCarriersOrdersEndAsUnanswered) {
   CarrierHarness &Env = *new CarrierHarness();
   Env.useCarrier();
