Pools: a VM moves only if all its workers are idle

What callers saw: a move could end running tasks where two workers were known on one VM.

The cause: of the workers on a VM the mover looked at the last one by its key alone. A worker that has ended may still be known beside its successor, and either may be the last.

All workers on the VM must be idle now, and one of them reachable.

PoolMover.AVmWithABusyWorkerBesideAnIdleOneStays failed before (the VM was moved three times with a run on it) and passes now.

--- a/Source/Pools/PoolMover.cpp
+++ b/Source/Pools/PoolMover.cpp
@@ -71,10 +71,11 @@
 }
 
 std::vector<PoolVm> PoolMover::listCandidates() {
-  std::map<std::string, const TrackedWorker *> ByVm;
+  // A worker that has ended may still be known beside its successor.
+  std::map<std::string, std::vector<const TrackedWorker *>> ByVm;
   for (const auto &[Key, Worker] : Scheduler.workers().all())
     if (!Worker.Entry.Vm.empty())
-      ByVm[Worker.Entry.Vm] = &Worker;
+      ByVm[Worker.Entry.Vm].push_back(&Worker);
   std::vector<PoolVm> Result;
   for (const auto &[Name, Entry] : Vms) {
     // In an evacuated data centre a VM is of no use to any pool.
@@ -93,10 +94,14 @@
     const PoolConfiguration *Pool = Configuration.findPool(Entry.Pool);
     bool IsStandby = Pool != nullptr && Pool->Standby;
     if (Found != ByVm.end()) {
-      const TrackedWorker &Worker = *Found->second;
-      Vm.IsIdle = Scheduler.isKnownIdle(Worker);
-      Vm.IsMovable &= Worker.IsReachable && !Worker.Entry.Leaving &&
-                      !Worker.IsCordoned && Worker.Entry.Pool == Entry.Pool;
+      bool IsReachable = false;
+      for (const TrackedWorker *Worker : Found->second) {
+        IsReachable |= Worker->IsReachable;
+        Vm.IsIdle &= Scheduler.isKnownIdle(*Worker);
+        Vm.IsMovable &= !Worker->Entry.Leaving && !Worker->IsCordoned &&
+                        Worker->Entry.Pool == Entry.Pool;
+      }
+      Vm.IsMovable &= IsReachable;
     } else {
       Vm.IsMovable &= IsStandby;
     }
--- a/Tests/Jobs/PoolsTest.cpp
+++ b/Tests/Jobs/PoolsTest.cpp
@@ -510,6 +510,23 @@
     EXPECT_FALSE(Worker.IsCordoned) << Key.Id;
 }
 
+// Of two workers on one VM, such as a restarted one under a new id, only one
+// was looked at; the move ended the runs of the other.
+TEST(PoolMover, AVmWithABusyWorkerBesideAnIdleOneStays) {
+  TakeoverHarness Harness;
+  Harness.Fleet.Workers.at("spare-1").Entry.Vm = "vm-spare-0";
+  JobSpec Spec = makeChainSpec(1, 1, 1000, 60000);
+  Spec.Steps[0].RequiredLabel = "busy";
+  Harness.Fleet.Workers.at("spare-0").Entry.Labels = {"a", "r0", "busy"};
+  Harness.Fleet.submitJob("stays", "spare", Spec);
+  Harness.Fleet.sendHeartbeats();
+  Harness.Fleet.advanceTime(seconds(6));
+  ASSERT_EQ(Harness.Fleet.Workers.at("spare-0").Runs.size(), 1U);
+  ASSERT_FALSE(Harness.Platform.Moves.empty());
+  for (const auto &[At, Vm] : Harness.Platform.Moves)
+    EXPECT_NE(Vm, "vm-spare-0");
+}
+
 TEST(WavePace, UsesTheLowestSufficientConcurrency) {
   WaveProgress Progress{20, 0, 10, seconds(49), milliseconds(4500)};
   EXPECT_EQ(computeWavePace(Progress), (WavePace{3, false}));
