Links: an HTTP server frees what h2o refers to

The sanitized build reported leaks of HTTP servers: HttpServer had no destructor, so its h2o context and configuration were never disposed of, and connections that were open when it was destroyed referred to freed memory.

The server's native state is now an object of its own. When the server is destroyed it stops listening, answers pending requests with status 503 and ends idle connections; the state is freed at once without connections, and by the loop after the last one otherwise. h2o's timer for a graceful shutdown is unlinked first, since a context with a running timer cannot be disposed of.

LinksTests has a test that destroys a server with an idle connection and a pending request.

--- a/Source/Links/HttpServer.cpp
+++ b/Source/Links/HttpServer.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <new>
+#include <sys/socket.h>
 #include <utility>
+#include <vector>
 
 namespace mimosashunt {
 
@@ -24,7 +26,51 @@
 
 } // namespace
 
-HttpExchange::HttpExchange(HttpServer &Server, h2o_req_t *Native)
+/// What h2o refers to while a connection is open. It outlives its server until
+/// the last connection is closed.
+struct HttpServerState {
+  HttpServerState(EventLoop &Loop, HttpServer::Handler Handle,
+                  const HttpServerOptions &Options);
+  ~HttpServerState();
+  HttpServerState(const HttpServerState &) = delete;
+  HttpServerState &operator=(const HttpServerState &) = delete;
+
+  std::error_code listen(const SocketAddress &Address);
+  void beginShutdown();
+  /// Called when the server is destroyed; frees this object, at once or after
+  /// the last connection.
+  void release();
+
+  struct RequestHandler {
+    // The first member, since h2o passes the handler as a pointer to it.
+    h2o_handler_t Super;
+    HttpServerState *Owner;
+  };
+
+  /// A connection, and the means to find its server when it is closed.
+  struct Connection {
+    HttpServerState *Owner;
+    h2o_socket_t *Socket;
+  };
+
+  static int onRequest(h2o_handler_t *Self, h2o_req_t *Native);
+  static void onAccept(h2o_socket_t *Listener, const char *Error);
+  static void onClose(void *Closed);
+  static void onRequestDisposed(void *Holder);
+
+  EventLoop &Loop;
+  HttpServer::Handler Handle;
+  h2o_globalconf_t Config{};
+  h2o_context_t Context{};
+  h2o_accept_ctx_t AcceptContext{};
+  h2o_socket_t *Listener = nullptr;
+  bool IsShuttingDown = false;
+  bool IsReleased = false; // The server is destroyed.
+  std::set<Connection *> Connections;
+  std::set<HttpExchange *> PendingExchanges;
+};
+
+HttpExchange::HttpExchange(HttpServerState &Server, h2o_req_t *Native)
     : Server(Server), Native(Native) {
   Request.Method = toString(Native->input.method);
   std::string Path = toString(Native->input.path);
@@ -68,6 +114,7 @@
   if (gone() || HasResponse)
     return;
   setResponseHead(Head);
+  IsStream = true;
   Generator.Super.proceed = onProceed;
   Generator.Super.stop = onStop;
   Generator.Owner = this;
@@ -89,6 +136,14 @@
   flushStream();
 }
 
+void HttpExchange::abandon() {
+  constexpr int Unavailable = 503;
+  if (IsStream)
+    endStream();
+  else
+    respond({Unavailable, {}, {}});
+}
+
 void HttpExchange::flushStream() {
   if (gone() || IsSending || (BufferedBytes.empty() && !IsEnding))
     return;
@@ -108,8 +163,8 @@
 
 void HttpExchange::onStop(h2o_generator_t *, h2o_req_t *) {}
 
-HttpServer::HttpServer(EventLoop &Loop, Handler Handle,
-                       HttpServerOptions Options)
+HttpServerState::HttpServerState(EventLoop &Loop, HttpServer::Handler Handle,
+                                 const HttpServerOptions &Options)
     : Loop(Loop), Handle(std::move(Handle)) {
   h2o_config_init(&Config);
   Config.max_request_entity_size = Options.MaxBodyBytes;
@@ -128,7 +183,15 @@
   AcceptContext.hosts = Config.hosts;
 }
 
-std::error_code HttpServer::listen(const SocketAddress &Address) {
+HttpServerState::~HttpServerState() {
+  // Started by h2o_context_request_shutdown(); a context can be disposed of
+  // only without running timers.
+  h2o_timeout_unlink(&Context.http2._graceful_shutdown_timeout);
+  h2o_context_dispose(&Context);
+  h2o_config_dispose(&Config);
+}
+
+std::error_code HttpServerState::listen(const SocketAddress &Address) {
   int Descriptor = -1;
   if (std::error_code Error = Address.listen(Descriptor))
     return Error;
@@ -139,7 +202,7 @@
   return {};
 }
 
-void HttpServer::beginShutdown() {
+void HttpServerState::beginShutdown() {
   if (IsShuttingDown)
     return;
   IsShuttingDown = true;
@@ -151,30 +214,57 @@
   h2o_context_request_shutdown(&Context);
 }
 
-void HttpServer::onAccept(h2o_socket_t *Listener, const char *Error) {
+void HttpServerState::release() {
+  beginShutdown();
+  IsReleased = true;
+  std::vector<std::shared_ptr<HttpExchange>> Unanswered;
+  for (HttpExchange *Exchange : PendingExchanges)
+    Unanswered.push_back(Exchange->shared_from_this());
+  for (const std::shared_ptr<HttpExchange> &Exchange : Unanswered) {
+    Exchange->DisconnectCallback = {};
+    Exchange->abandon();
+  }
+  if (Connections.empty()) {
+    delete this;
+    return;
+  }
+  // h2o closes an idle connection when the loop reads the end of the stream,
+  // and the others after their response.
+  for (const Connection *Open : Connections)
+    shutdown(h2o_socket_get_fd(Open->Socket), SHUT_RD);
+}
+
+void HttpServerState::onAccept(h2o_socket_t *Listener, const char *Error) {
   if (Error != nullptr)
     return;
-  auto *Self = static_cast<HttpServer *>(Listener->data);
+  auto *Self = static_cast<HttpServerState *>(Listener->data);
   for (size_t I = 0; I < MaxAcceptsPerTurn; ++I) {
     h2o_socket_t *Socket = h2o_evloop_socket_accept(Listener);
     if (Socket == nullptr)
       return;
-    ++Self->OpenConnectionCount;
+    auto *Accepted = new Connection{Self, Socket};
+    Self->Connections.insert(Accepted);
     Socket->on_close.cb = onClose;
-    Socket->on_close.data = Self;
+    Socket->on_close.data = Accepted;
     h2o_accept(&Self->AcceptContext, Socket);
   }
 }
 
-void HttpServer::onClose(void *Self) {
-  --static_cast<HttpServer *>(Self)->OpenConnectionCount;
+void HttpServerState::onClose(void *Closed) {
+  auto *Ended = static_cast<Connection *>(Closed);
+  HttpServerState *Self = Ended->Owner;
+  Self->Connections.erase(Ended);
+  delete Ended;
+  // Deferred, since h2o still removes the connection from the context's list.
+  if (Self->IsReleased && Self->Connections.empty())
+    Self->Loop.defer([Self] { delete Self; });
 }
 
-void HttpServer::onRequestDisposed(void *Holder) {
+void HttpServerState::onRequestDisposed(void *Holder) {
   auto *TypedHolder = static_cast<ExchangeHolder *>(Holder);
   std::shared_ptr<HttpExchange> Exchange = std::move(TypedHolder->Exchange);
   TypedHolder->~ExchangeHolder();
-  --Exchange->Server.PendingExchangeCount;
+  Exchange->Server.PendingExchanges.erase(Exchange.get());
   Exchange->Native = nullptr;
   std::function<void()> OnDisconnect =
       std::exchange(Exchange->DisconnectCallback, {});
@@ -182,16 +272,39 @@
     OnDisconnect();
 }
 
-int HttpServer::onRequest(h2o_handler_t *Handler, h2o_req_t *Native) {
-  HttpServer *Self = reinterpret_cast<RequestHandler *>(Handler)->Owner;
+int HttpServerState::onRequest(h2o_handler_t *Handler, h2o_req_t *Native) {
+  HttpServerState *Self = reinterpret_cast<RequestHandler *>(Handler)->Owner;
+  if (Self->IsReleased) {
+    Native->http1_is_persistent = 0;
+    h2o_send_error_503(Native, "-", "", 0);
+    return 0;
+  }
   auto Exchange = std::make_shared<HttpExchange>(*Self, Native);
   void *Memory = h2o_mem_alloc_shared(&Native->pool, sizeof(ExchangeHolder),
                                       onRequestDisposed);
   new (Memory) ExchangeHolder{Exchange};
-  ++Self->PendingExchangeCount;
+  Self->PendingExchanges.insert(Exchange.get());
   Self->Loop.refresh();
   Self->Handle(std::move(Exchange));
   return 0;
 }
 
+HttpServer::HttpServer(EventLoop &Loop, Handler Handle,
+                       HttpServerOptions Options)
+    : State(new HttpServerState(Loop, std::move(Handle), Options)) {}
+
+HttpServer::~HttpServer() { State->release(); }
+
+std::error_code HttpServer::listen(const SocketAddress &Address) {
+  return State->listen(Address);
+}
+
+void HttpServer::beginShutdown() { State->beginShutdown(); }
+
+size_t HttpServer::openConnections() const { return State->Connections.size(); }
+
+size_t HttpServer::pendingExchanges() const {
+  return State->PendingExchanges.size();
+}
+
 } // namespace mimosashunt
--- a/Source/Links/HttpServer.h
+++ b/Source/Links/HttpServer.h
@@ -10,17 +10,18 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 
 namespace mimosashunt {
 
-class HttpServer;
+struct HttpServerState;
 
 /// One request and the means to respond to it. Used on the loop's thread only.
 class HttpExchange : public std::enable_shared_from_this<HttpExchange> {
 public:
-  HttpExchange(HttpServer &Server, h2o_req_t *Native);
+  HttpExchange(HttpServerState &Server, h2o_req_t *Native);
   HttpExchange(const HttpExchange &) = delete;
   HttpExchange &operator=(const HttpExchange &) = delete;
 
@@ -47,7 +48,7 @@
   void endStream();
 
 private:
-  friend class HttpServer;
+  friend struct HttpServerState;
   struct StreamGenerator {
     // The first member, since h2o passes the generator as a pointer to it.
     h2o_generator_t Super;
@@ -57,10 +58,12 @@
   static void onProceed(h2o_generator_t *Self, h2o_req_t *Native);
   static void onStop(h2o_generator_t *Self, h2o_req_t *Native);
   void setResponseHead(const HttpResponse &Response);
+  /// Ends the request for a server that is destroyed.
+  void abandon();
   /// Passes buffered stream data to h2o unless it still sends earlier data.
   void flushStream();
 
-  HttpServer &Server;
+  HttpServerState &Server; // Only valid until the request has ended.
   h2o_req_t *Native;
   HttpRequest Request;
   bool HasResponse = false; // Started or sent.
@@ -68,6 +71,7 @@
   StreamGenerator Generator{};
   std::string BufferedBytes; // Not yet passed to h2o.
   std::string BytesInFlight; // Passed to h2o, which still refers to them.
+  bool IsStream = false;     // Started as a stream.
   bool IsSending = false;    // h2o has not asked for more data yet.
   bool IsEnding = false;     // The next send is the last one.
 };
@@ -85,6 +89,10 @@
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
   HttpServer(EventLoop &Loop, Handler Handle, HttpServerOptions Options = {});
+  /// Stops listening and ends all connections. Pending requests are answered
+  /// with status 503, and their callbacks are not called any more. The loop
+  /// frees what h2o refers to once all connections are closed.
+  ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
 
@@ -96,32 +104,12 @@
   void beginShutdown();
 
   /// Open connections, idle ones included.
-  size_t openConnections() const { return OpenConnectionCount; }
+  size_t openConnections() const;
   /// Requests that are not completely answered yet.
-  size_t pendingExchanges() const { return PendingExchangeCount; }
+  size_t pendingExchanges() const;
 
 private:
-  friend class HttpExchange;
-  struct RequestHandler {
-    // The first member, since h2o passes the handler as a pointer to it.
-    h2o_handler_t Super;
-    HttpServer *Owner;
-  };
-
-  static int onRequest(h2o_handler_t *Self, h2o_req_t *Native);
-  static void onAccept(h2o_socket_t *Listener, const char *Error);
-  static void onClose(void *Self);
-  static void onRequestDisposed(void *Holder);
-
-  EventLoop &Loop;
-  Handler Handle;
-  h2o_globalconf_t Config{};
-  h2o_context_t Context{};
-  h2o_accept_ctx_t AcceptContext{};
-  h2o_socket_t *Listener = nullptr;
-  bool IsShuttingDown = false;
-  size_t OpenConnectionCount = 0;
-  size_t PendingExchangeCount = 0;
+  HttpServerState *State; // Frees itself after the last connection.
 };
 
 } // namespace mimosashunt
--- a/Tests/Links/HttpTest.cpp
+++ b/Tests/Links/HttpTest.cpp
@@ -318,5 +318,40 @@
   EXPECT_EQ(Server->openConnections(), 0U);
 }
 
+// A connection referred to its server's configuration after the server was
+// destroyed.
+TEST(Http, AServerCanBeDestroyedWhileConnectionsAreOpen) {
+  HttpFixture Env;
+  SocketAddress Address = freeAddress();
+  std::shared_ptr<HttpExchange> Pending;
+  bool IsGoneReported = false;
+  auto Server = std::make_unique<HttpServer>(
+      Env.Loop, [&](const std::shared_ptr<HttpExchange> &Exchange) {
+        if (Exchange->request().Path == "/x")
+          return Exchange->respond({200, {}, ""});
+        Exchange->onGone([&] { IsGoneReported = true; });
+        Pending = Exchange;
+      });
+  ASSERT_FALSE(Server->listen(Address));
+  std::optional<HttpResult> Result;
+  Env.Client.send(Address, {"GET", "/pending", "", {}, ""}, seconds(5),
+                  [&](const HttpResult &Received) { Result = Received; });
+  Env.call(Address, Get); // Leaves an idle connection.
+  while (!Pending)
+    Env.Loop.runOnce();
+  EXPECT_EQ(Server->openConnections(), 2U);
+  Server.reset();
+  EXPECT_TRUE(std::holds_alternative<HttpNotSent>(Env.call(Address, Get)));
+  HttpServer(Env.Loop, [](const auto &) {}).beginShutdown();
+  Pending->respond({200, {}, "late"});
+  while (!Result || !Pending->gone())
+    Env.Loop.runOnce();
+  const auto *Response = std::get_if<HttpResponse>(&*Result);
+  ASSERT_NE(Response, nullptr);
+  EXPECT_EQ(Response->Status, 503);
+  EXPECT_FALSE(IsGoneReported);
+  EXPECT_EQ(Pending.use_count(), 1);
+}
+
 } // namespace
 } // namespace mimosashunt::test
