Daemon: texts that are not UTF-8 no longer end a process

An entry VM that received an announcement of a backend server with a byte that is not UTF-8 ended with an uncaught exception: the diagnostic of the JSON library quotes the byte, and the answer with that diagnostic could not be written as JSON. The same held for a span whose tag has such a byte, for example the queue in the path of a caller's request, if spans are written to a file.

Responses, spans and events are now written by toText(), which replaces such bytes. EntryDaemon.AnswersMalformedAnnouncements and Tracing.TagsThatAreNoUtf8AreWritten aborted before and pass now.

--- a/Source/Control/AdminApi.cpp
+++ b/Source/Control/AdminApi.cpp
@@ -30,7 +30,7 @@
   Json Body = Fields.is_object() ? std::move(Fields) : Json::object();
   Body["status"] = Status;
   Body["detail"] = Detail;
-  return jsonResponse(Status, Body.dump());
+  return jsonResponse(Status, toText(Body));
 }
 
 HttpResponse unauthorizedResponse() {
@@ -83,7 +83,7 @@
     Fields["accepted"] = true;
     if (!Result.Detail.empty())
       Fields["detail"] = Result.Detail;
-    return jsonResponse(Ok, Fields.dump());
+    return jsonResponse(Ok, toText(Fields));
   case CommandStatus::Conflict:
     return problemResponse(ConflictStatus, Result.Detail, std::move(Fields));
   case CommandStatus::NotFound:
@@ -138,7 +138,7 @@
   if (!Core.bootstrap(FirstOperator))
     return problemResponse(ConflictStatus,
                            "this disk belongs to a group already");
-  return jsonResponse(Ok, Json{{"founded", true}}.dump());
+  return jsonResponse(Ok, toText({{"founded", true}}));
 }
 
 void AdminApi::handle(const HttpRequest &Request,
@@ -165,7 +165,7 @@
   if (!parseChange(Request, Command.Action, Response))
     return Respond(Response);
   if (Request.Query == "dryRun=true")
-    return Respond(jsonResponse(Ok, Json{{"valid", true}}.dump()));
+    return Respond(jsonResponse(Ok, toText({{"valid", true}})));
   Core.submit(Command, [Respond](const SubmitResult &Result) {
     if (const auto *Completed = std::get_if<CommandResult>(&Result))
       Respond(commandResponse(*Completed));
@@ -208,7 +208,7 @@
   } else if (Path.size() != 2 || !buildView(ViewName, Body)) {
     return false;
   }
-  Response = jsonResponse(Ok, Body.dump());
+  Response = jsonResponse(Ok, toText(Body));
   return true;
 }
 
--- a/Source/Control/ControlDaemon.cpp
+++ b/Source/Control/ControlDaemon.cpp
@@ -154,7 +154,7 @@
     Sample.Revision = Core.state().revision();
     Sample.VoterCount = Core.raft().membership().Voters.size();
     if (HasScreens)
-      Sample.FleetJson = fleetView(Core, Task.timers().now()).dump();
+      Sample.FleetJson = toText(fleetView(Core, Task.timers().now()));
     for (const ControlPeer &Peer : Settings.Peers)
       if (!Sample.IsLeader && Peer.Vm.Vm == Core.leaderVm() &&
           Peer.Vm.Vm != Settings.Self.Vm)
--- a/Source/Core/JsonFields.h
+++ b/Source/Core/JsonFields.h
@@ -15,6 +15,13 @@
 
 using Json = nlohmann::json;
 
+/// Returns the text of \p Value on one line. Bytes that are no UTF-8, which
+/// names and texts from outside may hold, are replaced by U+FFFD; dump() would
+/// throw.
+inline std::string toText(const Json &Value) {
+  return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 /// Writes each described field into a JSON object under its key.
 struct FieldWriter {
   Json &Out;
--- a/Source/Daemon/Tracing.cpp
+++ b/Source/Daemon/Tracing.cpp
@@ -79,7 +79,7 @@
   void write(Json Line) {
     Line["process"] = Process;
     std::lock_guard<std::mutex> Lock(Mutex);
-    Out << Line.dump() << '\n' << std::flush;
+    Out << toText(Line) << '\n' << std::flush;
   }
 
 private:
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -44,8 +44,7 @@
 }
 
 HttpResponse problemResponse(int Status, const std::string &Detail) {
-  return jsonResponse(Status,
-                      Json{{"status", Status}, {"detail", Detail}}.dump());
+  return jsonResponse(Status, toText({{"status", Status}, {"detail", Detail}}));
 }
 
 /// Copies a header if it is present and not empty.
@@ -212,7 +211,7 @@
   }
   if (std::optional<AnnouncementReply> Reply =
           Core.handleAnnouncement(Announcement))
-    Exchange->respond(jsonResponse(200, Json(*Reply).dump()));
+    Exchange->respond(jsonResponse(200, toText(*Reply)));
   else
     Exchange->respond(
         problemResponse(Unavailable, "stopping; announce elsewhere"));
--- a/Source/Entry/OutcomeCodec.cpp
+++ b/Source/Entry/OutcomeCodec.cpp
@@ -57,7 +57,7 @@
                {"outcome", OutcomeName}};
   if (RetryAfter)
     Body["retryAfterMillis"] = toMillis(*RetryAfter);
-  HttpResponse Response = jsonResponse(Status, Body.dump());
+  HttpResponse Response = jsonResponse(Status, toText(Body));
   Response.Headers.push_back({headers::Outcome, OutcomeName});
   if (RetryAfter) {
     int64_t Seconds =
--- a/Source/Fleet/EventLog.cpp
+++ b/Source/Fleet/EventLog.cpp
@@ -140,10 +140,8 @@
   Fields["event"] = EventName;
   // LOG4CXX_INFO would first convert the line from the locale's character set.
   static_assert(std::is_same_v<log4cxx::LogString, std::string>);
-  Logger->forcedLogLS(
-      log4cxx::Level::getInfo(),
-      Fields.dump(-1, ' ', false, Json::error_handler_t::replace),
-      LOG4CXX_LOCATION);
+  Logger->forcedLogLS(log4cxx::Level::getInfo(), toText(Fields),
+                      LOG4CXX_LOCATION);
 }
 
 void EventLog::flush() {
--- /dev/null
+++ b/Tests/Daemon/EntryDaemonTest.cpp
@@ -0,0 +1,56 @@
+// Tests an entry VM's daemon with messages of other writers that are malformed.
+
+#include "Entry/EntryDaemon.h"
+#include "Links/HttpClient.h"
+#include "Support/ListeningPort.h"
+
+#include <gtest/gtest.h>
+#include <optional>
+#include <thread>
+
+namespace mimosashunt::test {
+namespace {
+
+// Guards against a diagnostic that quotes the sender's bytes and so is no UTF-8
+// either, which ended the process.
+TEST(EntryDaemon, AnswersMalformedAnnouncements) {
+  EntrySettings Settings;
+  Settings.ListenAddress = freeAddress();
+  Settings.PeerListenAddress = freeAddress();
+  Settings.Self = {"entry-1", "dc-1", Settings.PeerListenAddress.text()};
+  Settings.EntryVms = {Settings.Self};
+  Settings.ControlAddresses = {freeAddress()};
+  Settings.StopGrace = milliseconds(1);
+  EntryDaemon Daemon(Settings);
+  ASSERT_FALSE(Daemon.listen());
+  std::thread Thread([&Daemon] { Daemon.run(); });
+  // h2o cannot destroy an event loop.
+  EventLoop &Loop = *new EventLoop();
+  HttpClient Client(Loop);
+  auto Announce = [&](const std::string &Body) {
+    std::optional<HttpResult> Result;
+    Client.send(Settings.PeerListenAddress,
+                {"POST", "/v1/backend-servers", {}, {}, Body}, seconds(5),
+                [&](const HttpResult &Received) { Result = Received; });
+    while (!Result)
+      Loop.runOnce();
+    const auto *Response = std::get_if<HttpResponse>(&*Result);
+    return Response == nullptr ? 0 : Response->Status;
+  };
+  Json Valid =
+      BackendAnnouncement{"b", "s", "vm", "127.0.0.1:80", 4, false, 1, {}};
+  for (const char *Address : {"127.0.0.1:99999", "127.0.0.1", "host:80", ""}) {
+    Json Announcement = Valid;
+    Announcement["address"] = Address;
+    EXPECT_EQ(Announce(Announcement.dump()), 400) << Address;
+  }
+  EXPECT_EQ(Announce("\"\xff"), 400);
+  EXPECT_EQ(Announce("{\"slots\":1e400}"), 400);
+  EXPECT_EQ(Announce(std::string(500000, '[')), 400);
+  EXPECT_EQ(Announce(Valid.dump()), 200);
+  Daemon.stop();
+  Thread.join();
+}
+
+} // namespace
+} // namespace mimosashunt::test
--- a/Tests/Daemon/TracingTest.cpp
+++ b/Tests/Daemon/TracingTest.cpp
@@ -33,6 +33,19 @@
   EXPECT_EQ(Child.at("tags").at("number"), 7);
 }
 
+// A queue's name in a caller's path that is no UTF-8 ended the process that
+// wrote the span.
+TEST(Tracing, TagsThatAreNoUtf8AreWritten) {
+  TemporaryFolder Folder;
+  std::string File = Folder.file("trace.jsonl");
+  Tracing Tracer("test", File, 1);
+  Tracer.start("span", "")->SetTag("queue", "a\xff");
+  std::string Line;
+  std::ifstream In(File);
+  ASSERT_TRUE(std::getline(In, Line));
+  EXPECT_EQ(Json::parse(Line).at("tags").at("queue"), "a\uFFFD");
+}
+
 TEST(Tracing, MalformedHeaderStartsNewTrace) {
   Tracing Tracer("test", "", 1);
   for (const char *Bad : {"", "00-x",
