Core: deeply nested CBOR no longer overflows the stack

Json::from_cbor() reads nested values recursively. A body of one million bytes 0x81, which the internal server of a control VM and the peer address of an entry VM accept, ended the process. The direct decoder refuses such bytes, but what it refuses is read again by the general one for the sake of earlier versions.

All decoders of messages, commands and stored state use it. Decoders.DeeplyNestedMessagesAreRefused and CommandCodec.DeeplyNestedMessagesAreRefused ended with a segmentation fault before and pass now.

--- a/Source/Core/FleetCommands.cpp
+++ b/Source/Core/FleetCommands.cpp
@@ -17,7 +17,7 @@
 
 bool decodeCommand(const std::string &Bytes, FleetCommand &Command) {
   try {
-    Json In = Json::from_cbor(Bytes);
+    Json In = readCbor(Bytes);
     Command.OperationId = In.at("id").get<std::string>();
     Command.Operator = In.at("operator").get<std::string>();
     Command.Action = kindFromJson<FleetAction>(In.at("action"));
--- a/Source/Core/FleetState.cpp
+++ b/Source/Core/FleetState.cpp
@@ -391,7 +391,7 @@
 
 bool FleetState::restore(const std::string &Bytes) {
   try {
-    FleetState Restored = Json::from_cbor(Bytes).get<FleetState>();
+    FleetState Restored = readCbor(Bytes).get<FleetState>();
     *this = std::move(Restored);
     return true;
   } catch (const std::exception &) {
--- a/Source/Core/JsonFields.h
+++ b/Source/Core/JsonFields.h
@@ -22,6 +22,12 @@
   return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+/// Reads CBOR from outside into a tree. Throws an exception derived from
+/// std::exception if \p Bytes hold anything else than one value, or one that is
+/// nested more deeply than any message of the system; from_cbor() alone would
+/// overflow the stack.
+Json readCbor(const std::string &Bytes);
+
 /// Writes each described field into a JSON object under its key.
 struct FieldWriter {
   Json &Out;
--- a/Source/Core/RecordTransfer.cpp
+++ b/Source/Core/RecordTransfer.cpp
@@ -13,7 +13,7 @@
 
 std::optional<RecordPage> decodeRecordPage(const std::string &Bytes) {
   try {
-    auto Page = Json::from_cbor(Bytes).get<RecordPage>();
+    auto Page = readCbor(Bytes).get<RecordPage>();
     for (const TransferredRecord &Record : Page.Records)
       if (Record.State > RecordState::NotRun)
         return std::nullopt;
--- a/Source/Jobs/JobCommands.cpp
+++ b/Source/Jobs/JobCommands.cpp
@@ -11,10 +11,9 @@
 bool decodeJobCommand(const std::string &Bytes, JobCommand &Result) {
   if (kindFromCbor(Bytes, Result))
     return true;
-  // Commands of earlier versions, whose fields are ordered by name. An
-  // excessive size makes from_cbor() throw even if exceptions are off.
+  // Commands of earlier versions, whose fields are ordered by name.
   try {
-    Result = kindFromJson<JobCommand>(Json::from_cbor(Bytes));
+    Result = kindFromJson<JobCommand>(readCbor(Bytes));
     return true;
   } catch (const std::exception &) {
     return false;
--- a/Source/Jobs/JobCommands.h
+++ b/Source/Jobs/JobCommands.h
@@ -303,9 +303,8 @@
 template <class T> bool fromCbor(const std::string &Bytes, T &Result) {
   if (fieldsFromCbor(Bytes, Result))
     return true;
-  // An excessive size makes from_cbor() throw even if exceptions are off.
   try {
-    Result = Json::from_cbor(Bytes).template get<T>();
+    Result = readCbor(Bytes).template get<T>();
     return true;
   } catch (const std::exception &) {
     return false;
--- a/Source/Jobs/JobStore.cpp
+++ b/Source/Jobs/JobStore.cpp
@@ -304,7 +304,7 @@
   *this = {};
   if (Bytes.empty())
     return;
-  SnapshotContents Contents = snapshotFromJson(Json::from_cbor(Bytes));
+  SnapshotContents Contents = snapshotFromJson(readCbor(Bytes));
   for (JobRecord &Record : Contents.Jobs) {
     JobId Id = Record.Job.Job;
     Jobs.emplace(std::move(Id), std::move(Record));
--- a/Source/Rpc/RpcCodec.cpp
+++ b/Source/Rpc/RpcCodec.cpp
@@ -294,7 +294,7 @@
   Result.LeaderAddress = toString(In.getLeaderAddress());
   Result.LeaseMillis = In.getLeaseMillis();
   if (In.getConfiguration().size() > 0) {
-    Json Decoded = Json::from_cbor(toString(In.getConfiguration()));
+    Json Decoded = readCbor(toString(In.getConfiguration()));
     Result.Configuration = Decoded.get<EntryConfiguration>();
   }
   Result.Slices = readList<SliceGrant>(In.getSlices(), readGrant);
--- a/Source/Storage/DiskLog.cpp
+++ b/Source/Storage/DiskLog.cpp
@@ -140,7 +140,7 @@
 }
 
 Snapshot decodeSnapshot(const std::string &Bytes) {
-  Json In = Json::from_cbor(Bytes);
+  Json In = readCbor(Bytes);
   return {In.at("index").get<LogIndex>(), In.at("term").get<Term>(),
           membershipFromJson(In.at("members")), decodeBinary(In.at("data"))};
 }
@@ -194,7 +194,7 @@
     if (!SnapshotBytes.empty())
       Result.Base = decodeSnapshot(SnapshotRecords.Payloads.front());
     for (const std::string &Payload : LogRecords.Payloads)
-      applyRecord(Json::from_cbor(Payload), Result);
+      applyRecord(readCbor(Payload), Result);
   } catch (const std::exception &) {
     return StorageError::Damaged;
   }
--- a/Tests/Daemon/CodecTest.cpp
+++ b/Tests/Daemon/CodecTest.cpp
@@ -166,6 +166,16 @@
   RC_ASSERT(decodeCommand(Encoded, Command));
 }
 
+// Nested values are read recursively, so that a message of some hundred
+// kilobytes overflowed the stack.
+TEST(Decoders, DeeplyNestedMessagesAreRefused) {
+  std::string Nested(1000000, '\x81'); // Arrays of one array each.
+  EXPECT_FALSE(decodeRecordPage(Nested).has_value());
+  FleetCommand Command;
+  EXPECT_FALSE(decodeCommand(Nested, Command));
+  EXPECT_FALSE(FleetState().restore(Nested));
+}
+
 RC_GTEST_PROP(OutcomeCodec, OutcomesRoundTrip,
               (const std::string &Detail, bool RanEarlier)) {
   auto Reason = static_cast<Refusal>(
--- a/Tests/Jobs/CommandCodecTest.cpp
+++ b/Tests/Jobs/CommandCodecTest.cpp
@@ -172,6 +172,16 @@
   }
 }
 
+// The general codec reads nested values recursively, so that a message of some
+// hundred kilobytes overflowed the stack.
+TEST(CommandCodec, DeeplyNestedMessagesAreRefused) {
+  std::string Nested(1000000, '\x81'); // Arrays of one array each.
+  JobCommand Command;
+  JobRequest Request;
+  EXPECT_FALSE(decodeJobCommand(Nested, Command));
+  EXPECT_FALSE(fromCbor(Nested, Request));
+}
+
 RC_GTEST_PROP(CommandCodec, ArbitraryBytesDoNotCrash,
               (const std::string &Bytes)) {
   JobCommand Command;
