Core: numbers out of their field's range are refused

The direct CBOR decoder refuses such numbers, but the general one, which is tried next, took them. Sums over the slots of backend servers wrap around with such numbers, so one odd announcement hid the slots of others.

FieldReader now reads whole numbers with a check, in lists and maps too, and an announcement of more than a million slots is answered with status 400. Decoders.NumbersOutOfRangeAreRefused, CommandCodec.NumbersOutOfRangeAreRefused and the checks of slots in EntryDaemon.AnswersMalformedAnnouncements failed before and pass now.

--- a/Source/Core/JsonFields.h
+++ b/Source/Core/JsonFields.h
@@ -4,12 +4,17 @@
 #ifndef MIMOSASHUNT_CORE_JSONFIELDS_H
 #define MIMOSASHUNT_CORE_JSONFIELDS_H
 
+#include <cmath>
 #include <cstddef>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <stdexcept>
 #include <string>
+#include <type_traits>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace mimosashunt {
 
@@ -51,17 +56,81 @@
   }
 };
 
-/// Reads each described field from a JSON object. Throws
-/// nlohmann::json::exception if a field is missing or has the wrong type; the
-/// decoders of messages and stored data catch it.
+/// Reads one value. Throws an exception derived from std::exception if it has
+/// the wrong type.
+template <class T> void readJson(const Json &In, T &Value) { In.get_to(Value); }
+
+/// As above, for whole numbers, which get() would truncate. Throws
+/// std::out_of_range if the number does not fit into \p Value.
+template <class T>
+requires std::is_integral_v<T>
+void readJson(const Json &In, T &Value) {
+  constexpr double MaxExactDouble = 9e15;
+  auto Assign = [&Value](auto Number) {
+    if (!std::in_range<T>(Number))
+      throw std::out_of_range("a number is out of its field's range");
+    Value = static_cast<T>(Number);
+  };
+  double Floating = In.is_number_float() ? In.get<double>() : 0;
+  if (In.is_number_unsigned())
+    Assign(In.get<uint64_t>());
+  else if (In.is_number_integer())
+    Assign(In.get<int64_t>());
+  else if (In.is_number_float() && std::abs(Floating) < MaxExactDouble &&
+           std::trunc(Floating) == Floating)
+    Assign(static_cast<int64_t>(Floating));
+  else
+    throw std::out_of_range("a field is no whole number");
+}
+
+inline void readJson(const Json &In, bool &Value) { In.get_to(Value); }
+
+template <class T>
+requires std::is_enum_v<T>
+void readJson(const Json &In, T &Value) {
+  std::underlying_type_t<T> Number;
+  readJson(In, Number);
+  Value = static_cast<T>(Number);
+}
+
+template <class T> void readJson(const Json &In, std::vector<T> &Value);
+template <class T> void readJson(const Json &In, std::set<T> &Value);
+template <class T>
+void readJson(const Json &In, std::map<std::string, T> &Value);
+
+template <class T> void readJson(const Json &In, std::vector<T> &Value) {
+  Value.clear();
+  for (const Json &Item : In.get_ref<const Json::array_t &>())
+    readJson(Item, Value.emplace_back());
+}
+
+template <class T> void readJson(const Json &In, std::set<T> &Value) {
+  Value.clear();
+  for (const Json &Item : In.get_ref<const Json::array_t &>()) {
+    T Element{};
+    readJson(Item, Element);
+    Value.insert(std::move(Element));
+  }
+}
+
+template <class T>
+void readJson(const Json &In, std::map<std::string, T> &Value) {
+  Value.clear();
+  for (const auto &[Key, Item] : In.get_ref<const Json::object_t &>())
+    readJson(Item, Value[Key]);
+}
+
+/// Reads each described field from a JSON object. Throws an exception derived
+/// from std::exception if a field is missing, has the wrong type or is out of
+/// range; the decoders of messages and stored data catch it.
 struct FieldReader {
   const Json &In;
   template <class T> void operator()(const char *Key, T &Value) const {
-    Value = In.at(Key).template get<T>();
+    readJson(In.at(Key), Value);
   }
   template <class T> void list(const char *Key, T &Value) const {
     if (In.contains(Key))
-      Value = In.at(Key).template get<T>();
+      readJson(In.at(Key), Value);
   }
   template <class T> void number(const char *Key, T &Value) const {
     Value = In.value(Key, T(0));
@@ -99,7 +168,7 @@
 }
 
 /// Decodes what kindToJson() encoded. Throws std::invalid_argument on an
-/// unknown kind, and nlohmann::json::exception on missing or ill-typed fields.
+/// unknown kind, and as FieldReader does on missing or ill-typed fields.
 template <class Variant, size_t I = 0> Variant kindFromJson(const Json &In) {
   if constexpr (I < std::variant_size_v<Variant>) {
     using Held = std::variant_alternative_t<I, Variant>;
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -25,6 +25,8 @@
 constexpr Duration RecordDrainTimeout = seconds(3);
 /// Peers may send bodies of at least this size, enough for a page of records.
 constexpr size_t MaxRecordPageBytes = 1 << 20;
+/// Most slots of one backend server, so that sums of slots cannot overflow.
+constexpr uint32_t MaxBackendSlots = 1000000;
 const char *const RecordTransferPath = "/v1/records";
 constexpr int NotFound = 404;
 constexpr int Conflict = 409;
@@ -204,9 +206,11 @@
   Span->SetTag("backendServer", Announcement.Name);
   SocketAddress Address;
   if (SocketAddress::parse(Announcement.Address, Address) ||
-      Announcement.Name.empty() || Announcement.Slots == 0) {
-    Exchange->respond(
-        problemResponse(BadRequest, "name, address and slots must be given"));
+      Announcement.Name.empty() || Announcement.Slots == 0 ||
+      Announcement.Slots > MaxBackendSlots) {
+    Exchange->respond(problemResponse(
+        BadRequest, "a name, an address IP:port and 1 to 1000000 slots must be "
+                    "given"));
     return;
   }
   if (std::optional<AnnouncementReply> Reply =
--- a/Tests/Daemon/CodecTest.cpp
+++ b/Tests/Daemon/CodecTest.cpp
@@ -176,6 +176,21 @@
   EXPECT_FALSE(FleetState().restore(Nested));
 }
 
+// An announcement of -1 slots was taken for one of 4294967295, whose sum with
+// those of other backend servers wraps around.
+TEST(Decoders, NumbersOutOfRangeAreRefused) {
+  BackendAnnouncement Announcement{"b", "s",   "vm", "127.0.0.1:80",
+                                   4,   false, 1,    {}};
+  for (Json Number : {Json(-1), Json(uint64_t{1} << 32), Json(INT64_MAX),
+                      Json(1.5), Json(1e300), Json(true)}) {
+    Json Body = Announcement;
+    Body["slots"] = Number;
+    EXPECT_THROW(Body.get<BackendAnnouncement>(), std::exception) << Number;
+    Body["slots"] = 4;
+    EXPECT_EQ(Body.get<BackendAnnouncement>(), Announcement);
+  }
+}
+
 RC_GTEST_PROP(OutcomeCodec, OutcomesRoundTrip,
               (const std::string &Detail, bool RanEarlier)) {
   auto Reason = static_cast<Refusal>(
--- a/Tests/Daemon/EntryDaemonTest.cpp
+++ b/Tests/Daemon/EntryDaemonTest.cpp
@@ -44,6 +44,12 @@
     Announcement["address"] = Address;
     EXPECT_EQ(Announce(Announcement.dump()), 400) << Address;
   }
+  // Sums of such numbers of slots wrap around.
+  for (uint64_t Slots : {uint64_t{UINT32_MAX}, uint64_t{INT64_MAX}}) {
+    Json Announcement = Valid;
+    Announcement["slots"] = Slots;
+    EXPECT_EQ(Announce(Announcement.dump()), 400) << Slots;
+  }
   EXPECT_EQ(Announce("\"\xff"), 400);
   EXPECT_EQ(Announce("{\"slots\":1e400}"), 400);
   EXPECT_EQ(Announce(std::string(500000, '[')), 400);
--- a/Tests/Jobs/CommandCodecTest.cpp
+++ b/Tests/Jobs/CommandCodecTest.cpp
@@ -182,6 +182,18 @@
   EXPECT_FALSE(fromCbor(Nested, Request));
 }
 
+// A number that was truncated to its field was taken for another one, such as
+// the attempt of another run.
+TEST(CommandCodec, NumbersOutOfRangeAreRefused) {
+  RecordRunResults Results{{{{"job", 1, 2, 3}, 4, true}}};
+  JobCommand Ignored;
+  for (Json Number : {Json(-1), Json(uint64_t{1} << 32), Json(1.5)}) {
+    Json Tree = kindToJson(JobCommand(Results));
+    Tree["ends"][0]["try"] = Number;
+    EXPECT_FALSE(decodeJobCommand(generalCbor(Tree), Ignored)) << Number;
+  }
+}
+
 RC_GTEST_PROP(CommandCodec, ArbitraryBytesDoNotCrash,
               (const std::string &Bytes)) {
   JobCommand Command;
