Jobs: a job that is too large does not end the control VMs

A job of 100000 tasks that recurs 100000 times passed all checks. Once its command was committed, each control VM tried to allocate a record for each task, ended with std::bad_alloc and did so again at each start, since the command is in the log. A message of another version with a dependency on a step that does not exist led to a read beyond the list of steps.

The gateway answers a job beyond the bounds like a malformed one, the leader refuses it as not run, and JobStore gives a command with too many tasks or unknown steps no effect. Amounts are checked only where a job comes in: earlier versions have accepted odd ones, and all members must apply the same commands.

JobStore.JobsThatCannotRunAreNotAccepted ended with std::bad_alloc before (with its memory limited) and passes now.

--- a/Source/Fleet/GatewayDaemon.cpp
+++ b/Source/Fleet/GatewayDaemon.cpp
@@ -1,5 +1,7 @@
 #include "Fleet/GatewayDaemon.h"
 
+#include "Jobs/JobLimits.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -119,6 +121,10 @@
         CallRefusal{CallRefusal::ReasonCode::NotReady, "no leader"}));
   CallerRequest Request =
       Codec.decode(Exchange->request(), Link.configuration());
+  if (const auto *Job = std::get_if<JobRequest>(&Request))
+    if (!isRunnable(Job->Spec))
+      Request = CallRefusal{CallRefusal::ReasonCode::MalformedRequest,
+                            "the job has too many tasks or too large amounts"};
   if (const auto *Refusal = std::get_if<CallRefusal>(&Request)) {
     Registry
         .counter("mimosashunt_calls_refused_total",
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -1,6 +1,7 @@
 #include "Fleet/SchedulerDaemon.h"
 
 #include "Agreement/RaftCodec.h"
+#include "Jobs/JobLimits.h"
 
 #include <algorithm>
 #include <chrono>
@@ -653,7 +654,7 @@
   const QueueConfiguration *Queue = Configuration.findQueue(Request.Queue);
   bool IsOverloaded =
       Scheduler->isOverloaded() && !Request.Spec.isLongRunning();
-  bool Refused = Queue == nullptr ||
+  bool Refused = Queue == nullptr || !isRunnable(Request.Spec) ||
                  Group->pendingProposals() > MaxPendingProposals ||
                  IsOverloaded;
   if (Refused) {
--- a/Source/Jobs/JobStore.cpp
+++ b/Source/Jobs/JobStore.cpp
@@ -1,5 +1,7 @@
 #include "Jobs/JobStore.h"
 
+#include "Jobs/JobLimits.h"
+
 #include <algorithm>
 
 namespace mimosashunt {
@@ -60,6 +62,8 @@
 }
 
 bool JobStore::applyCommand(const AcceptJob &Command) {
+  if (!isConsistent(Command.Spec))
+    return false;
   auto [It, Inserted] = Jobs.try_emplace(Command.Job);
   if (!Inserted)
     return false;
--- a/Tests/Jobs/JobStoreTest.cpp
+++ b/Tests/Jobs/JobStoreTest.cpp
@@ -2,6 +2,7 @@
 // snapshots.
 
 #include "Jobs/JobStore.h"
+#include "Jobs/JobLimits.h"
 #include "Support/SchedulerHarness.h"
 
 #include <gtest/gtest.h>
@@ -27,6 +28,26 @@
   EXPECT_EQ(Store.findJob("a")->Job.Spec.Steps.size(), 1U);
 }
 
+// Such a job took more memory than the process has, on each control VM and
+// again at each start, or was run by an index beyond its steps.
+TEST(JobStore, JobsThatCannotRunAreNotAccepted) {
+  JobStore Store;
+  std::vector<JobSpec> Odd(6, makeChainSpec(2, 3, 1, 1));
+  Odd[0].Recurrence.Count = UINT32_MAX;
+  Odd[1].Steps[0].Count = UINT32_MAX;
+  Odd[2].Recurrence.Count = Odd[2].Steps[1].Count = 100000;
+  Odd[3].Steps[1].DependsOn = {2};
+  Odd[4].Steps[0].TaskResources.Cpu = -1;
+  Odd[5].Steps[0].TaskResources.MemoryMb = INT64_MAX;
+  for (const JobSpec &Spec : Odd) {
+    EXPECT_FALSE(isRunnable(Spec));
+    if (!isConsistent(Spec))
+      EXPECT_FALSE(Store.apply(makeJob("a", Spec)));
+  }
+  EXPECT_TRUE(isConsistent(Odd[5])); // Earlier versions have accepted it.
+  EXPECT_TRUE(Store.apply(makeJob("a", makeChainSpec(2, 3, 1, 1))));
+}
+
 TEST(JobStore, RepeatedRunResultsCountOnce) {
   JobStore Store;
   Store.apply(makeJob("a", makeChainSpec(1, 2, 1, 1)));
