--- a/Source/Agreement/Replica.cpp
+++ b/Source/Agreement/Replica.cpp
@@ -26,7 +26,7 @@
       Log(Self.Disk, Durable, Options.Raft, Timers, Seed), LastRole(Log.role()),
       RoleChangedAt(Timers.now()) {
   if (Durable.Base.Index > 0) {
-    State.restore(Durable.Base.Data);
+    StoreError = State.restore(Durable.Base.Data);
     LastApplied = Durable.Base.Index;
   }
   JoinTimer =
@@ -49,6 +49,9 @@
 void Replica::receive(const RaftMessage &Message) {
   if (StoreError)
     return;
+  const auto *Snapshot = std::get_if<SnapshotRequest>(&Message.Body);
+  if (Snapshot != nullptr && !State.canRestore(Snapshot->Content.Data))
+    return;
   Log.receive(Message);
 }
 
@@ -112,7 +115,9 @@
 
 void Replica::applyCommitted(const RaftOutput &Output) {
   if (Output.HasInstalledSnapshot) {
-    State.restore(Output.InstalledSnapshot.Data);
+    StoreError = State.restore(Output.InstalledSnapshot.Data);
+    if (StoreError)
+      return;
     LastApplied = Output.InstalledSnapshot.Index;
     BytesSinceSnapshot = 0;
   }
--- a/Source/Agreement/Replica.h
+++ b/Source/Agreement/Replica.h
@@ -26,8 +26,11 @@
   virtual void apply(LogIndex Index, const std::string &Command) = 0;
   /// Returns the whole state in a form that restore() reads.
   virtual std::string snapshot() const = 0;
-  /// Replaces the whole state.
-  virtual void restore(const std::string &Data) = 0;
+  /// Returns true if restore() can read \p Data; otherwise logs that.
+  virtual bool canRestore(const std::string &Data) = 0;
+  /// Replaces the whole state. Fails without a change if the data cannot be
+  /// read.
+  virtual std::error_code restore(const std::string &Data) = 0;
 };
 
 /// What became of a proposed command.
@@ -66,7 +69,9 @@
   Replica &operator=(const Replica &) = delete;
 
   bool bootstrapGroup(const std::vector<Member> &Founders);
-  /// Handles a message of another member; ignored after a disk error.
+  /// Handles a message of another member; ignored after a disk error. A
+  /// snapshot that the state cannot read is ignored too, before it replaces
+  /// what this member has stored.
   void receive(const RaftMessage &Message);
   /// Records that the VM \p New asks to join the group.
   void handleJoinRequest(const Member &Candidate);
@@ -95,7 +100,8 @@
   }
   /// Returns true if pump() has something to propose, write, send or apply.
   bool hasWork() const { return !QueuedProposals.empty() || Log.hasOutput(); }
-  /// The first disk error; the replica stops writing and leading after one.
+  /// The first disk error, or that of a stored snapshot that cannot be read;
+  /// the replica stops writing and leading after one.
   std::error_code storeError() const { return StoreError; }
   /// Sets the function that runs when the Raft role changes, after committed
   /// entries have been applied.
--- a/Source/Core/ControlCore.cpp
+++ b/Source/Core/ControlCore.cpp
@@ -48,6 +48,10 @@
 }
 
 void ControlCore::receive(const RaftMessage &Message) {
+  // A snapshot that cannot be read must not replace what is stored.
+  const auto *Received = std::get_if<SnapshotRequest>(&Message.Body);
+  if (Received != nullptr && !FleetState().restore(Received->Content.Data))
+    return;
   RaftNode.receive(Message);
   processRaftOutput();
 }
@@ -87,7 +91,8 @@
 }
 
 void ControlCore::installSnapshot(const Snapshot &Installed) {
-  State.restore(Installed.Data);
+  if (!State.restore(Installed.Data))
+    StoreError = std::make_error_code(std::errc::bad_message);
   LastApplied = Installed.Index;
 }
 
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "Agreement/RaftCodec.h"
 #include "Jobs/JobLimits.h"
+#include "Storage/StorageError.h"
 
 #include <algorithm>
 #include <chrono>
@@ -113,6 +114,8 @@
   Group =
       std::make_unique<Replica>(Self, Durable, Options, Loop.timers(),
                                 randomNumber(), *LogStore, Transport, *this);
+  if (std::error_code Error = Group->storeError())
+    return Error;
   Group->setRoleChangeHandler([this] { onRoleChange(); });
   refreshConfiguration();
   Events.log("started", {{"disk", Folder.disk()},
@@ -233,11 +236,20 @@
 
 std::string SchedulerDaemon::snapshot() const { return State.snapshot(); }
 
-void SchedulerDaemon::restore(const std::string &Data) {
-  State.restore(Data);
+bool SchedulerDaemon::canRestore(const std::string &Data) {
+  bool IsReadable = JobStore().restore(Data);
+  if (!IsReadable)
+    Events.log("snapshot_unreadable", {{"bytes", Data.size()}});
+  return IsReadable;
+}
+
+std::error_code SchedulerDaemon::restore(const std::string &Data) {
+  if (!State.restore(Data))
+    return StorageError::Damaged;
   HasMissedConfiguration |=
       State.configurationVersion() != Configuration.Version;
   refreshConfiguration();
+  return {};
 }
 
 void SchedulerDaemon::refreshConfiguration() {
--- a/Source/Fleet/SchedulerDaemon.h
+++ b/Source/Fleet/SchedulerDaemon.h
@@ -62,7 +62,8 @@
 
   void apply(LogIndex Index, const std::string &Command) override;
   std::string snapshot() const override;
-  void restore(const std::string &Data) override;
+  bool canRestore(const std::string &Data) override;
+  std::error_code restore(const std::string &Data) override;
 
   /// Does the pending work at the end of each event loop iteration. Returns
   /// true if there was any.
--- a/Source/Jobs/JobStore.cpp
+++ b/Source/Jobs/JobStore.cpp
@@ -49,6 +49,53 @@
   return Contents;
 }
 
+/// Returns true if the record of a job has the tasks that the job states.
+bool hasTasksOfSpec(const JobRecord &Record) {
+  const std::vector<StepSpec> &Steps = Record.Job.Spec.Steps;
+  uint64_t Unfinished = 0;
+  for (const auto &Occurrence : Record.Tasks) {
+    if (Occurrence.size() != Steps.size())
+      return false;
+    for (size_t I = 0; I < Steps.size(); ++I) {
+      if (Occurrence[I].size() != Steps[I].Count)
+        return false;
+      for (const TaskRecord &Task : Occurrence[I])
+        Unfinished += Task.Done ? 0 : 1;
+    }
+  }
+  return Record.Tasks.size() == Record.Job.Spec.Recurrence.occurrences() &&
+         Record.UnfinishedTasks == Unfinished;
+}
+
+/// Returns true if no index of the record is beyond what it refers to.
+bool isConsistent(const JobRecord &Record) {
+  if (Record.State > JobState::Cancelled || !isConsistent(Record.Job.Spec))
+    return false;
+  if (Record.hasEnded())
+    return true;
+  const std::vector<StepSpec> &Steps = Record.Job.Spec.Steps;
+  auto IsOwnTask = [&](const TaskLosses &Known) {
+    const TaskId &Task = Known.Task;
+    return Task.Job == Record.Job.Job &&
+           Task.Occurrence < Record.Tasks.size() && Task.Step < Steps.size() &&
+           Task.Index < Steps[Task.Step].Count;
+  };
+  return hasTasksOfSpec(Record) &&
+         std::all_of(Record.Losses.begin(), Record.Losses.end(), IsOwnTask);
+}
+
+/// Reads a snapshot. Returns false if it holds no consistent state.
+bool readSnapshot(const std::string &Bytes, SnapshotContents &Contents) {
+  try {
+    Contents = snapshotFromJson(readCbor(Bytes));
+  } catch (const std::exception &) {
+    return false;
+  }
+  return std::all_of(
+      Contents.Jobs.begin(), Contents.Jobs.end(),
+      [](const JobRecord &Record) { return isConsistent(Record); });
+}
+
 } // namespace
 
 bool JobStore::apply(const JobCommand &Command) {
@@ -304,11 +351,11 @@
   return {Bytes.begin(), Bytes.end()};
 }
 
-void JobStore::restore(const std::string &Bytes) {
+bool JobStore::restore(const std::string &Bytes) {
+  SnapshotContents Contents;
+  if (!Bytes.empty() && !readSnapshot(Bytes, Contents))
+    return false;
   *this = {};
-  if (Bytes.empty())
-    return;
-  SnapshotContents Contents = snapshotFromJson(readCbor(Bytes));
   for (JobRecord &Record : Contents.Jobs) {
     JobId Id = Record.Job.Job;
     Jobs.emplace(std::move(Id), std::move(Record));
@@ -324,6 +371,7 @@
   Usage = std::move(Contents.Usage);
   RunTimes = std::move(Contents.RunTimes);
   Leaderships = Contents.Leaderships;
+  return true;
 }
 
 } // namespace mimosashunt
--- a/Source/Jobs/JobStore.h
+++ b/Source/Jobs/JobStore.h
@@ -86,9 +86,9 @@
 
   /// Returns the whole state as CBOR.
   std::string snapshot() const;
-  /// Replaces the state by a snapshot; empty bytes clear it. Throws
-  /// nlohmann::json::exception on malformed bytes.
-  void restore(const std::string &Bytes);
+  /// Replaces the state by a snapshot; empty bytes clear it. Returns false and
+  /// changes nothing if the bytes hold no consistent state.
+  bool restore(const std::string &Bytes);
 
   const JobRecord *findJob(const JobId &Job) const;
   const std::map<JobId, JobRecord> &jobs() const { return Jobs; }
--- a/Tests/Jobs/JobStoreTest.cpp
+++ b/Tests/Jobs/JobStoreTest.cpp
@@ -210,6 +210,31 @@
   EXPECT_EQ(Copy.leaderships(), 1U);
 }
 
+// A snapshot that cannot be read ended the process by an exception, or left it
+// with a part of the state.
+TEST(JobStore, UnreadableSnapshotsAreRefusedAndChangeNothing) {
+  JobStore Store;
+  Store.apply(makeJob("a", makeChainSpec(2, 3, 1, 1)));
+  Store.apply(RecordLosses{{{{"a", 0, 0, 1}, {makeLoss(1, false)}}}});
+  const std::string Valid = Store.snapshot();
+  std::vector<Json> Odd(6, Json::from_cbor(Valid));
+  Odd[0].erase("version");
+  Odd[1]["jobs"][0]["tasks"][0][1].erase(0);
+  Odd[2]["jobs"][0]["open"] = 7;
+  Odd[3]["jobs"][0]["losses"][0]["task"]["i"] = 3;
+  Odd[4]["jobs"][0]["state"] = 9;
+  Odd[5]["jobs"][0]["job"]["spec"]["steps"][1]["after"] = {2};
+  std::vector<std::string> Snapshots = {"no snapshot", Valid.substr(0, 50)};
+  for (const Json &Tree : Odd) {
+    std::vector<uint8_t> Bytes = Json::to_cbor(Tree);
+    Snapshots.emplace_back(Bytes.begin(), Bytes.end());
+  }
+  for (const std::string &Bytes : Snapshots) {
+    EXPECT_FALSE(Store.restore(Bytes));
+    EXPECT_EQ(Store.snapshot(), Valid);
+  }
+}
+
 TEST(JobStore, CommandsRoundTripThroughTheEncoding) {
   std::vector<JobCommand> Commands = {
       makeJob("a", makeChainSpec(2, 3, 1, 1)),
--- a/Tests/Jobs/ReplicaTest.cpp
+++ b/Tests/Jobs/ReplicaTest.cpp
@@ -24,12 +24,18 @@
       Text += Word + "\n";
     return Text;
   }
-  void restore(const std::string &Data) override {
+  bool canRestore(const std::string &Data) override {
+    return Data != "unreadable";
+  }
+  std::error_code restore(const std::string &Data) override {
+    if (!canRestore(Data))
+      return make_error_code(std::errc::bad_message);
     AppliedWords.clear();
     size_t At = 0;
     for (size_t End; (End = Data.find('\n', At)) != std::string::npos;
          At = End + 1)
       AppliedWords.push_back(Data.substr(At, End - At));
+    return {};
   }
   std::vector<std::string> AppliedWords;
 };
@@ -292,4 +298,28 @@
     EXPECT_FALSE(decodeRaftMessages(Whole.substr(0, Length), Result));
 }
 
+// Such a snapshot replaced what the member had stored, and ended it.
+TEST(Replica, ASnapshotThatCannotBeReadIsNotInstalled) {
+  TestGroup Group(ThreeSeeds);
+  DiskId Disk = 10;
+  for (const std::string &Address : ThreeSeeds)
+    Group.add(Address, Disk++, true);
+  Group.run(seconds(4));
+  ASSERT_NE(Group.leader(), nullptr);
+  const Raft &Leader = Group.leader()->Node->log();
+  for (auto &[Address, Item] : Group.Vms)
+    if (Item.get() != Group.leader())
+      Item->Node->receive({Leader.self(), Item->Node->log().self(),
+                           Leader.term(),
+                           SnapshotRequest{{1000, Leader.term(),
+                                            Leader.membership(), "unreadable"},
+                                           Group.Timers.now()}});
+  EXPECT_TRUE(Group.propose("word"));
+  Group.run(milliseconds(300));
+  for (const auto &[Address, Item] : Group.Vms) {
+    EXPECT_FALSE(Item->Node->storeError());
+    EXPECT_EQ(Item->State.AppliedWords, std::vector<std::string>{"word"});
+  }
+}
+
 } // namespace
