Raft: odd replies neither extend a lease nor pass the end of the log

A rejection with an index beyond the leader's log moved the next index there, and the next message read an entry that does not exist. A reply that states a sending time to come kept the leader's lease valid as long as it led, without any other member.

The next index now stays within the log, and a sending time to come confirms nothing. Replica.RepliesWithOddIndicesAndTimesChangeNothing failed before and passes now.

--- a/Source/Core/Raft.cpp
+++ b/Source/Core/Raft.cpp
@@ -374,6 +374,9 @@
 
 void Raft::recordReply(Progress &Peer, Instant SentAt) {
   Peer.LastReplyAt = Timers.now();
+  // The lease must not outlast what was sent, whatever a reply states.
+  if (SentAt > Timers.now())
+    return;
   if (!Peer.AckedRequestSentAt || *Peer.AckedRequestSentAt < SentAt)
     Peer.AckedRequestSentAt = SentAt;
 }
@@ -389,7 +392,8 @@
   LogIndex PreviousNextIndex = Peer.NextIndex;
   Peer.IsProbing = true;
   Peer.NextIndex = std::min(Reply.PreviousIndex, Reply.MatchIndex + 1);
-  Peer.NextIndex = std::max(Peer.NextIndex, Peer.MatchIndex + 1);
+  Peer.NextIndex =
+      std::clamp(Peer.NextIndex, Peer.MatchIndex + 1, lastIndex() + 1);
   // If this brought no progress, leave the next probe to the heartbeat;
   // otherwise requests and rejections could alternate without end.
   if (Peer.NextIndex < PreviousNextIndex)
--- a/Tests/Jobs/ReplicaTest.cpp
+++ b/Tests/Jobs/ReplicaTest.cpp
@@ -322,4 +322,36 @@
   }
 }
 
+// A reply with a damaged index was followed by a read beyond the log, and one
+// with a time to come kept a leader's lease valid that nobody else had
+// confirmed.
+TEST(Replica, RepliesWithOddIndicesAndTimesChangeNothing) {
+  TestGroup Group(ThreeSeeds);
+  DiskId Disk = 10;
+  for (const std::string &Address : ThreeSeeds)
+    Group.add(Address, Disk++, true);
+  Group.run(seconds(4));
+  ASSERT_NE(Group.leader(), nullptr);
+  ASSERT_TRUE(Group.propose("word"));
+  Replica &Leader = *Group.leader()->Node;
+  for (const std::string &Address : ThreeSeeds)
+    if (Address != Group.leader()->Address)
+      Group.IsolatedVms.insert(Address);
+  Instant Start = Group.Timers.now();
+  for (const Member &Voter : Leader.membership().Voters)
+    for (uint64_t Index : {uint64_t{1} << 40, UINT64_MAX}) {
+      AppendReply Rejection{false, Index, Index, Start};
+      AppendReply Late{true, 0, 0, Instant(Duration::max())};
+      for (const AppendReply &Reply : {Rejection, Late})
+        Leader.receive(
+            {Voter.Disk, Leader.log().self(), Leader.log().term(), Reply});
+    }
+  RaftOptions Options;
+  while (Leader.log().role() == RaftRole::Leader) {
+    Group.run(milliseconds(1));
+    if (Group.Timers.now() - Start > Options.ElectionTimeout * 9 / 10)
+      EXPECT_FALSE(Leader.isLeader());
+  }
+}
+
 } // namespace
