Fleet: orders without an address for their results are not carried out

A carrier that received a batch with an unusable address for the results sent the orders to the workers and dropped their results without a log line. It now refuses the batch with status 400, which is logged and counted as for other malformed batches; the leader then sends the orders itself.

Carrier.ABatchWithoutAnAddressForItsResultsIsRefused failed before and passes now.

--- a/Source/Fleet/OrderCarrier.cpp
+++ b/Source/Fleet/OrderCarrier.cpp
@@ -34,6 +34,9 @@
   OrderBatch Batch;
   if (!decodeOrders(Body, Batch))
     return refuse(BadRequest, "unreadable");
+  SocketAddress Results;
+  if (SocketAddress::parse(Batch.ResultsAddress, Results))
+    return refuse(BadRequest, "no_results_address");
   if (Batch.Term < CurrentTerm)
     return refuse(Conflict, "old_term");
   for (const CarriedOrder &Item : Batch.Orders)
--- a/Tests/Fleet/CarrierTest.cpp
+++ b/Tests/Fleet/CarrierTest.cpp
@@ -271,6 +271,20 @@
   EXPECT_EQ(Outcome, OrderOutcome::Unanswered);
 }
 
+// The orders were carried out, and their results went nowhere.
+TEST(Carrier, ABatchWithoutAnAddressForItsResultsIsRefused) {
+  CarrierHarness &Env = *new CarrierHarness();
+  for (const char *Address : {"127.0.0.1:99999", "host:80", ""}) {
+    OrderBatch Batch{Env.LeaderTerm, Address, {}};
+    Batch.Orders.push_back({1, Env.Worker.Key, Env.Worker.Address, Env.Order});
+    EXPECT_EQ(
+        Env.Carrier.handleBatch(encodeOrders(Batch), Env.CarrierTerm).Status,
+        400)
+        << Address;
+  }
+  EXPECT_TRUE(Env.CarriedTo.Starts.empty());
+}
+
 TEST(Carrier, MalformedBatchesAreRefusedWhole) {
   CarrierHarness &Env = *new CarrierHarness();
   std::string Orders = encodeOrders(
