Fleet: settings with a number out of range are diagnosed

A duration in the settings of the job path's daemons beyond the range of its type became an arbitrary one. The schema now has a maximum, so the diagnostic names the file, the key and the remedy. FleetSettings.DiagnosticsNameNumbersOutOfRange failed before and passes now.

--- a/Source/Fleet/FleetSettings.cpp
+++ b/Source/Fleet/FleetSettings.cpp
@@ -8,7 +8,12 @@
 namespace {
 
 Json nonNegativeNumberSchema(const std::string &Description) {
-  return {{"type", "number"}, {"minimum", 0}, {"description", Description}};
+  // A duration of this many seconds fits into its type.
+  constexpr int64_t Maximum = 1000000000;
+  return {{"type", "number"},
+          {"minimum", 0},
+          {"maximum", Maximum},
+          {"description", Description}};
 }
 
 Json flagSchema(const std::string &Description) {
