Entry: a request to an address that cannot be parsed is not sent

The entry VM ignored the error of SocketAddress::parse() in three places, and the HTTP library aborts on the empty address that results. The addresses are checked where they come in, so this was not reachable with valid settings; now such a request is logged and counts as not sent. No test fails without the change.

--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -238,22 +238,32 @@
         problemResponse(Conflict, "the keepers are of another epoch"));
 }
 
+void EntryDaemon::sendTo(const std::string &Address, const HttpRequest &Request,
+                         Duration Timeout, const HttpClient::Callback &OnDone,
+                         HttpClient::Guard MaySend) {
+  SocketAddress Target;
+  if (std::error_code Error = SocketAddress::parse(Address, Target)) {
+    Logger.warn("Nothing is sent to \"" + Address + "\": " + Error.message() +
+                ".");
+    return Loop.defer([OnDone] { OnDone(HttpNotSent{"no address"}); });
+  }
+  Client.send(Target, Request, Timeout, OnDone, std::move(MaySend));
+}
+
 void EntryDaemon::sendRecords(const RecordTransfer &Transfer) {
   std::shared_ptr<opentracing::Span> Span = Tracer.start("entry.handOver", {});
   HttpRequest Request{
       "POST", RecordTransferPath, {}, {}, encodeRecordPage(Transfer.Page)};
   Request.Headers.push_back({"content-type", "application/cbor"});
   Request.Headers.push_back({TraceParentHeader, Tracer.traceParent(*Span)});
-  SocketAddress Address;
-  SocketAddress::parse(Transfer.Address, Address);
-  Client.send(Address, Request, RecordTransferTimeout,
-              [this, Span, Vm = Transfer.Vm,
-               Number = Transfer.Number](const HttpResult &Result) {
-                Span->Finish();
-                const auto *Response = std::get_if<HttpResponse>(&Result);
-                bool Accepted = Response != nullptr && Response->Status == 200;
-                Core.onTransferDone(Vm, Number, Accepted);
-              });
+  sendTo(Transfer.Address, Request, RecordTransferTimeout,
+         [this, Span, Vm = Transfer.Vm,
+          Number = Transfer.Number](const HttpResult &Result) {
+           Span->Finish();
+           const auto *Response = std::get_if<HttpResponse>(&Result);
+           bool Accepted = Response != nullptr && Response->Status == 200;
+           Core.onTransferDone(Vm, Number, Accepted);
+         });
 }
 
 void EntryDaemon::handleQueueRequest(
@@ -292,12 +302,10 @@
       Tracer.start("entry.dispatch", Tracer.traceParent(*Request.Span)));
   Span->SetTag("backendServer", Attempt.Backend);
   Outgoing.Headers.push_back({TraceParentHeader, Tracer.traceParent(*Span)});
-  SocketAddress Address;
-  SocketAddress::parse(Attempt.Address, Address);
   LocalRequestId Id = Attempt.Id;
   AttemptId SentAttempt = Attempt.Attempt;
-  Client.send(
-      Address, Outgoing, Attempt.RunTimeout + ResponseGracePeriod,
+  sendTo(
+      Attempt.Address, Outgoing, Attempt.RunTimeout + ResponseGracePeriod,
       [this, SentAttempt, Span](const HttpResult &Result) {
         Span->Finish();
         onAttemptResponse(SentAttempt, Result);
@@ -341,14 +349,12 @@
       Tracer.start("entry.forward", Tracer.traceParent(*Request.Span)));
   Span->SetTag("entryVm", Target.Vm);
   Outgoing.Headers.push_back({TraceParentHeader, Tracer.traceParent(*Span)});
-  SocketAddress Address;
-  SocketAddress::parse(Target.Address, Address);
   LocalRequestId Id = Target.Id;
-  Client.send(Address, Outgoing, Target.Timeout + ResponseGracePeriod,
-              [this, Id, Span](const HttpResult &Result) {
-                Span->Finish();
-                onForwardResponse(Id, Result);
-              });
+  sendTo(Target.Address, Outgoing, Target.Timeout + ResponseGracePeriod,
+         [this, Id, Span](const HttpResult &Result) {
+           Span->Finish();
+           onForwardResponse(Id, Result);
+         });
 }
 
 void EntryDaemon::onForwardResponse(LocalRequestId Id,
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -69,6 +69,12 @@
   void sendRecords(const RecordTransfer &Transfer) override;
   void finishRequest(LocalRequestId Id, const Outcome &Result) override;
 
+  /// Sends a request as HttpClient::send() does. An address that cannot be
+  /// parsed is logged and counts as not sent to.
+  void sendTo(const std::string &Address, const HttpRequest &Request,
+              Duration Timeout, const HttpClient::Callback &OnDone,
+              HttpClient::Guard MaySend = {});
+
   /// Reports to the core how an attempt ended.
   void onAttemptResponse(const AttemptId &Id, const HttpResult &Result);
   /// Reports to the core how a forwarded request ended.
