--- a/Tests/Fleet/CarriedOrdersTest.cpp
+++ b/Tests/Fleet/CarriedOrdersTest.cpp
@@ -4,6 +4,7 @@
 
 #include "Fleet/CarriedOrders.h"
 #include "Core/JsonFields.h"
+#include "Support/Mutation.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -145,5 +146,18 @@
   decodeResults(Bytes, Results);
 }
 
+RC_GTEST_PROP(CarriedOrders, DamagedBatchesAreReadOrRefused, ()) {
+  OrderBatch Batch{
+      4,
+      "127.0.0.1:1",
+      {{1, {"w", 2}, "a", StartOrder{{"j", 1, 2, 3}, 4, "p", 5, 6, "c", "t"}},
+       {2, {"w", 2}, "a", PollOrder{5, 6, 12, 50}}}};
+  decodeOrders(damaged(encodeOrders(Batch)), Batch);
+  PollResponse Response{OrderOutcome::Accepted, 5, {}, {}};
+  Response.Running.push_back({{"j", 1, 2, 3}, 1, "", 2, 3});
+  std::vector<CarriedResult> Results = {{7, Response}};
+  decodeResults(damaged(encodeResults(Results)), Results);
+}
+
 } // namespace
 } // namespace mimosashunt::test
--- a/Tests/Jobs/CommandCodecTest.cpp
+++ b/Tests/Jobs/CommandCodecTest.cpp
@@ -3,7 +3,8 @@
 // version reads what the other wrote.
 
 #include "Agreement/RaftCodec.h"
-#include "Jobs/JobCommands.h"
+#include "Jobs/JobStore.h"
+#include "Support/Mutation.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -194,14 +195,49 @@
   }
 }
 
-RC_GTEST_PROP(CommandCodec, ArbitraryBytesDoNotCrash,
-              (const std::string &Bytes)) {
-  JobCommand Command;
-  decodeJobCommand(Bytes, Command);
+// A damaged or foreign command in the log must not end the control VMs that
+// apply it, nor leave a state that they cannot restore.
+RC_GTEST_PROP(CommandCodec, DamagedCommandsAreAppliedOrRefused, ()) {
+  JobStore Store;
+  AcceptJob Accepted;
+  Accepted.Job = "job";
+  Accepted.Spec.Steps.resize(1);
+  Accepted.Spec.Steps[0].Count = 2;
+  std::vector<JobCommand> Commands = anyCommands();
+  Commands.insert(Commands.begin(), Accepted);
+  Commands.push_back(RecordRunResults{{{{"job", 0, 0, 1}, 1, true}}});
+  for (const JobCommand &Command : Commands)
+    for (std::string Bytes :
+         {encodeJobCommand(Command), generalCbor(kindToJson(Command))}) {
+      JobCommand Decoded;
+      if (decodeJobCommand(damaged(Bytes), Decoded))
+        Store.apply(Decoded);
+      Store.apply(Command);
+    }
+  JobStore Restored;
+  RC_ASSERT(Restored.restore(Store.snapshot()));
+  RC_ASSERT(Restored.snapshot() == Store.snapshot());
+  std::string Damaged = damaged(Store.snapshot());
+  if (!Restored.restore(Damaged))
+    RC_ASSERT(Restored.snapshot() == Store.snapshot());
+}
+
+RC_GTEST_PROP(CommandCodec, DamagedMessagesAreReadOrRefused, ()) {
   JobRequest Request;
+  Request.Kind = JobRequestKind::Submit;
+  Request.Spec = anySpec();
+  std::string Bytes = damaged(toCbor(Request));
   fromCbor(Bytes, Request);
-  std::vector<RaftMessage> Messages;
-  decodeRaftMessages(Bytes, Messages);
+  JobResponse Response;
+  fromCbor(damaged(toCbor(Response)), Response);
+  std::vector<Member> Members = {{1, "vm", "address"}};
+  decodeMembers(damaged(encodeMembers(Members)), Members);
+  std::vector<RaftMessage> Messages = {
+      {1, 2, 3,
+       AppendRequest{1, 2, {{3, LogEntryKind::Command, "a", {}}}, 5, {}}},
+      {1, 2, 3,
+       SnapshotRequest{{4, 5, {{{6, "vm", "address"}}, {}}, "b"}, {}}}};
+  decodeRaftMessages(damaged(encodeRaftMessages(Messages)), Messages);
 }
 
 // The bytes that an earlier version reads and writes.
