--- a/Tests/Daemon/CodecTest.cpp
+++ b/Tests/Daemon/CodecTest.cpp
@@ -11,6 +11,7 @@
 #include "Entry/OutcomeCodec.h"
 #include "Entry/RequestHeaders.h"
 #include "Rpc/RpcCodec.h"
+#include "Support/Mutation.h"
 
 #include <capnp/message.h>
 #include <capnp/serialize.h>
@@ -166,6 +167,39 @@
   RC_ASSERT(decodeCommand(Encoded, Command));
 }
 
+// A damaged or foreign command in the log, or a message of another version,
+// must not end the process that reads it.
+RC_GTEST_PROP(Decoders, DamagedMessagesAreReadOrRefused, ()) {
+  TeamDocument Document;
+  Document.Team = "guides";
+  Document.Limit = 4;
+  FleetState State;
+  const FleetCommand Commands[] = {
+      {"op-1", "ada", ApplyDocument{Document, 0}},
+      {"op-2", "ada", GrantKey{"guides", "d"}},
+      {"", "", RegisterEntryVm{{"entry-1", 5}, "dc-1", "127.0.0.1:80"}},
+      {"", "", GrantSlice{{"entry-1", 5}, "guides", 3}}};
+  for (const FleetCommand &Command : Commands) {
+    FleetCommand Decoded;
+    if (decodeCommand(damaged(encodeCommand(Command)), Decoded))
+      State.apply(Decoded);
+    State.apply(Command);
+  }
+  FleetState Restored;
+  if (Restored.restore(damaged(State.snapshot())))
+    for (const FleetCommand &Command : Commands)
+      Restored.apply(Command);
+  RC_ASSERT(Restored.restore(State.snapshot()));
+  TransferredRecord Record{"id", "s", RecordState::Answered, 200, "", ""};
+  decodeRecordPage(
+      damaged(encodeRecordPage({{"entry-1", 1}, 1, {Record}, true, 0})));
+  HttpResponse Refused =
+      encodeOutcome(NotRun{Refusal::QueueFull, seconds(1), false});
+  Refused.Body = damaged(Refused.Body);
+  if (auto Decoded = decodeOutcome(Refused))
+    encodeOutcome(*Decoded);
+}
+
 // Nested values are read recursively, so that a message of some hundred
 // kilobytes overflowed the stack.
 TEST(Decoders, DeeplyNestedMessagesAreRefused) {
--- a/Tests/Jobs/CommandCodecTest.cpp
+++ b/Tests/Jobs/CommandCodecTest.cpp
@@ -214,12 +214,12 @@
         Store.apply(Decoded);
       Store.apply(Command);
     }
+  const std::string Snapshot = Store.snapshot();
   JobStore Restored;
-  RC_ASSERT(Restored.restore(Store.snapshot()));
-  RC_ASSERT(Restored.snapshot() == Store.snapshot());
-  std::string Damaged = damaged(Store.snapshot());
-  if (!Restored.restore(Damaged))
-    RC_ASSERT(Restored.snapshot() == Store.snapshot());
+  RC_ASSERT(Restored.restore(Snapshot));
+  RC_ASSERT(Restored.snapshot() == Snapshot);
+  if (!Restored.restore(damaged(Snapshot)))
+    RC_ASSERT(Restored.jobs() == Store.jobs());
 }
 
 RC_GTEST_PROP(CommandCodec, DamagedMessagesAreReadOrRefused, ()) {
