Links: no server or client is leaked by the tests of the fleet

Eight tests of FleetTests failed with LeakSanitizer on arm64 although they passed: they left their servers, clients and event loop to the end of the process, and whether LeakSanitizer found a pointer to them was a matter of what remained on the stack.

The tests now destroy their servers and clients; TestLoop keeps the event loop, which h2o cannot destroy, and runs it until all connections are closed and freed. HttpClient disposes of its timeout, to which the loop referred after the client was destroyed, and HttpServerState frees the queue that h2o 2.2 leaves when a context is disposed of.

--- a/Source/Links/HttpClient.cpp
+++ b/Source/Links/HttpClient.cpp
@@ -79,6 +79,7 @@
       h2o_socketpool_dispose(&Dest.Connections->Native);
   for (const std::shared_ptr<Pool> &Candidate : RetiredPools)
     h2o_socketpool_dispose(&Candidate->Native);
+  h2o_timeout_dispose(Loop.native(), &IoTimeout);
 }
 
 std::shared_ptr<HttpClient::Pool>
--- a/Source/Links/HttpServer.cpp
+++ b/Source/Links/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "Links/HttpServer.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <new>
 #include <sys/socket.h>
 #include <utility>
@@ -187,7 +188,12 @@
   // Started by h2o_context_request_shutdown(); a context can be disposed of
   // only without running timers.
   h2o_timeout_unlink(&Context.http2._graceful_shutdown_timeout);
+  h2o_multithread_queue_t *Queue = Context.queue;
   h2o_context_dispose(&Context);
+#if H2O_LIBRARY_VERSION_MINOR == 13
+  // h2o 2.2 destroys the queue's content but does not free the queue.
+  std::free(Queue);
+#endif
   h2o_config_dispose(&Config);
 }
 
--- a/Tests/Fleet/CarrierTest.cpp
+++ b/Tests/Fleet/CarrierTest.cpp
@@ -5,6 +5,7 @@
 #include "Fleet/OrderCarrier.h"
 #include "Links/HttpServer.h"
 #include "Support/ListeningPort.h"
+#include "Support/TestLoop.h"
 
 #include <algorithm>
 #include <gtest/gtest.h>
@@ -98,38 +99,36 @@
     return static_cast<size_t>(std::count(Events.begin(), Events.end(), Kind));
   }
 
-  // h2o cannot destroy an event loop or a server, so all live as long as the
-  // process.
-  EventLoop &Loop = *new EventLoop();
+  TestLoop Lasting; // Destroyed last.
+  EventLoop &Loop = Lasting.Loop;
   SocketAddress LeaderAddress = freeAddress();
   SocketAddress CarrierAddress = freeAddress();
-  RecordingWorkers &DirectWorkers = *new RecordingWorkers(Loop);
-  RecordingWorkers &CarriedTo = *new RecordingWorkers(Loop);
-  std::vector<std::string> &Events = *new std::vector<std::string>();
+  RecordingWorkers DirectWorkers{Loop};
+  RecordingWorkers CarriedTo{Loop};
+  std::vector<std::string> Events;
   uint64_t LeaderTerm = 4;
   uint64_t CarrierTerm = 4;
-  CarriedWorkerPort &Leader = *new CarriedWorkerPort(
+  CarriedWorkerPort Leader{
       Loop, DirectWorkers, LeaderAddress.text(),
-      [this](const char *Kind, const Json &) { Events.emplace_back(Kind); });
-  OrderCarrier &Carrier = *new OrderCarrier(
+      [this](const char *Kind, const Json &) { Events.emplace_back(Kind); }};
+  OrderCarrier Carrier{
       Loop, CarriedTo, "dc-1",
-      [this](const char *Kind, const Json &) { Events.emplace_back(Kind); });
-  HttpServer &LeaderServer =
-      *new HttpServer(Loop, [this](const auto &Exchange) {
-        bool IsRead = Leader.handleResults(Exchange->request().Body);
-        Exchange->respond({IsRead ? 200 : 400, {}, {}});
-      });
-  HttpServer &CarrierServer =
-      *new HttpServer(Loop, [this](const auto &Exchange) {
-        Exchange->respond(
-            Carrier.handleBatch(Exchange->request().Body, CarrierTerm));
-      });
+      [this](const char *Kind, const Json &) { Events.emplace_back(Kind); }};
+  HttpServer LeaderServer{Loop, [this](const auto &Exchange) {
+                            bool IsRead =
+                                Leader.handleResults(Exchange->request().Body);
+                            Exchange->respond({IsRead ? 200 : 400, {}, {}});
+                          }};
+  HttpServer CarrierServer{Loop, [this](const auto &Exchange) {
+                             Exchange->respond(Carrier.handleBatch(
+                                 Exchange->request().Body, CarrierTerm));
+                           }};
   WorkerEntry Worker{{"w-1", 77}, "127.0.0.1:9", "p", "vm", "dc-1", {}, {}};
   StartOrder Order{{"job", 1, 2, 3}, 4, "payload", 5000, 6, "saved", "ticket"};
 };
 
 TEST(Carrier, OrdersReachTheWorkerUnchanged) {
-  CarrierHarness &Env = *new CarrierHarness();
+  CarrierHarness Env;
   Env.useCarrier();
   EXPECT_EQ(Env.start(Env.Order), OrderOutcome::Accepted);
   int Answers = 0;
@@ -160,7 +159,7 @@
 }
 
 TEST(Carrier, AWorkersListsReachTheLeaderUnchanged) {
-  CarrierHarness &Env = *new CarrierHarness();
+  CarrierHarness Env;
   Env.CarriedTo.Response.Running = {{Env.Order.Task, 4, "saved", 41, 250}};
   Env.CarriedTo.Response.Finished = {
       {58, Env.Order.Task, 3, EndKind::Alone, "kept"}};
@@ -186,7 +185,7 @@
 }
 
 TEST(Carrier, WithoutAUsableCarrierOrdersAreDirect) {
-  CarrierHarness &Env = *new CarrierHarness();
+  CarrierHarness Env;
   Env.Leader.setCarriers({{freeAddress().text(), false}}, Env.LeaderTerm);
   EXPECT_EQ(Env.start(Env.Order), OrderOutcome::Accepted);
   EXPECT_EQ(Env.DirectWorkers.Starts.size(), 1U);
@@ -194,7 +193,7 @@
 }
 
 TEST(Carrier, ACarrierThatIsKnownToBeAliveIsUsedAtOnce) {
-  CarrierHarness &Env = *new CarrierHarness();
+  CarrierHarness Env;
   Env.Leader.setCarriers({{Env.CarrierAddress.text(), true}}, Env.LeaderTerm);
   EXPECT_EQ(Env.start(Env.Order), OrderOutcome::Accepted);
   EXPECT_EQ(Env.CarriedTo.Starts.size(), 1U);
@@ -202,7 +201,7 @@
 }
 
 TEST(Carrier, ACarrierWronglyTakenForAliveLosesNoOrder) {
-  CarrierHarness &Env = *new CarrierHarness();
+  CarrierHarness Env;
   Env.Leader.setCarriers({{freeAddress().text(), true}}, Env.LeaderTerm);
   EXPECT_EQ(Env.start(Env.Order), OrderOutcome::Accepted);
   EXPECT_EQ(Env.DirectWorkers.Starts.size(), 1U);
@@ -210,7 +209,7 @@
 }
 
 TEST(Carrier, ABatchOfAnOldTermIsRefusedAndItsOrdersGoDirect) {
-  CarrierHarness &Env = *new CarrierHarness();
+  CarrierHarness Env;
   Env.useCarrier();
   Env.CarrierTerm = 5;
   EXPECT_EQ(Env.start(Env.Order), OrderOutcome::Accepted);
@@ -222,7 +221,7 @@
 }
 
 TEST(Carrier, AnOrderWithoutAResultIsUnansweredAndNotSentAgain) {
-  CarrierHarness &Env = *new CarrierHarness();
+  CarrierHarness Env;
   Env.useCarrier();
   Env.CarriedTo.IsSilent = true;
   EXPECT_EQ(Env.start(Env.Order), OrderOutcome::Unanswered);
@@ -259,7 +258,7 @@
 }
 
 TEST(Carrier, ARemovedCarriersOrdersEndAsUnanswered) {
-  CarrierHarness &Env = *new CarrierHarness();
+  CarrierHarness Env;
   Env.useCarrier();
   Env.CarriedTo.IsSilent = true;
   std::optional<OrderOutcome> Outcome;
@@ -273,7 +272,7 @@
 
 // The orders were carried out, and their results went nowhere.
 TEST(Carrier, ABatchWithoutAnAddressForItsResultsIsRefused) {
-  CarrierHarness &Env = *new CarrierHarness();
+  CarrierHarness Env;
   for (const char *Address : {"127.0.0.1:99999", "host:80", ""}) {
     OrderBatch Batch{Env.LeaderTerm, Address, {}};
     Batch.Orders.push_back({1, Env.Worker.Key, Env.Worker.Address, Env.Order});
@@ -286,7 +285,7 @@
 }
 
 TEST(Carrier, MalformedBatchesAreRefusedWhole) {
-  CarrierHarness &Env = *new CarrierHarness();
+  CarrierHarness Env;
   std::string Orders = encodeOrders(
       {4, Env.LeaderAddress.text(), {{1, Env.Worker.Key, "a:1", Env.Order}}});
   std::string Results = encodeResults(
--- a/Tests/Fleet/LeaderLinkTest.cpp
+++ b/Tests/Fleet/LeaderLinkTest.cpp
@@ -4,6 +4,7 @@
 #include "Fleet/LeaderLink.h"
 #include "Links/HttpServer.h"
 #include "Support/ListeningPort.h"
+#include "Support/TestLoop.h"
 
 #include <gtest/gtest.h>
 #include <memory>
@@ -70,9 +71,8 @@
       Loop.runOnce();
   }
 
-  // h2o cannot destroy an event loop or a server, so both live as long as the
-  // process.
-  EventLoop &Loop = *new EventLoop();
+  TestLoop Lasting; // Destroyed last.
+  EventLoop &Loop = Lasting.Loop;
   VersionReader Reader;
   EventLog Events{"entry", "entry", "warn"};
 };
@@ -81,7 +81,7 @@
 // which a large configuration over a slow link exceeds.
 TEST(LeaderLink, AppliesConfigurationThatTakesLongerThanASync) {
   LinkHarness Harness;
-  FakeControlVm &Leader = *new FakeControlVm(Harness.Loop, milliseconds(900));
+  FakeControlVm Leader(Harness.Loop, milliseconds(900));
   Leader.Reply.IsLeader = true;
   Leader.Reply.Version = 7;
   LeaderLink Link(Harness.Loop, "entry", {Leader.Address.text()},
@@ -93,7 +93,7 @@
 
 TEST(LeaderLink, IsNotUpToDateWhileConfigurationLagsBehind) {
   LinkHarness Harness;
-  FakeControlVm &Leader = *new FakeControlVm(Harness.Loop, milliseconds(1));
+  FakeControlVm Leader(Harness.Loop, milliseconds(1));
   Leader.Reply.IsLeader = true;
   Leader.Reply.Version = 7;
   LeaderLink Link(Harness.Loop, "entry", {Leader.Address.text()},
@@ -112,15 +112,17 @@
 // as leader during an election.
 TEST(LeaderLink, LimitsSyncsToControlVmsThatNameEachOther) {
   LinkHarness Harness;
-  FakeControlVm &First = *new FakeControlVm(Harness.Loop, milliseconds(1));
-  FakeControlVm &Second = *new FakeControlVm(Harness.Loop, milliseconds(1));
+  FakeControlVm First(Harness.Loop, milliseconds(1));
+  FakeControlVm Second(Harness.Loop, milliseconds(1));
   First.Reply.Leader = Second.Address.text();
   Second.Reply.Leader = First.Address.text();
   int Ticks = 0;
-  Harness.Loop.timers().scheduleEvery(milliseconds(250), [&Ticks] { ++Ticks; });
+  TimerId Ticker = Harness.Loop.timers().scheduleEvery(milliseconds(250),
+                                                       [&Ticks] { ++Ticks; });
   LeaderLink Link(Harness.Loop, "entry", {First.Address.text()}, Harness.Reader,
                   Harness.Events);
   Harness.runUntil([&] { return Ticks >= 8; });
+  Harness.Loop.timers().cancel(Ticker);
   // One sync and two hints for each tick, and one more tick at either end.
   EXPECT_LE(First.Syncs + Second.Syncs, 3 * (Ticks + 2));
 }
--- a/Tests/Fleet/RaftTransportTest.cpp
+++ b/Tests/Fleet/RaftTransportTest.cpp
@@ -5,6 +5,7 @@
 #include "Fleet/InternalMessages.h"
 #include "Links/HttpServer.h"
 #include "Support/ListeningPort.h"
+#include "Support/TestLoop.h"
 
 #include <gtest/gtest.h>
 
@@ -37,25 +38,24 @@
 // back with an empty disk then never became a member, and the loss of two more
 // disks lost what had been accepted (a fresh day of the large deployment).
 TEST(RaftTransport, AJoinRequestReachesALeaderThatIsNoSeed) {
-  // h2o cannot destroy an event loop or a server, so all live as long as the
-  // process.
-  EventLoop &Loop = *new EventLoop();
-  auto &Seed = *new JoinCounter(Loop);
-  auto &Leader = *new JoinCounter(Loop);
+  TestLoop Lasting; // Destroyed last.
+  EventLoop &Loop = Lasting.Loop;
+  JoinCounter Seed(Loop);
+  JoinCounter Leader(Loop);
   Seed.Known = {{1, "seed", Seed.Address.text()},
                 {2, "leader", Leader.Address.text()}};
-  auto &Transport =
-      *new HttpRaftTransport(Loop, {Seed.Address.text()}, freeAddress().text(),
-                             [](const RaftMessage &) {});
+  HttpRaftTransport Transport(Loop, {Seed.Address.text()}, freeAddress().text(),
+                              [](const RaftMessage &) {});
   Member Self{3, "self", "127.0.0.1:1"};
   int Sent = 0;
   constexpr int MaxJoins = 20;
-  Loop.timers().scheduleEvery(milliseconds(20), [&] {
+  TimerId Sender = Loop.timers().scheduleEvery(milliseconds(20), [&] {
     ++Sent;
     Transport.sendJoinRequest(Self, {});
   });
   while (Leader.Joins == 0 && Sent < MaxJoins)
     Loop.runOnce();
+  Loop.timers().cancel(Sender);
   EXPECT_GT(Seed.Joins, 0);
   EXPECT_GT(Leader.Joins, 0);
 }
