--- a/Tests/Fleet/CarrierTest.cpp
+++ b/Tests/Fleet/CarrierTest.cpp
@@ -237,12 +237,12 @@
 // was taken for the response to another order: a refusal freed a run that had
 // started.
 TEST(Carrier, ResultsOfAnEarlierProcessesOrdersAreIgnored) {
-  CarrierHarness &Env = *new CarrierHarness();
+  CarrierHarness Env;
   Env.useCarrier();
   Env.CarrierTerm = 3;
-  auto &Earlier = *new CarriedWorkerPort(Env.Loop, Env.DirectWorkers,
-                                         Env.LeaderAddress.text(),
-                                         [](const char *, const Json &) {});
+  CarriedWorkerPort Earlier(Env.Loop, Env.DirectWorkers,
+                            Env.LeaderAddress.text(),
+                            [](const char *, const Json &) {});
   Earlier.setCarriers({{Env.CarrierAddress.text(), true}}, 3);
   bool IsFirstAnswered = false;
   Env.CarriedTo.IsSilent = true;
