Platform: a worker's address that cannot be read ends no process

A worker report whose address was no IP:port was accepted and committed, and the leader ended in the HTTP library when it polled that worker; each next leader did the same, since the entry was in the replicated log. An address with a NUL was taken for the part before it and added lines to request headers.

The address is checked where the report is decoded: it is answered with 400 and counted (mimosashunt_input_rejected{source}, a log line a second at most for each source). A stored worker without a usable address is never called: its orders end as not sent, so it is not used. HttpClient ends a call to an unset address as not sent.

--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -28,6 +28,7 @@
 constexpr size_t MinWorkersForCarriers = 150;
 constexpr Duration ForwardTimeout = milliseconds(900);
 constexpr Duration StopTimeout = seconds(2);
+constexpr size_t MaxLoggedPathBytes = 200;
 /// Jobs are refused as not run while more proposals than this await commitment.
 constexpr size_t MaxPendingProposals = 4000;
 /// Marks a request that another control VM has forwarded, so that it is not
@@ -136,8 +137,10 @@
       OfferInterval, [this] { sendBootstrapOffer(); });
   CarriersTimer = Loop.timers().scheduleEvery(CarriersInterval,
                                               [this] { updateCarriers(); });
-  LoadTimer =
-      Loop.timers().scheduleEvery(LoadInterval, [this] { reportLoopLoad(); });
+  LoadTimer = Loop.timers().scheduleEvery(LoadInterval, [this] {
+    reportLoopLoad();
+    logRejectedInput();
+  });
   Watcher = std::make_unique<SettingsWatcher>(
       Loop, SettingsFile,
       [this](const FleetSettings &NewSettings) {
@@ -312,6 +315,24 @@
   Events.log("loop_late", Fields);
 }
 
+void SchedulerDaemon::logRejectedInput() {
+  Ports.Rejected.logNew(
+      [this](InputSource Source, const RejectedInput::Tally &Tally) {
+        Events.log("input_rejected", {{"source", nameOf(Source)},
+                                      {"count", Tally.UnloggedCount},
+                                      {"detail", Tally.LastDetail}});
+      });
+}
+
+void SchedulerDaemon::countUnusableWorkers() {
+  for (const auto &[Key, Entry] : State.workers()) {
+    SocketAddress Address;
+    if (SocketAddress::parse(Entry.Address, Address))
+      Ports.Rejected.add(InputSource::StoredState,
+                         "the address of worker " + Key.Id);
+  }
+}
+
 void SchedulerDaemon::onRoleChange() {
   Transport.setMemberAddresses(memberAddresses());
   bool IsLeader = Group->log().role() == RaftRole::Leader;
@@ -374,6 +395,7 @@
         [this](const std::string &Vm) {
           return WaveMaintenance->isUnderMaintenance(Vm);
         });
+    countUnusableWorkers();
     // All workers are about to be read, which is most of a new leader's work.
     updateCarriers();
     Events.log("leads", {{"token", State.leaderships()},
@@ -432,8 +454,13 @@
 void SchedulerDaemon::handleControlRequest(const ExchangePtr &Exchange) {
   ControlRequest Request = Ports.Control.decode(Exchange->request());
   if (const auto *Invalid = std::get_if<InvalidControlRequest>(&Request)) {
-    Events.log("control_call_refused", {{"path", Exchange->request().Path},
-                                        {"detail", Invalid->Detail}});
+    const std::string Path =
+        Exchange->request().Path.substr(0, MaxLoggedPathBytes);
+    Events.log("control_call_refused",
+               {{"path", Path}, {"detail", Invalid->Detail}});
+    if (Invalid->Reason == InvalidControlRequest::ReasonCode::Malformed)
+      Ports.Rejected.add(InputSource::ControlCall,
+                         Path + ": " + Invalid->Detail);
     return Exchange->respond(Ports.Control.refusalResponse(*Invalid));
   }
   if (!isLeader())
--- a/Source/Fleet/SchedulerDaemon.h
+++ b/Source/Fleet/SchedulerDaemon.h
@@ -14,6 +14,7 @@
 #include "Fleet/HttpRaftTransport.h"
 #include "Fleet/InternalMessages.h"
 #include "Fleet/OrderCarrier.h"
+#include "Fleet/RejectedInput.h"
 #include "Fleet/SettingsWatcher.h"
 #include "Links/EventLoop.h"
 #include "Links/HttpServer.h"
@@ -35,6 +36,8 @@
   const ControlCodec &Control;
   WorkerPort &Workers;
   VmPort &Vms;
+  /// Counts what the other ports could not read.
+  RejectedInput &Rejected;
 };
 
 /// Serves workers, operators, entry VMs and other control VMs on one event
@@ -114,6 +117,10 @@
   void beginStop();
   /// Logs how late the event loop ran, if it did, and keeps it for the metrics.
   void reportLoopLoad();
+  void logRejectedInput();
+  /// Counts the stored workers whose address cannot be read. Orders to them are
+  /// never sent, so they are not used.
+  void countUnusableWorkers();
   std::string metricsText();
   void updateSchedulerMetrics();
   void updateShareMetrics();
--- a/Source/Fleet/SchedulerMain.cpp
+++ b/Source/Fleet/SchedulerMain.cpp
@@ -18,11 +18,12 @@
                          Settings, SettingsFile, Status))
     return Status;
   EventLoop Loop;
+  RejectedInput Rejected;
   platform::ConfigurationCodec Configurations;
   platform::ControlCalls Control(Configurations);
   platform::WorkerClient Workers(Loop, Settings.AdviceAddress);
   platform::VmClient Vms(Loop, Settings.Vm, Settings.PlatformAddress);
   SchedulerDaemon Daemon(Settings, SettingsFile, Loop,
-                         {Configurations, Control, Workers, Vms});
+                         {Configurations, Control, Workers, Vms, Rejected});
   return runFleetDaemon(Daemon, SettingsFile, [&] { return Daemon.run(); });
 }
--- a/Source/Fleet/SchedulerMetrics.cpp
+++ b/Source/Fleet/SchedulerMetrics.cpp
@@ -24,6 +24,12 @@
       .gauge("mimosashunt_batches_refused",
              "Batches of orders that were not carried")
       .Set(static_cast<double>(Carrier.refusedBatches()));
+  for (const auto &[Source, Tally] : Ports.Rejected.all())
+    Registry
+        .gauge("mimosashunt_input_rejected",
+               "Values from outside that could not be read",
+               {{"source", nameOf(Source)}})
+        .Set(static_cast<double>(Tally.Count));
   const auto &Evacuations = State.evacuations();
   auto Evacuated =
       std::count_if(Evacuations.begin(), Evacuations.end(),
--- a/Source/Links/HttpClient.cpp
+++ b/Source/Links/HttpClient.cpp
@@ -105,6 +105,9 @@
   if (It == Calls.end())
     return;
   Call &Entry = *It->second;
+  // h2o ends the process if it is given an address that is not set.
+  if (Entry.Target.text().empty())
+    return finishCall(Id, HttpNotSent{"no address"});
   Destination &Dest = Destinations[Entry.Target.text()];
   if (Dest.CallsInFlight >= Options.ConnectionsPerAddress) {
     Dest.WaitingCalls.push_back(Id);
--- a/Source/Links/SocketAddress.cpp
+++ b/Source/Links/SocketAddress.cpp
@@ -16,7 +16,8 @@
 std::error_code SocketAddress::parse(const std::string &Text,
                                      SocketAddress &Result) {
   size_t Colon = Text.find(':');
-  if (Colon == std::string::npos)
+  // What follows a NUL would not be seen by inet_pton() but sent in headers.
+  if (Colon == std::string::npos || Text.find('\0') != std::string::npos)
     return LinkError::BadAddress;
   sockaddr_in Native{};
   Native.sin_family = AF_INET;
--- a/Tests/Links/HttpTest.cpp
+++ b/Tests/Links/HttpTest.cpp
@@ -276,6 +276,15 @@
   for (const char *Bad : {"", "localhost:80", "10.0.0.1", "10.0.0.1:",
                           "10.0.0.1:0", "10.0.0.1:70000", "10.0.0.1:8x"})
     EXPECT_TRUE(SocketAddress::parse(Bad, Address)) << Bad;
+  // Guards against lines that an address would add to a request's headers.
+  EXPECT_TRUE(
+      SocketAddress::parse(std::string("10.0.0.1\0\r\nx:80", 14), Address));
+}
+
+TEST(HttpClient, AnUnsetAddressDoesNotEndTheProcess) {
+  HttpFixture Env;
+  EXPECT_TRUE(
+      std::holds_alternative<HttpNotSent>(Env.call(SocketAddress(), Get)));
 }
 
 TEST(HttpClient, LimitsConnectionsPerAddressAndClosesIdleOnes) {
--- a/Tests/Platform/CallCodecTest.cpp
+++ b/Tests/Platform/CallCodecTest.cpp
@@ -3,6 +3,7 @@
 
 #include "platform/CallCodecs.h"
 #include "platform/Fields.h"
+#include "platform/WorkerClient.h"
 
 #include <gtest/gtest.h>
 
@@ -201,6 +202,41 @@
         << Body;
 }
 
+TEST(ControlCalls, RejectsReportsWithoutAUsableAddress) {
+  // Guards against a leader that ends when it polls such a worker.
+  ConfigurationCodec Reader;
+  ControlCalls Codec(Reader);
+  for (const char *Address :
+       {"", "10.0.0.9", "10.0.0.9:99999", "10.0.0.9:0", "worker.example:80",
+        "10.0.0.9:80x", "10.0.0.9\\u0000x:80"}) {
+    std::string Body = R"({"service":"s1","state":"ready","address":")" +
+                       std::string(Address) + "\"}";
+    EXPECT_TRUE(std::holds_alternative<InvalidControlRequest>(Codec.decode(
+        makeRequest("POST", "/mimosashunt/instances/i-7f/heartbeat", Body))))
+        << Body;
+  }
+}
+
+TEST(WorkerClient, NothingIsSentToAStoredWorkerWithoutAnAddress) {
+  // Earlier versions stored such entries; each new leader polls them.
+  auto &Loop = *new EventLoop();
+  auto &Client = *new WorkerClient(Loop, std::nullopt);
+  WorkerEntry Worker;
+  Worker.Address = "10.0.0.9:99999";
+  std::optional<OrderOutcome> Polled;
+  std::optional<OrderOutcome> Stopped;
+  Client.pollWorker(Worker, {}, [&](const PollResponse &Response) {
+    Polled = Response.Outcome;
+  });
+  Client.stopRun(Worker, {}, [&](const OrderResponse &Response) {
+    Stopped = Response.Outcome;
+  });
+  while (!Polled || !Stopped)
+    Loop.runOnce();
+  EXPECT_EQ(Polled, OrderOutcome::NotSent);
+  EXPECT_EQ(Stopped, OrderOutcome::NotSent);
+}
+
 TEST(ControlCalls, ReadsWaveStartAndWaveQuery) {
   ConfigurationCodec Reader;
   ControlCalls Codec(Reader);
