Platform: amounts from outside have a stated range

Reports and jobs with amounts of 2^63-1 were accepted and stored, so that sums over workers, tasks or estimates overflowed; unsigned numbers above 2^63 wrapped to negative ones; a wave's duration, a negative sequence or a job's times could take any value. A job of 10^10 tasks was accepted, whose records no scheduler can hold.

Each number is now read with its range (Jobs/Limits.h): what is out of range is answered with 400. The leader refuses jobs beyond the limits that a gateway of an earlier version lets through, as not run. What an earlier version has stored is brought into the range where the store applies or restores it; a stored configuration stays readable, while an upload out of range is refused.

--- a/Source/Fleet/GatewayDaemon.cpp
+++ b/Source/Fleet/GatewayDaemon.cpp
@@ -1,6 +1,6 @@
 #include "Fleet/GatewayDaemon.h"
 
-#include "Jobs/JobLimits.h"
+#include "Jobs/Limits.h"
 
 #include <algorithm>
 #include <utility>
@@ -122,7 +122,7 @@
   CallerRequest Request =
       Codec.decode(Exchange->request(), Link.configuration());
   if (const auto *Job = std::get_if<JobRequest>(&Request))
-    if (!isRunnable(Job->Spec))
+    if (!limitError(Job->Spec).empty())
       Request = CallRefusal{CallRefusal::ReasonCode::MalformedRequest,
                             "the job has too many tasks or too large amounts"};
   if (const auto *Refusal = std::get_if<CallRefusal>(&Request)) {
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -1,7 +1,7 @@
 #include "Fleet/SchedulerDaemon.h"
 
 #include "Agreement/RaftCodec.h"
-#include "Jobs/JobLimits.h"
+#include "Jobs/Limits.h"
 #include "Storage/StorageError.h"
 
 #include <algorithm>
@@ -693,7 +693,8 @@
   const QueueConfiguration *Queue = Configuration.findQueue(Request.Queue);
   bool IsOverloaded =
       Scheduler->isOverloaded() && !Request.Spec.isLongRunning();
-  bool Refused = Queue == nullptr || !isRunnable(Request.Spec) ||
+  // Gateways of earlier versions let larger jobs through.
+  bool Refused = Queue == nullptr || !limitError(Request.Spec).empty() ||
                  Group->pendingProposals() > MaxPendingProposals ||
                  IsOverloaded;
   if (Refused) {
--- a/Source/Jobs/JobStore.cpp
+++ b/Source/Jobs/JobStore.cpp
@@ -1,6 +1,6 @@
 #include "Jobs/JobStore.h"
 
-#include "Jobs/JobLimits.h"
+#include "Jobs/Limits.h"
 
 #include <algorithm>
 
@@ -117,6 +117,7 @@
   JobRecord &Record = It->second;
   Record.Job = Command;
   Record.ConfigurationVersion = ConfigurationVersion;
+  clampAmounts(Record.Job.Spec);
   Record.Tasks.resize(Command.Spec.Recurrence.occurrences());
   for (auto &Occurrence : Record.Tasks)
     for (const StepSpec &Step : Command.Spec.Steps) {
@@ -253,6 +254,7 @@
   for (const WorkerEntry &Entry : Command.Workers) {
     bool WasLeaving = Workers.count(Entry.Key) && Workers[Entry.Key].Leaving;
     Workers[Entry.Key] = Entry;
+    Workers[Entry.Key].Capacity = clampAmounts(Entry.Capacity);
     // An incarnation that is leaving never becomes available again.
     Workers[Entry.Key].Leaving |= WasLeaving;
   }
@@ -358,12 +360,15 @@
   *this = {};
   for (JobRecord &Record : Contents.Jobs) {
     JobId Id = Record.Job.Job;
+    clampAmounts(Record.Job.Spec);
     Jobs.emplace(std::move(Id), std::move(Record));
   }
   ConfigurationVersion = Contents.Version;
   ConfigurationText = std::move(Contents.Text);
-  for (WorkerEntry &Entry : Contents.Workers)
+  for (WorkerEntry &Entry : Contents.Workers) {
+    Entry.Capacity = clampAmounts(Entry.Capacity);
     Workers.emplace(Entry.Key, Entry);
+  }
   for (WaveRecord &Wave : Contents.Waves)
     Waves.emplace(Wave.Plan.Wave, Wave);
   for (SetEvacuation &Order : Contents.Evacuations)
--- a/Source/Jobs/JobTypes.cpp
+++ b/Source/Jobs/JobTypes.cpp
@@ -65,12 +65,15 @@
 }
 
 int64_t JobSpec::totalCoreMs() const {
-  constexpr int64_t MillicoresPerCore = 1000;
-  int64_t Sum = 0;
+  constexpr double MillicoresPerCore = 1000;
+  double Sum = 0;
   for (const StepSpec &Step : Steps)
-    Sum += Step.Count * Step.TaskResources.Cpu * Step.EstimateMs /
-           MillicoresPerCore;
-  return Sum;
+    Sum += static_cast<double>(Step.Count) *
+           static_cast<double>(Step.TaskResources.Cpu) *
+           static_cast<double>(Step.EstimateMs) / MillicoresPerCore;
+  // The product of the largest amounts exceeds an int64_t.
+  constexpr double MaxSum = 9e18;
+  return static_cast<int64_t>(std::min(Sum, MaxSum));
 }
 
 bool JobSpec::isLongRunning() const {
--- a/Tests/Jobs/JobStoreTest.cpp
+++ b/Tests/Jobs/JobStoreTest.cpp
@@ -2,11 +2,13 @@
 // snapshots.
 
 #include "Jobs/JobStore.h"
-#include "Jobs/JobLimits.h"
+#include "Jobs/Limits.h"
 #include "Support/SchedulerHarness.h"
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 using namespace mimosashunt;
 using mimosashunt::test::makeChainSpec;
 
@@ -40,7 +42,7 @@
   Odd[4].Steps[0].TaskResources.Cpu = -1;
   Odd[5].Steps[0].TaskResources.MemoryMb = INT64_MAX;
   for (const JobSpec &Spec : Odd) {
-    EXPECT_FALSE(isRunnable(Spec));
+    EXPECT_FALSE(limitError(Spec).empty());
     if (!isConsistent(Spec))
       EXPECT_FALSE(Store.apply(makeJob("a", Spec)));
   }
@@ -254,4 +256,16 @@
   EXPECT_FALSE(decodeJobCommand("no command", Ignored));
 }
 
+TEST(JobStore, StoredAmountsAreBroughtIntoTheirRange) {
+  // Guards against sums that overflow over amounts of earlier versions.
+  constexpr int64_t Most = std::numeric_limits<int64_t>::max();
+  UpdateWorkers Command;
+  Command.Workers.emplace_back();
+  Command.Workers[0].Capacity = {Most, -1, Most};
+  JobStore Store;
+  Store.apply(Command);
+  EXPECT_EQ(Store.workers().begin()->second.Capacity,
+            (Resources{MaxAmount, 0, MaxAmount}));
+}
+
 } // namespace
--- a/Tests/Platform/CallCodecTest.cpp
+++ b/Tests/Platform/CallCodecTest.cpp
@@ -1,6 +1,7 @@
 // Tests the codecs of the platform's wire format, with the examples of its
 // specification and with malformed input.
 
+#include "Jobs/Limits.h"
 #include "platform/CallCodecs.h"
 #include "platform/Fields.h"
 #include "platform/WorkerClient.h"
@@ -217,6 +218,60 @@
   }
 }
 
+TEST(ControlCalls, RejectsReportsWithAmountsOutOfRange) {
+  // Guards against sums over workers that overflow, and against clocks and
+  // sequences that no later report can exceed.
+  ConfigurationCodec Reader;
+  ControlCalls Codec(Reader);
+  for (const char *Field :
+       {R"("capacity-free":{"cpu":-1})", R"("capacity-free":{"gpu":1e400})",
+        R"("capacity-free":{"cpu":9223372036854775807})",
+        R"("capacity-free":{"mem-mb":18446744073709551615})",
+        R"("capacity-free":{"mem-mb":1e300})", R"("sequence":-1)",
+        R"("sequence":18446744073709551615)", R"("clock-ms":-1)",
+        R"("clock-ms":9007199254740993)", R"("born":-1)",
+        R"("born":9223372036854775808)"}) {
+    std::string Body =
+        R"({"service":"s1","state":"ready","address":"10.0.0.9:80",)" +
+        std::string(Field) + "}";
+    EXPECT_TRUE(std::holds_alternative<InvalidControlRequest>(Codec.decode(
+        makeRequest("POST", "/mimosashunt/instances/i-7f/heartbeat", Body))))
+        << Body;
+  }
+}
+
+TEST(CallerCalls, RefusesJobsBeyondTheLimits) {
+  // A job of 10^10 tasks took the memory of each scheduler that applied it.
+  for (const char *Body :
+       {R"({"steps":[{"count":1,"cpu":9223372036854775807}]})",
+        R"({"steps":[{"count":1,"target-ms":-1}]})",
+        R"({"steps":[{"count":1,"estimate-ms":18446744073709551615}]})",
+        R"({"steps":[{"count":1}],"repeat-count":2,"start-at-ms":-1})",
+        R"({"steps":[{"count":1}],"interval-ms":1e300})",
+        R"({"steps":[{"count":100000}],"repeat-count":100000})"})
+    EXPECT_THROW(parseJobSpec(Body), FieldError) << Body;
+}
+
+TEST(ConfigurationCodec,
+     AmountsOutOfRangeAreRefusedButStoredTextStaysReadable) {
+  ConfigurationCodec Reader;
+  for (const auto &[From, To] :
+       std::vector<std::pair<std::string, std::string>>{
+           {R"("stretch":1.6)", R"("stretch":1e300)"},
+           {R"("weight":66)", R"("weight":-1)"},
+           {R"("cpu":1000)", R"("cpu":18446744073709551615)"},
+           {R"("valid-ms":3000)", R"("valid-ms":9223372036854775807)"}}) {
+    std::string Text = manifestWith(From, To);
+    EXPECT_TRUE(std::holds_alternative<InvalidControlRequest>(
+        ControlCalls(Reader).decode(
+            makeRequest("POST", "/mimosashunt/config/replace", Text))))
+        << To;
+    ServiceConfiguration Stored;
+    EXPECT_EQ(Reader.read(Text, Stored), std::nullopt) << To;
+    EXPECT_LE(Stored.Organisations[0].Maximum.Cpu, MaxAmount);
+  }
+}
+
 TEST(WorkerClient, NothingIsSentToAStoredWorkerWithoutAnAddress) {
   // Earlier versions stored such entries; each new leader polls them.
   auto &Loop = *new EventLoop();
