Platform: an odd entry of a list leaves the others

One row of a worker's lists that could not be read gave the whole response up: the worker was silent, and its runs lost, as long as the row was there. A number beyond a double, or bytes that are no UTF-8, made the list of VMs unreadable as a whole. A page token that repeats was followed for ever. A 409 of the platform whose reason is no string threw an exception out of a callback of the event loop.

Rows and entries that cannot be read are skipped and counted. PollResponse::IsPartial tells that a row is missing: then no run is taken for ended or stalled because it is not listed, and a new leader takes the worker as read only when the leases of earlier leaders have ended. Carried results keep the mark. A worker's clock that cannot be read leaves its lists. Reading a list ends at a repeated token.

--- a/Source/Fleet/SchedulerMain.cpp
+++ b/Source/Fleet/SchedulerMain.cpp
@@ -21,8 +21,8 @@
   RejectedInput Rejected;
   platform::ConfigurationCodec Configurations;
   platform::ControlCalls Control(Configurations);
-  platform::WorkerClient Workers(Loop, Settings.AdviceAddress);
-  platform::VmClient Vms(Loop, Settings.Vm, Settings.PlatformAddress);
+  platform::WorkerClient Workers(Loop, Settings.AdviceAddress, Rejected);
+  platform::VmClient Vms(Loop, Settings.Vm, Settings.PlatformAddress, Rejected);
   SchedulerDaemon Daemon(Settings, SettingsFile, Loop,
                          {Configurations, Control, Workers, Vms, Rejected});
   return runFleetDaemon(Daemon, SettingsFile, [&] { return Daemon.run(); });
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -160,6 +160,22 @@
       });
 }
 
+namespace {
+
+/// A run that a partial response does not list may progress unseen, so it does
+/// not count as stalled.
+void excuseUnlistedRuns(TrackedWorker &Worker, const PollResponse &Response,
+                        Instant Now) {
+  std::set<TaskId> Listed;
+  for (const RunningTask &Reported : Response.Running)
+    Listed.insert(Reported.Task);
+  for (auto &[Task, CurrentRun] : Worker.Runs)
+    if (!Listed.count(Task))
+      CurrentRun.ProgressChangedAt = Now;
+}
+
+} // namespace
+
 void Dispatcher::onPollResponse(const WorkerKey &Key, Instant SentAt,
                                 Duration MaxWait,
                                 const PollResponse &Response) {
@@ -193,11 +209,16 @@
     handleRunEnd(*Worker, End);
   for (const RunningTask &Reported : Response.Running)
     updateRun(*Worker, Reported, SentAt);
-  if (!Response.IsPartial)
+  if (Response.IsPartial)
+    excuseUnlistedRuns(*Worker, Response, Timers.now());
+  else
     removeVanishedRuns(*Worker, Response, SentAt);
   // The last lease of runs that another leader started may be about to end.
   bool MustRenewNow = !Worker->IsSynced && !Worker->Runs.empty();
-  if (!Worker->IsSynced && !Response.IsPartial)
+  // What is not listed may run on under a lease of an earlier leader.
+  bool MayRunUnlisted =
+      Response.IsPartial && Timers.now() < StartedAt + Table.maxLeaseDuration();
+  if (!Worker->IsSynced && !MayRunUnlisted)
     markSynced(*Worker);
   stopStalledRuns(*Worker);
   adjustPaces(*Worker);
--- a/Tests/Fleet/CarriedOrdersTest.cpp
+++ b/Tests/Fleet/CarriedOrdersTest.cpp
@@ -51,6 +51,15 @@
   RC_ASSERT(encodeOrders(Decoded) == Bytes);
 }
 
+TEST(CarriedResults, KeepThatAResponseIsPartial) {
+  // A leader that does not hear of it takes what is not listed for ended.
+  PollResponse Response{OrderOutcome::Accepted, 5, {}, {}};
+  Response.IsPartial = true;
+  std::vector<CarriedResult> Decoded;
+  ASSERT_TRUE(decodeResults(encodeResults({{7, Response}}), Decoded));
+  EXPECT_TRUE(Decoded.at(0).Response.IsPartial);
+}
+
 RC_GTEST_PROP(CarriedResults, GiveTheBytesOfPositionalArrays,
               (std::string Text, uint64_t Number, int64_t Signed,
                int32_t Percent)) {
--- a/Tests/Jobs/JobStoreTest.cpp
+++ b/Tests/Jobs/JobStoreTest.cpp
@@ -43,8 +43,9 @@
   Odd[5].Steps[0].TaskResources.MemoryMb = INT64_MAX;
   for (const JobSpec &Spec : Odd) {
     EXPECT_FALSE(limitError(Spec).empty());
-    if (!isConsistent(Spec))
+    if (!isConsistent(Spec)) {
       EXPECT_FALSE(Store.apply(makeJob("a", Spec)));
+    }
   }
   EXPECT_TRUE(isConsistent(Odd[5])); // Earlier versions have accepted it.
   EXPECT_TRUE(Store.apply(makeJob("a", makeChainSpec(2, 3, 1, 1))));
--- a/Tests/Jobs/ReplicaTest.cpp
+++ b/Tests/Jobs/ReplicaTest.cpp
@@ -349,8 +349,9 @@
   RaftOptions Options;
   while (Leader.log().role() == RaftRole::Leader) {
     Group.run(milliseconds(1));
-    if (Group.Timers.now() - Start > Options.ElectionTimeout * 9 / 10)
+    if (Group.Timers.now() - Start > Options.ElectionTimeout * 9 / 10) {
       EXPECT_FALSE(Leader.isLeader());
+    }
   }
 }
 
--- a/Tests/Jobs/WorkerFaultsTest.cpp
+++ b/Tests/Jobs/WorkerFaultsTest.cpp
@@ -22,6 +22,25 @@
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
+TEST(WorkerFaults, ARunWhoseRowCannotBeReadIsNotTakenForEnded) {
+  for (bool HasNewLeader : {false, true}) {
+    SchedulerHarness Harness;
+    Harness.addPool("p", 3, 8);
+    Harness.beginLeadership();
+    Harness.submitJob("a", "p", makeChainSpec(1, 3, 1000, 2000));
+    Harness.advanceTime(milliseconds(500));
+    for (const auto &[Id, Worker] : Harness.Workers.all())
+      Harness.Workers.at(Id).Faults.HasUnreadableRuns = true;
+    if (HasNewLeader)
+      Harness.beginLeadership();
+    Harness.advanceTime(seconds(12));
+    EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+    EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+    for (const auto &[Task, Starts] : Harness.Workers.StartCounts)
+      EXPECT_LE(Starts, HasNewLeader ? 2 : 1);
+  }
+}
+
 TEST(WorkerFaults, ACopyOfASpeculativeTaskDoesNotWaitForTheLease) {
   SchedulerHarness Harness;
   Harness.addPool("p", 3, 8);
--- a/Tests/Platform/CallCodecTest.cpp
+++ b/Tests/Platform/CallCodecTest.cpp
@@ -275,7 +275,8 @@
 TEST(WorkerClient, NothingIsSentToAStoredWorkerWithoutAnAddress) {
   // Earlier versions stored such entries; each new leader polls them.
   auto &Loop = *new EventLoop();
-  auto &Client = *new WorkerClient(Loop, std::nullopt);
+  RejectedInput Rejected;
+  auto &Client = *new WorkerClient(Loop, std::nullopt, Rejected);
   WorkerEntry Worker;
   Worker.Address = "10.0.0.9:99999";
   std::optional<OrderOutcome> Polled;
--- /dev/null
+++ b/Tests/Platform/ListTest.cpp
@@ -0,0 +1,138 @@
+// Tests what becomes of lists that hold an odd entry: the entry is counted, the
+// others hold.
+
+#include "Links/HttpServer.h"
+#include "Support/ListeningPort.h"
+#include "platform/VmClient.h"
+#include "platform/WorkerClient.h"
+
+#include <gtest/gtest.h>
+
+using namespace mimosashunt;
+using namespace mimosashunt::platform;
+
+namespace {
+
+/// A server that gives the same response to each request. All live as long as
+/// the process, since h2o cannot destroy an event loop.
+struct ListFixture {
+  explicit ListFixture(std::string Body, int Status = 200)
+      : Address(test::freeAddress()) {
+    auto *Server = new HttpServer(
+        Loop,
+        [this, Body, Status](const std::shared_ptr<HttpExchange> &Exchange) {
+          ++Requests;
+          Exchange->respond({Status, {}, Body});
+        });
+    EXPECT_FALSE(Server->listen(Address));
+  }
+
+  PollResponse poll() {
+    auto &Client = *new WorkerClient(Loop, std::nullopt, Rejected);
+    WorkerEntry Worker;
+    Worker.Address = Address.text();
+    std::optional<PollResponse> Result;
+    Client.pollWorker(Worker, {},
+                      [&](const PollResponse &Response) { Result = Response; });
+    while (!Result)
+      Loop.runOnce();
+    return *Result;
+  }
+
+  std::optional<std::vector<VmEntry>> listVms() {
+    auto &Client = *new VmClient(Loop, "vm", Address, Rejected);
+    bool Done = false;
+    std::optional<std::vector<VmEntry>> Result;
+    Client.listVms([&](std::optional<std::vector<VmEntry>> List) {
+      Result = std::move(List);
+      Done = true;
+    });
+    while (!Done)
+      Loop.runOnce();
+    return Result;
+  }
+
+  uint64_t rejected(InputSource Source) {
+    auto Found = Rejected.all().find(Source);
+    return Found == Rejected.all().end() ? 0 : Found->second.Count;
+  }
+
+  EventLoop &Loop = *new EventLoop();
+  RejectedInput &Rejected = *new RejectedInput();
+  SocketAddress Address;
+  int &Requests = *new int(0);
+};
+
+std::string nested(size_t Depth) {
+  return std::string(Depth, '[') + std::string(Depth, ']');
+}
+
+const std::vector<std::string> OddValues = {
+    "1e400",        "-1e400",      "-1",   "9223372036854775807",
+    "\"\xff\xfe\"", "null",        "{}",   "18446744073709551615",
+    "[]",           nested(20000), "true", "\"a\\u0000b\""};
+
+TEST(WorkerLists, AnOddRowLeavesTheOthers) {
+  // Guards against a worker that is silent, and its runs lost, as long as one
+  // row cannot be read, and against rows taken for ended since they were
+  // skipped.
+  for (const std::string &Odd : OddValues) {
+    auto &Env = *new ListFixture(
+        R"({"clock-ms":5,"running":[["a.0.0.0",1,"",4],)" + Odd +
+        R"(,["a.0.0.1",)" + Odd +
+        R"(,"",4],["a.0.0.2",2,"",41.5,-7]],"finished":[[1,"a.0.0.3",1,)" + Odd +
+        R"(,""],[2,"a.0.0.4",1,"done",""]]})");
+    PollResponse Response = Env.poll();
+    EXPECT_EQ(Response.Outcome, OrderOutcome::Accepted) << Odd.substr(0, 30);
+    EXPECT_TRUE(Response.IsPartial);
+    EXPECT_EQ(Response.ClockMs, 5);
+    EXPECT_EQ(Response.Running.size(), 2U) << Odd.substr(0, 30);
+    EXPECT_EQ(Response.Finished.size(), 1U) << Odd.substr(0, 30);
+    EXPECT_EQ(Env.rejected(InputSource::WorkerList), 3U);
+  }
+}
+
+TEST(WorkerLists, AClockThatCannotBeReadLeavesTheLists) {
+  auto &Env = *new ListFixture(
+      R"({"clock-ms":-1,"running":[["a.0.0.0",1,"",4]],"finished":[]})");
+  PollResponse Response = Env.poll();
+  EXPECT_EQ(Response.Outcome, OrderOutcome::Accepted);
+  EXPECT_EQ(Response.ClockMs, std::nullopt);
+  EXPECT_EQ(Response.Running.size(), 1U);
+  EXPECT_FALSE(Response.IsPartial);
+}
+
+TEST(VmLists, AnOddEntryLeavesTheOthers) {
+  for (const std::string &Odd : OddValues) {
+    auto &Env = *new ListFixture(
+        R"({"machines":[{"machine":"m-1","pool":"s","state":"up"},)" + Odd +
+        R"(,{"machine":"m-2","pool":"s","state":"up","capacity-free":{"cpu":)" +
+        Odd + R"(},"labels":[)" + Odd +
+        R"(]},{"machine":"m-3","pool":"s","state":"up"}]})");
+    auto List = Env.listVms();
+    ASSERT_TRUE(List.has_value()) << Odd.substr(0, 30);
+    ASSERT_EQ(List->size(), 2U) << Odd.substr(0, 30);
+    EXPECT_EQ((*List)[1].Vm, "m-3");
+    EXPECT_EQ(Env.rejected(InputSource::VmList), 2U);
+  }
+}
+
+TEST(VmLists, AListThatNeverEndsIsGivenUp) {
+  auto &Env = *new ListFixture(R"({"machines":[],"next-token":"again"})");
+  EXPECT_FALSE(Env.listVms().has_value());
+  EXPECT_EQ(Env.Requests, 2);
+}
+
+TEST(VmOrders, AnOddReasonDoesNotEndTheProcess) {
+  auto &Env = *new ListFixture(R"({"reason":5})", 409);
+  auto &Client = *new VmClient(Env.Loop, "vm", Env.Address, Env.Rejected);
+  std::optional<VmOrderOutcome> Result;
+  Client.moveVm(
+      "m-1", "s", 1, [] { return true; },
+      [&](VmOrderOutcome Outcome) { Result = Outcome; });
+  while (!Result)
+    Env.Loop.runOnce();
+  EXPECT_EQ(Result, VmOrderOutcome::Busy);
+}
+
+} // namespace
--- a/Tests/Support/VirtualWorkers.cpp
+++ b/Tests/Support/VirtualWorkers.cpp
@@ -373,9 +373,12 @@
     Answer.Running.push_back(Listed);
   }
   Answer.Finished = Worker.Finished;
-  Answer.IsPartial = Answer.Finished.size() >= MaxEndsPerResponse;
-  if (Answer.IsPartial)
+  Answer.IsPartial = Answer.Finished.size() >= MaxEndsPerResponse ||
+                     Worker.Faults.HasUnreadableRuns;
+  if (Answer.Finished.size() > MaxEndsPerResponse)
     Answer.Finished.resize(MaxEndsPerResponse);
+  if (Worker.Faults.HasUnreadableRuns)
+    Answer.Running.clear();
   return Answer;
 }
 
--- a/Tests/Support/VirtualWorkers.h
+++ b/Tests/Support/VirtualWorkers.h
@@ -22,6 +22,8 @@
 
 /// The faults that one worker shows.
 struct WorkerFaults {
+  /// Rows of running tasks cannot be read, so the lists are partial.
+  bool HasUnreadableRuns = false;
   bool IsUnreachable = false; // No messages arrive at or come from the worker.
   /// The worker's process has ended; connections to it are refused.
   bool IsDown = false;
