--- a/Tests/Platform/ListTest.cpp
+++ b/Tests/Platform/ListTest.cpp
@@ -80,8 +80,8 @@
     auto &Env = *new ListFixture(
         R"({"clock-ms":5,"running":[["a.0.0.0",1,"",4],)" + Odd +
         R"(,["a.0.0.1",)" + Odd +
-        R"(,"",4],["a.0.0.2",2,"",41.5,-7]],"finished":[[1,"a.0.0.3",1,)" + Odd +
-        R"(,""],[2,"a.0.0.4",1,"done",""]]})");
+        R"(,"",4],["a.0.0.2",2,"",41.5,-7]],"finished":[[1,"a.0.0.3",1,)" +
+        Odd + R"(,""],[2,"a.0.0.4",1,"done",""]]})");
     PollResponse Response = Env.poll();
     EXPECT_EQ(Response.Outcome, OrderOutcome::Accepted) << Odd.substr(0, 30);
     EXPECT_TRUE(Response.IsPartial);
