Tests: two faults that the review of the mend of TWICE found

Cause: the bound of inherited leases is lost where a process was granted none; a report under a worker's own id is believed where one of another id is asked about first.

--- a/Tests/Jobs/IncarnationsTest.cpp
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -75,6 +75,22 @@
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
+TEST_F(RestartedWorker, TheBoundOfItsLeasesHoldsOverASecondRestart) {
+  VirtualWorker Running = Harness.Workers.at("p-0");
+  Harness.sendHeartbeats();
+  Harness.Workers.at("p-0").Faults.IsUnreachable = true;
+  // A report of a third process, which does not answer yet.
+  WorkerReport Report{Running.Entry, 1, 5};
+  ++Report.Entry.Key.Incarnation;
+  Harness.Scheduler->handleReport(Report, [](bool) {});
+  Harness.advanceTime(seconds(4));
+  EXPECT_EQ(Harness.Workers.StartCounts.begin()->second, 1);
+  Harness.Workers.at("p-0").Faults.IsUnreachable = false;
+  Harness.advanceTime(seconds(10));
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
 /// A report that names the address of \p Worker as its own.
 WorkerReport otherReportFrom(const VirtualWorker &Worker) {
   WorkerReport Report{Worker.Entry, 1, 5};
@@ -101,6 +117,27 @@
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
+// A late report of an ended process may name a later start, as may one of
+// another writer.
+TEST(Incarnations, AReportOfALaterStartEndsNothingOnAWorkerThatAnswers) {
+  SchedulerHarness Harness;
+  Harness.addPool("p", 4, 8);
+  Harness.beginLeadership();
+  Harness.submitJob("a", "p", makeChainSpec(1, 8, 1000, 3000));
+  Harness.advanceTime(milliseconds(700));
+  WorkerReport Report{Harness.Workers.at("p-0").Entry, 1, 5};
+  Report.Entry.Key.Incarnation += 500;
+  Harness.Scheduler->handleReport(Report, [](bool) {});
+  Harness.advanceTime(seconds(5));
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  for (const auto &[Task, Count] : Harness.Workers.StartCounts)
+    EXPECT_EQ(Count, 1) << Task.Index;
+  Harness.submitJob("b", "p", makeChainSpec(1, 32, 1000, 300));
+  Harness.advanceTime(milliseconds(250));
+  EXPECT_FALSE(Harness.Workers.at("p-0").Runs.empty());
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
 // Reports may come from another writer; a lease must rest on the worker's own
 // answers.
 TEST(Incarnations, AReportedClockDoesNotLengthenLeases) {
