Tests: the new tests of the boundaries leak nothing on arm64

Change: they own what they use; the daemon's thread lasts as long as the process, since h2o keeps freed buffers for each thread. No assertion is changed.

--- a/Tests/Daemon/EntryDaemonTest.cpp
+++ b/Tests/Daemon/EntryDaemonTest.cpp
@@ -3,7 +3,10 @@
 #include "Entry/EntryDaemon.h"
 #include "Links/HttpClient.h"
 #include "Support/ListeningPort.h"
+#include "Support/TestLoop.h"
 
+#include <chrono>
+#include <future>
 #include <gtest/gtest.h>
 #include <optional>
 #include <thread>
@@ -21,11 +24,20 @@
   Settings.EntryVms = {Settings.Self};
   Settings.ControlAddresses = {freeAddress()};
   Settings.StopGrace = milliseconds(1);
-  EntryDaemon Daemon(Settings);
+  // A connection may outlive its client, and h2o cannot destroy an event loop,
+  // so the daemon lives as long as the process.
+  static EntryDaemon &Daemon = *new EntryDaemon(Settings);
   ASSERT_FALSE(Daemon.listen());
-  std::thread Thread([&Daemon] { Daemon.run(); });
-  // h2o cannot destroy an event loop.
-  EventLoop &Loop = *new EventLoop();
+  static std::promise<void> Stopped;
+  // h2o keeps freed buffers for each thread, so this one lasts as long.
+  std::thread([] {
+    Daemon.run();
+    Stopped.set_value();
+    while (true)
+      std::this_thread::sleep_for(std::chrono::hours(1));
+  }).detach();
+  TestLoop Lasting;
+  EventLoop &Loop = Lasting.Loop;
   HttpClient Client(Loop);
   auto Announce = [&](const std::string &Body) {
     std::optional<HttpResult> Result;
@@ -55,7 +67,7 @@
   EXPECT_EQ(Announce(std::string(500000, '[')), 400);
   EXPECT_EQ(Announce(Valid.dump()), 200);
   Daemon.stop();
-  Thread.join();
+  Stopped.get_future().wait();
 }
 
 } // namespace
--- a/Tests/Platform/CallCodecTest.cpp
+++ b/Tests/Platform/CallCodecTest.cpp
@@ -2,6 +2,7 @@
 // specification and with malformed input.
 
 #include "Jobs/Limits.h"
+#include "Support/TestLoop.h"
 #include "platform/CallCodecs.h"
 #include "platform/Fields.h"
 #include "platform/WorkerClient.h"
@@ -274,9 +275,10 @@
 
 TEST(WorkerClient, NothingIsSentToAStoredWorkerWithoutAnAddress) {
   // Earlier versions stored such entries; each new leader polls them.
-  auto &Loop = *new EventLoop();
+  test::TestLoop Lasting;
+  EventLoop &Loop = Lasting.Loop;
   RejectedInput Rejected;
-  auto &Client = *new WorkerClient(Loop, std::nullopt, Rejected);
+  WorkerClient Client(Loop, std::nullopt, Rejected);
   WorkerEntry Worker;
   Worker.Address = "10.0.0.9:99999";
   std::optional<OrderOutcome> Polled;
--- a/Tests/Platform/ListTest.cpp
+++ b/Tests/Platform/ListTest.cpp
@@ -3,6 +3,7 @@
 
 #include "Links/HttpServer.h"
 #include "Support/ListeningPort.h"
+#include "Support/TestLoop.h"
 #include "platform/VmClient.h"
 #include "platform/WorkerClient.h"
 
@@ -13,22 +14,19 @@
 
 namespace {
 
-/// A server that gives the same response to each request. All live as long as
-/// the process, since h2o cannot destroy an event loop.
+/// A server that gives the same response to each request.
 struct ListFixture {
   explicit ListFixture(std::string Body, int Status = 200)
-      : Address(test::freeAddress()) {
-    auto *Server = new HttpServer(
-        Loop,
-        [this, Body, Status](const std::shared_ptr<HttpExchange> &Exchange) {
+      : Server(Loop, [this, Body,
+                      Status](const std::shared_ptr<HttpExchange> &Exchange) {
           ++Requests;
           Exchange->respond({Status, {}, Body});
-        });
-    EXPECT_FALSE(Server->listen(Address));
+        }) {
+    EXPECT_FALSE(Server.listen(Address));
   }
 
   PollResponse poll() {
-    auto &Client = *new WorkerClient(Loop, std::nullopt, Rejected);
+    WorkerClient Client(Loop, std::nullopt, Rejected);
     WorkerEntry Worker;
     Worker.Address = Address.text();
     std::optional<PollResponse> Result;
@@ -40,7 +38,7 @@
   }
 
   std::optional<std::vector<VmEntry>> listVms() {
-    auto &Client = *new VmClient(Loop, "vm", Address, Rejected);
+    VmClient Client(Loop, "vm", Address, Rejected);
     bool Done = false;
     std::optional<std::vector<VmEntry>> Result;
     Client.listVms([&](std::optional<std::vector<VmEntry>> List) {
@@ -57,10 +55,12 @@
     return Found == Rejected.all().end() ? 0 : Found->second.Count;
   }
 
-  EventLoop &Loop = *new EventLoop();
-  RejectedInput &Rejected = *new RejectedInput();
-  SocketAddress Address;
-  int &Requests = *new int(0);
+  test::TestLoop Lasting; // Destroyed last.
+  EventLoop &Loop = Lasting.Loop;
+  RejectedInput Rejected;
+  const SocketAddress Address = test::freeAddress();
+  int Requests = 0;
+  HttpServer Server;
 };
 
 std::string nested(size_t Depth) {
@@ -77,7 +77,7 @@
   // row cannot be read, and against rows taken for ended since they were
   // skipped.
   for (const std::string &Odd : OddValues) {
-    auto &Env = *new ListFixture(
+    ListFixture Env(
         R"({"clock-ms":5,"running":[["a.0.0.0",1,"",4],)" + Odd +
         R"(,["a.0.0.1",)" + Odd +
         R"(,"",4],["a.0.0.2",2,"",41.5,-7]],"finished":[[1,"a.0.0.3",1,)" +
@@ -93,7 +93,7 @@
 }
 
 TEST(WorkerLists, AClockThatCannotBeReadLeavesTheLists) {
-  auto &Env = *new ListFixture(
+  ListFixture Env(
       R"({"clock-ms":-1,"running":[["a.0.0.0",1,"",4]],"finished":[]})");
   PollResponse Response = Env.poll();
   EXPECT_EQ(Response.Outcome, OrderOutcome::Accepted);
@@ -104,7 +104,7 @@
 
 TEST(VmLists, AnOddEntryLeavesTheOthers) {
   for (const std::string &Odd : OddValues) {
-    auto &Env = *new ListFixture(
+    ListFixture Env(
         R"({"machines":[{"machine":"m-1","pool":"s","state":"up"},)" + Odd +
         R"(,{"machine":"m-2","pool":"s","state":"up","capacity-free":{"cpu":)" +
         Odd + R"(},"labels":[)" + Odd +
@@ -118,14 +118,14 @@
 }
 
 TEST(VmLists, AListThatNeverEndsIsGivenUp) {
-  auto &Env = *new ListFixture(R"({"machines":[],"next-token":"again"})");
+  ListFixture Env(R"({"machines":[],"next-token":"again"})");
   EXPECT_FALSE(Env.listVms().has_value());
   EXPECT_EQ(Env.Requests, 2);
 }
 
 TEST(VmOrders, AnOddReasonDoesNotEndTheProcess) {
-  auto &Env = *new ListFixture(R"({"reason":5})", 409);
-  auto &Client = *new VmClient(Env.Loop, "vm", Env.Address, Env.Rejected);
+  ListFixture Env(R"({"reason":5})", 409);
+  VmClient Client(Env.Loop, "vm", Env.Address, Env.Rejected);
   std::optional<VmOrderOutcome> Result;
   Client.moveVm(
       "m-1", "s", 1, [] { return true; },
