--- a/Tests/Daemon/CodecTest.cpp
+++ b/Tests/Daemon/CodecTest.cpp
@@ -215,8 +215,8 @@
 TEST(Decoders, NumbersOutOfRangeAreRefused) {
   BackendAnnouncement Announcement{"b", "s",   "vm", "127.0.0.1:80",
                                    4,   false, 1,    {}};
-  for (Json Number : {Json(-1), Json(uint64_t{1} << 32), Json(INT64_MAX),
-                      Json(1.5), Json(1e300), Json(true)}) {
+  for (const Json &Number : {Json(-1), Json(uint64_t{1} << 32), Json(INT64_MAX),
+                             Json(1.5), Json(1e300), Json(true)}) {
     Json Body = Announcement;
     Body["slots"] = Number;
     EXPECT_THROW(Body.get<BackendAnnouncement>(), std::exception) << Number;
--- a/Tests/Jobs/CommandCodecTest.cpp
+++ b/Tests/Jobs/CommandCodecTest.cpp
@@ -166,8 +166,8 @@
 TEST(CommandCodec, ExcessiveSizesAreRefused) {
   JobCommand Command;
   JobRequest Request;
-  for (std::string Bytes : {"\x9b\xe8\x9a\x24\x38\xc7\x17\xd2\x0b",
-                            "\xbb\xe8\x9a\x24\x38\xc7\x17\xd2\x0b"}) {
+  for (const std::string &Bytes : {"\x9b\xe8\x9a\x24\x38\xc7\x17\xd2\x0b",
+                                   "\xbb\xe8\x9a\x24\x38\xc7\x17\xd2\x0b"}) {
     EXPECT_FALSE(decodeJobCommand(Bytes, Command));
     EXPECT_FALSE(fromCbor(Bytes, Request));
   }
@@ -188,7 +188,7 @@
 TEST(CommandCodec, NumbersOutOfRangeAreRefused) {
   RecordRunResults Results{{{{"job", 1, 2, 3}, 4, true}}};
   JobCommand Ignored;
-  for (Json Number : {Json(-1), Json(uint64_t{1} << 32), Json(1.5)}) {
+  for (const Json &Number : {Json(-1), Json(uint64_t{1} << 32), Json(1.5)}) {
     Json Tree = kindToJson(JobCommand(Results));
     Tree["ends"][0]["try"] = Number;
     EXPECT_FALSE(decodeJobCommand(generalCbor(Tree), Ignored)) << Number;
--- a/Tests/Platform/ListTest.cpp
+++ b/Tests/Platform/ListTest.cpp
@@ -16,7 +16,7 @@
 
 /// A server that gives the same response to each request.
 struct ListFixture {
-  explicit ListFixture(std::string Body, int Status = 200)
+  explicit ListFixture(const std::string &Body, int Status = 200)
       : Server(Loop, [this, Body,
                       Status](const std::shared_ptr<HttpExchange> &Exchange) {
           ++Requests;
@@ -72,16 +72,24 @@
     "\"\xff\xfe\"", "null",        "{}",   "18446744073709551615",
     "[]",           nested(20000), "true", "\"a\\u0000b\""};
 
+/// Returns the text with each $ replaced by \p Odd.
+std::string withOdd(std::string Text, const std::string &Odd) {
+  for (size_t At = Text.find('$'); At != std::string::npos;
+       At = Text.find('$', At + Odd.size()))
+    Text.replace(At, 1, Odd);
+  return Text;
+}
+
 TEST(WorkerLists, AnOddRowLeavesTheOthers) {
   // Guards against a worker that is silent, and its runs lost, as long as one
   // row cannot be read, and against rows taken for ended since they were
   // skipped.
   for (const std::string &Odd : OddValues) {
-    ListFixture Env(
-        R"({"clock-ms":5,"running":[["a.0.0.0",1,"",4],)" + Odd +
-        R"(,["a.0.0.1",)" + Odd +
-        R"(,"",4],["a.0.0.2",2,"",41.5,-7]],"finished":[[1,"a.0.0.3",1,)" +
-        Odd + R"(,""],[2,"a.0.0.4",1,"done",""]]})");
+    ListFixture Env(withOdd(
+        R"({"clock-ms":5,"running":[["a.0.0.0",1,"",4],$,["a.0.0.1",$,"",4],)"
+        R"(["a.0.0.2",2,"",41.5,-7]],"finished":[[1,"a.0.0.3",1,$,""],)"
+        R"([2,"a.0.0.4",1,"done",""]]})",
+        Odd));
     PollResponse Response = Env.poll();
     EXPECT_EQ(Response.Outcome, OrderOutcome::Accepted) << Odd.substr(0, 30);
     EXPECT_TRUE(Response.IsPartial);
@@ -105,10 +113,11 @@
 TEST(VmLists, AnOddEntryLeavesTheOthers) {
   for (const std::string &Odd : OddValues) {
     ListFixture Env(
-        R"({"machines":[{"machine":"m-1","pool":"s","state":"up"},)" + Odd +
-        R"(,{"machine":"m-2","pool":"s","state":"up","capacity-free":{"cpu":)" +
-        Odd + R"(},"labels":[)" + Odd +
-        R"(]},{"machine":"m-3","pool":"s","state":"up"}]})");
+        withOdd(R"({"machines":[{"machine":"m-1","pool":"s","state":"up"},$,)"
+                R"({"machine":"m-2","pool":"s","state":"up","capacity-free":)"
+                R"({"cpu":$},"labels":[$]},)"
+                R"({"machine":"m-3","pool":"s","state":"up"}]})",
+                Odd));
     auto List = Env.listVms();
     ASSERT_TRUE(List.has_value()) << Odd.substr(0, 30);
     ASSERT_EQ(List->size(), 2U) << Odd.substr(0, 30);
