--- a/Tests/Jobs/CommandCodecTest.cpp
+++ b/Tests/Jobs/CommandCodecTest.cpp
@@ -207,7 +207,7 @@
   Commands.insert(Commands.begin(), Accepted);
   Commands.push_back(RecordRunResults{{{{"job", 0, 0, 1}, 1, true}}});
   for (const JobCommand &Command : Commands)
-    for (std::string Bytes :
+    for (const std::string &Bytes :
          {encodeJobCommand(Command), generalCbor(kindToJson(Command))}) {
       JobCommand Decoded;
       if (decodeJobCommand(damaged(Bytes), Decoded))
