Scheduling: what follows the processes of workers is in one file

Change: a move alone, to DispatcherWorkers.cpp, and one group in the header. No line of the functions differs.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -116,67 +116,6 @@
   return It == UnsyncedWorkers.end() || It->second.empty();
 }
 
-// Worker reports.
-
-void Dispatcher::handleReport(const WorkerReport &Report,
-                              std::function<void(bool)> Acknowledge) {
-  const WorkerKey &Key = Report.Entry.Key;
-  TrackedWorker *Newest = Table.findLatest(Key.Id);
-  TrackedWorker *SameAddress = Table.findByAddress(Report.Entry.Address);
-  bool Superseded = (Newest != nullptr && Newest->hasReplaced(Key)) ||
-                    (SameAddress != nullptr &&
-                     SameAddress->key().Incarnation > Key.Incarnation);
-  if (Superseded)
-    return Acknowledge(true);
-  TrackedWorker *Tracked = Table.find(Key);
-  if (Tracked != nullptr && Report.Sequence <= Tracked->LastReportSequence)
-    return Acknowledge(true);
-  if (Tracked == nullptr) {
-    if (SameAddress != nullptr && SameAddress->key().Id != Key.Id) {
-      // Only what answers there shows which of the two it is. The reporting
-      // worker tries again.
-      probeAddress(*SameAddress);
-      return Acknowledge(false);
-    }
-    Tracked = Newest != nullptr
-                  ? &replaceRestarted(*Newest, Report.Entry, "superseded")
-                  : &Table.add(Report.Entry, Timers.now());
-  }
-  bool Changed = !Tracked->IsCommitted || Tracked->Entry != Report.Entry;
-  bool WasMarkedLeaving = Tracked->Entry.Leaving;
-  WorkerEntry Entry = Report.Entry;
-  Entry.Leaving |= WasMarkedLeaving;
-  Table.update(*Tracked, Entry);
-  Tracked->IsCordoned = CordonedVms.count(Entry.Vm) > 0;
-  Tracked->LastReportSequence = Report.Sequence;
-  Tracked->LastReportAt = Timers.now();
-  if (!Changed)
-    return Acknowledge(true);
-  if (Tracked->Entry.Leaving != WasMarkedLeaving)
-    Hooks.LogEvent("worker_leaving", {{"worker", Key.Id}});
-  UpdateWorkers Command;
-  Command.Workers.push_back(Tracked->Entry);
-  Command.Removed = Tracked->Predecessors;
-  std::shared_ptr<bool> IsAlive = AliveFlag;
-  Hooks.Propose(Command, [this, IsAlive, Key, Acknowledge](bool Committed) {
-    Acknowledge(Committed);
-    if (!*IsAlive || !Committed)
-      return;
-    if (TrackedWorker *Worker = Table.find(Key)) {
-      Worker->IsCommitted = true;
-      markPoolDirty(Worker->Entry.Pool);
-    }
-  });
-}
-
-void Dispatcher::deregisterWorker(const std::string &Id) {
-  TrackedWorker *Worker = Table.findLatest(Id);
-  if (Worker == nullptr)
-    return;
-  Worker->Entry.Leaving = true;
-  Table.schedulePoll(*Worker, Timers.now());
-}
-
 // Results.
 
 void Dispatcher::queueResult(const RunResult &End) {
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -282,13 +282,6 @@
   /// Returns true once all runs in the pool that an earlier leader may have
   /// started are known or their leases have expired.
   bool isReconciled(const std::string &Pool) const;
-  /// Returns true if the worker may have runs of an earlier leader that are not
-  /// known.
-  bool isUnread(const WorkerKey &Key) const;
-  bool hasUnreadWorkers() const;
-  /// Called once no run of an earlier leader can be on the worker without being
-  /// known, and so none on the processes before it.
-  void markRead(const WorkerKey &Key);
   /// Returns true if an earlier leader may have started tasks of the job that
   /// are not known: on recorded workers, or on any in the pools that the job's
   /// queue may have had.
@@ -340,8 +333,6 @@
   void renewAgingLeases();
   bool mayRenew(const TrackedWorker &Worker) const;
   void renewLease(TrackedWorker &Worker);
-  /// Asks whether the worker still answers at its address, beside its polls.
-  void probeAddress(TrackedWorker &Worker);
   void schedulePollAfter(TrackedWorker &Worker, Duration Pause);
   Duration pollInterval() const;
   void onPollResponse(const WorkerKey &Key, Instant SentAt, Duration MaxWait,
@@ -359,6 +350,11 @@
   /// \p WasSudden is false if the worker did not answer in time.
   void handleFailedPoll(TrackedWorker &Worker, OrderOutcome Outcome,
                         bool WasSudden);
+  void onFenced(const WorkerKey &Key);
+
+  // Processes of workers.
+  /// Asks whether the worker still answers at its address, beside its polls.
+  void probeAddress(TrackedWorker &Worker);
   void expireLease(TrackedWorker &Worker);
   /// \p HasCrashed is false if the worker's end was ordered, or is not known.
   void removeWorker(const WorkerKey &Key, const char *Reason, bool HasCrashed);
@@ -374,7 +370,13 @@
   /// Called when a response shows that incarnation \p Incarnation has replaced
   /// the worker.
   void onRestarted(TrackedWorker &Worker, int64_t Incarnation);
-  void onFenced(const WorkerKey &Key);
+  /// Returns true if the worker may have runs of an earlier leader that are not
+  /// known.
+  bool isUnread(const WorkerKey &Key) const;
+  bool hasUnreadWorkers() const;
+  /// Called once no run of an earlier leader can be on the worker without being
+  /// known, and so none on the processes before it.
+  void markRead(const WorkerKey &Key);
 
   // Runs that are lost with their workers.
   /// Returns the task of a job that still wants it to run, or null.
--- a/Source/Scheduling/DispatcherStarts.cpp
+++ b/Source/Scheduling/DispatcherStarts.cpp
@@ -210,31 +210,6 @@
 
 // Jobs of earlier leaders.
 
-bool Dispatcher::isUnread(const WorkerKey &Key) const {
-  // A start for an ended process may have been taken by the next one.
-  return std::any_of(UnsyncedWorkers.begin(), UnsyncedWorkers.end(),
-                     [&Key](const auto &PoolAndKeys) {
-                       auto It = PoolAndKeys.second.lower_bound({Key.Id, 0});
-                       return It != PoolAndKeys.second.end() &&
-                              It->Id == Key.Id;
-                     });
-}
-
-bool Dispatcher::hasUnreadWorkers() const {
-  return std::any_of(
-      UnsyncedWorkers.begin(), UnsyncedWorkers.end(),
-      [](const auto &PoolAndKeys) { return !PoolAndKeys.second.empty(); });
-}
-
-void Dispatcher::markRead(const WorkerKey &Key) {
-  for (auto &[Pool, Keys] : UnsyncedWorkers) {
-    size_t Erased = std::erase_if(
-        Keys, [&](const WorkerKey &Unread) { return Unread.Id == Key.Id; });
-    if (Erased > 0)
-      markPoolDirty(Pool);
-  }
-}
-
 bool Dispatcher::mayHaveUnlocatedRuns(const JobProgress &Job) const {
   if (!Job.IsInherited || !hasUnreadWorkers())
     return false;
--- /dev/null
+++ b/Source/Scheduling/DispatcherWorkers.cpp
@@ -0,0 +1,236 @@
+// The part of the scheduler that follows which processes of workers exist: what
+// they report, what their next processes may have taken over, and when their
+// runs have ended for certain.
+
+#include "Scheduling/Dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mimosashunt {
+
+// Worker reports.
+
+void Dispatcher::handleReport(const WorkerReport &Report,
+                              std::function<void(bool)> Acknowledge) {
+  const WorkerKey &Key = Report.Entry.Key;
+  TrackedWorker *Newest = Table.findLatest(Key.Id);
+  TrackedWorker *SameAddress = Table.findByAddress(Report.Entry.Address);
+  bool Superseded = (Newest != nullptr && Newest->hasReplaced(Key)) ||
+                    (SameAddress != nullptr &&
+                     SameAddress->key().Incarnation > Key.Incarnation);
+  if (Superseded)
+    return Acknowledge(true);
+  TrackedWorker *Tracked = Table.find(Key);
+  if (Tracked != nullptr && Report.Sequence <= Tracked->LastReportSequence)
+    return Acknowledge(true);
+  if (Tracked == nullptr) {
+    if (SameAddress != nullptr && SameAddress->key().Id != Key.Id) {
+      // Only what answers there shows which of the two it is. The reporting
+      // worker tries again.
+      probeAddress(*SameAddress);
+      return Acknowledge(false);
+    }
+    Tracked = Newest != nullptr
+                  ? &replaceRestarted(*Newest, Report.Entry, "superseded")
+                  : &Table.add(Report.Entry, Timers.now());
+  }
+  bool Changed = !Tracked->IsCommitted || Tracked->Entry != Report.Entry;
+  bool WasMarkedLeaving = Tracked->Entry.Leaving;
+  WorkerEntry Entry = Report.Entry;
+  Entry.Leaving |= WasMarkedLeaving;
+  Table.update(*Tracked, Entry);
+  Tracked->IsCordoned = CordonedVms.count(Entry.Vm) > 0;
+  Tracked->LastReportSequence = Report.Sequence;
+  Tracked->LastReportAt = Timers.now();
+  if (!Changed)
+    return Acknowledge(true);
+  if (Tracked->Entry.Leaving != WasMarkedLeaving)
+    Hooks.LogEvent("worker_leaving", {{"worker", Key.Id}});
+  UpdateWorkers Command;
+  Command.Workers.push_back(Tracked->Entry);
+  Command.Removed = Tracked->Predecessors;
+  std::shared_ptr<bool> IsAlive = AliveFlag;
+  Hooks.Propose(Command, [this, IsAlive, Key, Acknowledge](bool Committed) {
+    Acknowledge(Committed);
+    if (!*IsAlive || !Committed)
+      return;
+    if (TrackedWorker *Worker = Table.find(Key)) {
+      Worker->IsCommitted = true;
+      markPoolDirty(Worker->Entry.Pool);
+    }
+  });
+}
+
+void Dispatcher::deregisterWorker(const std::string &Id) {
+  TrackedWorker *Worker = Table.findLatest(Id);
+  if (Worker == nullptr)
+    return;
+  Worker->Entry.Leaving = true;
+  Table.schedulePoll(*Worker, Timers.now());
+}
+
+// Ended processes.
+
+void Dispatcher::probeAddress(TrackedWorker &Worker) {
+  if (Worker.ProbeInFlight || !mayIssueOrders())
+    return;
+  Worker.ProbeInFlight = true;
+  PollOrder Order;
+  Order.Token = Token;
+  std::shared_ptr<bool> IsAlive = AliveFlag;
+  Port.pollWorker(
+      Worker.Entry, Order,
+      [this, IsAlive, Key = Worker.key()](const PollResponse &Response) {
+        TrackedWorker *Probed = *IsAlive ? Table.find(Key) : nullptr;
+        if (Probed == nullptr)
+          return;
+        Probed->ProbeInFlight = false;
+        if (Response.Outcome == OrderOutcome::WrongIncarnation)
+          removeWorker(Key, "address_taken", /*HasCrashed=*/true);
+        if (Response.Outcome == OrderOutcome::Restarted)
+          onRestarted(*Probed, Response.Incarnation);
+      });
+}
+
+void Dispatcher::expireLease(TrackedWorker &Worker) {
+  markRead(Worker.key());
+  withdrawStarts(Worker);
+  if (Worker.Runs.empty())
+    return;
+  Hooks.LogEvent("worker_lapsed",
+                 {{"worker", Worker.key().Id}, {"runs", Worker.Runs.size()}});
+  reportLostRuns(Worker, "lapsed");
+  Counters.ExpiredRuns += Worker.Runs.size();
+  Counters.LostRuns += Worker.Runs.size();
+  // The worker's lists must be read again before it gets new tasks.
+  Worker.IsSynced = false;
+  while (!Worker.Runs.empty())
+    removeRun(Worker, Worker.Runs.begin()->first);
+}
+
+void Dispatcher::removeWorker(const WorkerKey &Key, const char *Reason,
+                              bool HasCrashed) {
+  TrackedWorker *Worker = Table.find(Key);
+  if (Worker == nullptr)
+    return;
+  UpdateWorkers Command;
+  if (Worker->IsCommitted)
+    Command.Removed.push_back(Key);
+  else
+    Command.Removed = Worker->Predecessors;
+  dropWorker(*Worker, Reason, HasCrashed);
+  markRead(Key);
+  if (!Command.Removed.empty())
+    Hooks.Propose(Command, [](bool) {});
+}
+
+void Dispatcher::dropWorker(TrackedWorker &Worker, const char *Reason,
+                            bool HasCrashed) {
+  const WorkerKey Key = Worker.key();
+  withdrawStarts(Worker);
+  Hooks.LogEvent("worker_gone", {{"worker", Key.Id},
+                                 {"born", Key.Incarnation},
+                                 {"why", Reason},
+                                 {"runs", Worker.Runs.size()}});
+  reportLostRuns(Worker, Reason);
+  Counters.LostRuns += Worker.Runs.size();
+  if (HasCrashed)
+    recordLosses(Worker, /*WasSudden=*/true);
+  resolveLosses(Key, HasCrashed);
+  while (!Worker.Runs.empty())
+    removeRun(Worker, Worker.Runs.begin()->first);
+  markPoolDirty(Worker.Entry.Pool);
+  Health.forgetWorker(Key);
+  Table.erase(Key);
+}
+
+TrackedWorker &Dispatcher::replaceRestarted(TrackedWorker &Ended,
+                                            const WorkerEntry &Next,
+                                            const char *Reason) {
+  withdrawStarts(Ended);
+  std::map<TaskId, Run> Unlisted;
+  for (const auto &[Task, CurrentRun] : Ended.Runs)
+    if (CurrentRun.ListedAt == Instant())
+      Unlisted.emplace(Task, CurrentRun);
+  std::vector<WorkerKey> Predecessors = {Ended.key()};
+  if (!Ended.IsCommitted)
+    Predecessors.insert(Predecessors.end(), Ended.Predecessors.begin(),
+                        Ended.Predecessors.end());
+  Instant LeaseEnd = Table.inheritedLeaseEnd(Ended);
+  bool WasUnread = isUnread(Ended.key());
+  dropWorker(Ended, Reason, /*HasCrashed=*/true);
+  bool IsKnown = Table.find(Next.Key) != nullptr;
+  TrackedWorker &Replacement =
+      IsKnown ? *Table.find(Next.Key) : Table.add(Next, Timers.now());
+  if (!IsKnown)
+    Replacement.LastReportAt = Timers.now();
+  Replacement.Predecessors = std::move(Predecessors);
+  Replacement.LeaseEnd = std::max(Replacement.LeaseEnd, LeaseEnd);
+  // An earlier leader's orders may have reached it, too. Jobs that the ended
+  // process may have run wait for the next one.
+  if (WasUnread)
+    UnsyncedWorkers[Next.Pool].insert(Next.Key);
+  for (const auto &[Task, CurrentRun] : Unlisted)
+    if (!Replacement.Runs.count(Task))
+      expectRun(Replacement, Task, CurrentRun);
+  return Replacement;
+}
+
+void Dispatcher::expectRun(TrackedWorker &Worker, const TaskId &Task,
+                           const Run &Ordered) {
+  Run Expected;
+  Expected.Attempt = Ordered.Attempt;
+  Expected.State = RunState::Unconfirmed;
+  Expected.ReservedResources = Ordered.ReservedResources;
+  Expected.QuotaUsage = Ordered.QuotaUsage;
+  Expected.Organisation = Ordered.Organisation;
+  Expected.OrderedAt = Expected.ProgressChangedAt = Timers.now();
+  Expected.UsesSpareCpu = Ordered.UsesSpareCpu;
+  Expected.LongRunning = Ordered.LongRunning;
+  Expected.TailTargetMs = Ordered.TailTargetMs;
+  Expected.IsRemote = Ordered.IsRemote;
+  Table.addRun(Worker, Task, std::move(Expected));
+  auto Job = Jobs.find(Task.Job);
+  if (Job != Jobs.end() && Job->second->findTask(Task) != nullptr)
+    Job->second->addPlacement(Task, Worker.key(), Ordered.Attempt);
+  if (findWantedTask(Task) == nullptr)
+    stopRun(Worker, Task);
+}
+
+void Dispatcher::onRestarted(TrackedWorker &Worker, int64_t Incarnation) {
+  // What it offers is known with its report; until then it gets no tasks.
+  WorkerEntry Next = Worker.Entry;
+  Next.Key.Incarnation = Incarnation;
+  Next.Leaving = false;
+  replaceRestarted(Worker, Next, "restarted");
+}
+
+// Workers that this leader has not read.
+
+bool Dispatcher::isUnread(const WorkerKey &Key) const {
+  // A start for an ended process may have been taken by the next one.
+  return std::any_of(UnsyncedWorkers.begin(), UnsyncedWorkers.end(),
+                     [&Key](const auto &PoolAndKeys) {
+                       auto It = PoolAndKeys.second.lower_bound({Key.Id, 0});
+                       return It != PoolAndKeys.second.end() &&
+                              It->Id == Key.Id;
+                     });
+}
+
+bool Dispatcher::hasUnreadWorkers() const {
+  return std::any_of(
+      UnsyncedWorkers.begin(), UnsyncedWorkers.end(),
+      [](const auto &PoolAndKeys) { return !PoolAndKeys.second.empty(); });
+}
+
+void Dispatcher::markRead(const WorkerKey &Key) {
+  for (auto &[Pool, Keys] : UnsyncedWorkers) {
+    size_t Erased = std::erase_if(
+        Keys, [&](const WorkerKey &Unread) { return Unread.Id == Key.Id; });
+    if (Erased > 0)
+      markPoolDirty(Pool);
+  }
+}
+
+} // namespace mimosashunt
