Scheduling: the bound of a worker's leases holds over a second restart

Callers saw: a task could run twice at once after two restarts of its worker in a row. Cause: the bound of the leases that a next process may hold was computed from the orders to the ended process alone. The third process had been sent none, so its bound was "now", though it (or the second process, if the report of the third was false) could hold the lease of an order to the first. Change: the time of the last grant goes over to the next process, and a process that comes back is no predecessor of itself.

--- a/Source/Scheduling/DispatcherWorkers.cpp
+++ b/Source/Scheduling/DispatcherWorkers.cpp
@@ -157,7 +157,9 @@
   if (!Ended.IsCommitted)
     Predecessors.insert(Predecessors.end(), Ended.Predecessors.begin(),
                         Ended.Predecessors.end());
+  std::erase(Predecessors, Next.Key);
   Instant LeaseEnd = Table.inheritedLeaseEnd(Ended);
+  Instant RenewedAt = Ended.RenewedAt;
   bool WasUnread = isUnread(Ended.key());
   dropWorker(Ended, Reason, /*HasCrashed=*/true);
   bool IsKnown = Table.find(Next.Key) != nullptr;
@@ -167,6 +169,7 @@
     Replacement.LastReportAt = Timers.now();
   Replacement.Predecessors = std::move(Predecessors);
   Replacement.LeaseEnd = std::max(Replacement.LeaseEnd, LeaseEnd);
+  Replacement.RenewedAt = std::max(Replacement.RenewedAt, RenewedAt);
   // An earlier leader's orders may have reached it, too. Jobs that the ended
   // process may have run wait for the next one.
   if (WasUnread)
--- a/Source/Workers/WorkerTable.h
+++ b/Source/Workers/WorkerTable.h
@@ -103,7 +103,8 @@
   bool PollInFlight = false;
   bool ProbeInFlight = false; // A poll that only asks who answers.
   Instant NextPollAt;         // Changed only by WorkerTable::schedulePoll().
-  /// When the last order that renews the lease was issued.
+  /// When the last order that renews the lease was issued, also to a process
+  /// before this one.
   Instant RenewedAt;
   int FailedPolls = 0;
 
