Scheduling: a worker that answers is asked before its next process is believed

One report under a worker's own id that names a later start, of another writer or after a wall clock was set back, made the leader give up all that ran there: each task ran twice. Cause: a report was believed before what answers at the worker's address. Change: while the known process answers, a poll without a wait asks it first. If it is still there, the report is not acknowledged and logged (report_refuted). If another process answers, or none, the report is believed as before. The worker gets no new tasks meanwhile, so a real restart, whose news comes a round trip later, costs no more starts.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -30,6 +30,9 @@
   *AliveFlag = false;
   Timers.cancel(TickTimer);
   Timers.cancel(FlushTimer);
+  for (auto &[Key, Reports] : ReportsToConfirm)
+    for (PendingReport &Pending : Reports)
+      Pending.Acknowledge(false);
 }
 
 void Dispatcher::loadStore() {
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -353,8 +353,17 @@
   void onFenced(const WorkerKey &Key);
 
   // Processes of workers.
+  /// Like handleReport(). With \p IsBelieved a report of a next process is
+  /// believed although the one before answers.
+  void acceptReport(const WorkerReport &Report,
+                    std::function<void(bool)> Acknowledge, bool IsBelieved);
+  /// Asks the worker, which answers, whether the report of a next process of it
+  /// is true. Without an answer the report is believed.
+  void confirmReport(TrackedWorker &Worker, const WorkerReport &Report,
+                     std::function<void(bool)> Acknowledge);
   /// Asks whether the worker still answers at its address, beside its polls.
   void probeAddress(TrackedWorker &Worker);
+  void onProbeResponse(const WorkerKey &Key, const PollResponse &Response);
   void expireLease(TrackedWorker &Worker);
   /// \p HasCrashed is false if the worker's end was ordered, or is not known.
   void removeWorker(const WorkerKey &Key, const char *Reason, bool HasCrashed);
@@ -574,6 +583,12 @@
 
   WorkerTable Table;
   std::set<std::string> CordonedVms;
+  struct PendingReport {
+    WorkerReport Report;
+    std::function<void(bool)> Acknowledge;
+  };
+  /// Reports of next processes, by the process that has been asked.
+  std::map<WorkerKey, std::vector<PendingReport>> ReportsToConfirm;
   ResponseDelay Delay;
   Instant RenewalsCheckedAt;
   StartWindow Starts;
--- a/Source/Scheduling/DispatcherWorkers.cpp
+++ b/Source/Scheduling/DispatcherWorkers.cpp
@@ -9,10 +9,27 @@
 
 namespace mimosashunt {
 
+namespace {
+
+/// Of one worker. Its reports are seconds apart, a probe takes less.
+constexpr size_t MaxReportsToConfirm = 4;
+
+bool isAnswering(const TrackedWorker &Worker) {
+  return Worker.IsReachable && Worker.FailedPolls == 0;
+}
+
+} // namespace
+
 // Worker reports.
 
 void Dispatcher::handleReport(const WorkerReport &Report,
                               std::function<void(bool)> Acknowledge) {
+  acceptReport(Report, std::move(Acknowledge), /*IsBelieved=*/false);
+}
+
+void Dispatcher::acceptReport(const WorkerReport &Report,
+                              std::function<void(bool)> Acknowledge,
+                              bool IsBelieved) {
   const WorkerKey &Key = Report.Entry.Key;
   TrackedWorker *Newest = Table.findLatest(Key.Id);
   TrackedWorker *SameAddress = Table.findByAddress(Report.Entry.Address);
@@ -31,6 +48,9 @@
       probeAddress(*SameAddress);
       return Acknowledge(false);
     }
+    // All that runs on a worker that answers rests on the report being true.
+    if (Newest != nullptr && isAnswering(*Newest) && !IsBelieved)
+      return confirmReport(*Newest, Report, std::move(Acknowledge));
     Tracked = Newest != nullptr
                   ? &replaceRestarted(*Newest, Report.Entry, "superseded")
                   : &Table.add(Report.Entry, Timers.now());
@@ -82,17 +102,51 @@
   Port.pollWorker(
       Worker.Entry, Order,
       [this, IsAlive, Key = Worker.key()](const PollResponse &Response) {
-        TrackedWorker *Probed = *IsAlive ? Table.find(Key) : nullptr;
-        if (Probed == nullptr)
-          return;
-        Probed->ProbeInFlight = false;
-        if (Response.Outcome == OrderOutcome::WrongIncarnation)
-          removeWorker(Key, "address_taken", /*HasCrashed=*/true);
-        if (Response.Outcome == OrderOutcome::Restarted)
-          onRestarted(*Probed, Response.Incarnation);
+        if (*IsAlive)
+          onProbeResponse(Key, Response);
       });
 }
 
+void Dispatcher::onProbeResponse(const WorkerKey &Key,
+                                 const PollResponse &Response) {
+  if (TrackedWorker *Probed = Table.find(Key)) {
+    Probed->ProbeInFlight = false;
+    markPoolDirty(Probed->Entry.Pool);
+    if (Response.Outcome == OrderOutcome::WrongIncarnation)
+      removeWorker(Key, "address_taken", /*HasCrashed=*/true);
+    if (Response.Outcome == OrderOutcome::Restarted)
+      onRestarted(*Probed, Response.Incarnation);
+  }
+  auto Waiting = ReportsToConfirm.extract(Key);
+  if (Waiting.empty())
+    return;
+  for (PendingReport &Pending : Waiting.mapped()) {
+    if (Response.Outcome != OrderOutcome::Accepted) {
+      acceptReport(Pending.Report, std::move(Pending.Acknowledge),
+                   /*IsBelieved=*/true);
+      continue;
+    }
+    Hooks.LogEvent("report_refuted",
+                   {{"worker", Key.Id},
+                    {"born", Pending.Report.Entry.Key.Incarnation},
+                    {"answers", Key.Incarnation}});
+    Pending.Acknowledge(false);
+  }
+}
+
+void Dispatcher::confirmReport(TrackedWorker &Worker,
+                               const WorkerReport &Report,
+                               std::function<void(bool)> Acknowledge) {
+  probeAddress(Worker);
+  if (!Worker.ProbeInFlight)
+    return Acknowledge(false);
+  std::vector<PendingReport> &Pending = ReportsToConfirm[Worker.key()];
+  if (Pending.size() >= MaxReportsToConfirm)
+    return Acknowledge(false);
+  Pending.push_back({Report, std::move(Acknowledge)});
+  withdrawStarts(Worker);
+}
+
 void Dispatcher::expireLease(TrackedWorker &Worker) {
   markRead(Worker.key());
   withdrawStarts(Worker);
--- a/Source/Scheduling/Placement.cpp
+++ b/Source/Scheduling/Placement.cpp
@@ -168,7 +168,7 @@
 
 bool isUsable(const TrackedWorker &Worker, const JobStore &Store) {
   return Worker.IsCommitted && Worker.IsSynced && Worker.IsReachable &&
-         !Worker.Entry.Leaving && !Worker.IsCordoned &&
+         !Worker.ProbeInFlight && !Worker.Entry.Leaving && !Worker.IsCordoned &&
          !Store.isEvacuated(Worker.Entry.DataCentre);
 }
 
--- a/Source/Workers/WorkerTable.h
+++ b/Source/Workers/WorkerTable.h
@@ -101,8 +101,9 @@
   /// Results of ended runs up to this number are committed.
   uint64_t CommittedEnds = 0;
   bool PollInFlight = false;
-  bool ProbeInFlight = false; // A poll that only asks who answers.
-  Instant NextPollAt;         // Changed only by WorkerTable::schedulePoll().
+  /// A poll that only asks who answers; the worker gets no tasks meanwhile.
+  bool ProbeInFlight = false;
+  Instant NextPollAt; // Changed only by WorkerTable::schedulePoll().
   /// When the last order that renews the lease was issued, also to a process
   /// before this one.
   Instant RenewedAt;
