Workers: the clock in an answer bounds the leases of the next process

Callers would see: a task runs twice at once. A worker restarts unnoticed, takes a start that was meant for its ended process, answers it, and is silent until the lease has ended by the leader's account (2.8 s). By its own clock, which has begun anew, the lease lasts up to the worker's limit (6 s). Cause: an answer with a clock behind the one that leases are granted by was taken for a clock that had stood still. The leases granted before it were not looked at again. Change: such a clock extends the bound of the worker's leases to the worker's own limit, as for a known restart. This costs nothing where clocks go on. Evidence: RestartedWorker.TheClockOfItsAnswerBoundsItsLeases fails without the change (mutant clock-not-heeded).

--- a/Source/Workers/WorkerTable.cpp
+++ b/Source/Workers/WorkerTable.cpp
@@ -191,11 +191,15 @@
                               Instant Now, int64_t ClockMs) {
   // The sample that puts the clock furthest ahead was handled with the least
   // delay. One that is behind the bound at the earliest time at which it can
-  // have been read shows that the clock has stood still.
+  // have been read shows that the clock has stood still, or that it is the next
+  // process's, which has begun anew.
   std::optional<int64_t> Expected = estimateClockMs(Worker, Now);
-  bool HasStoodStill =
+  bool IsBehind =
       Expected && ClockMs + 1 < *estimateClockMs(Worker, EarliestRead);
-  if (!Expected || ClockMs >= *Expected || HasStoodStill)
+  // Leases that were granted by the samples before end later by that clock.
+  if (IsBehind)
+    Worker.LeaseEnd = std::max(Worker.LeaseEnd, inheritedLeaseEnd(Worker));
+  if (!Expected || ClockMs >= *Expected || IsBehind)
     Worker.Clock = ClockSample{Now, ClockMs};
 }
 
--- a/Source/Workers/WorkerTable.h
+++ b/Source/Workers/WorkerTable.h
@@ -169,7 +169,8 @@
   std::vector<TrackedWorker *> takeDueWorkers(Instant Now);
 
   /// Records that the worker's clock read \p ClockMs at some time between
-  /// \p EarliestRead and \p Now.
+  /// \p EarliestRead and \p Now. Extends LeaseEnd if the clock is behind the
+  /// one that the leases were granted by.
   void recordClock(TrackedWorker &Worker, Instant EarliestRead, Instant Now,
                    int64_t ClockMs);
   /// Returns a lower bound of the worker's clock, or nothing if no sample
--- a/Tests/Jobs/IncarnationsTest.cpp
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -75,6 +75,15 @@
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
+// Nothing but the answer to the start, with its clock, tells of the restart.
+TEST_F(RestartedWorker, TheClockOfItsAnswerBoundsItsLeases) {
+  Harness.SendsHeartbeats = false;
+  Harness.Workers.at("p-0").Faults.IsUnreachable = true;
+  Harness.advanceTime(seconds(15));
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
 TEST_F(RestartedWorker, TheBoundOfItsLeasesHoldsOverASecondRestart) {
   VirtualWorker Running = Harness.Workers.at("p-0");
   Harness.sendHeartbeats();
