Workers: the answer to a renewal names the process that gives it

A renewal that met a worker's next process counted the worker as silent, and its runs as suspected losses, until a poll told of the restart. Cause: the answer to an order has no incarnation. Change: the answer to a renewal has, also when it was carried.

--- a/Source/Fleet/CarriedWorkerPort.cpp
+++ b/Source/Fleet/CarriedWorkerPort.cpp
@@ -23,7 +23,7 @@
 
 WorkerPort::PollCallback withoutLists(WorkerPort::OrderCallback Done) {
   return [Done = std::move(Done)](const PollResponse &Response) {
-    Done({Response.Outcome, Response.ClockMs});
+    Done({Response.Outcome, Response.ClockMs, Response.Incarnation});
   };
 }
 
--- a/Source/Fleet/OrderSender.h
+++ b/Source/Fleet/OrderSender.h
@@ -36,7 +36,7 @@
 private:
   WorkerPort::OrderCallback onResponse() const {
     return [Done = Done](const OrderResponse &Response) {
-      Done({Response.Outcome, Response.ClockMs, {}, {}});
+      Done({Response.Outcome, Response.ClockMs, {}, {}, Response.Incarnation});
     };
   }
 };
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -88,8 +88,7 @@
         if (Renewed == nullptr)
           return;
         if (Response.Outcome == OrderOutcome::Restarted)
-          return handleFailedPoll(*Renewed, Response.Outcome,
-                                  /*WasSudden=*/true);
+          return onRestarted(*Renewed, Response.Incarnation);
         // Otherwise its polls decide whether a worker is reachable.
         if (Response.ClockMs)
           Table.recordClock(*Renewed, SentAt, Timers.now(), *Response.ClockMs);
--- a/Source/Workers/WorkerPort.h
+++ b/Source/Workers/WorkerPort.h
@@ -78,6 +78,8 @@
 struct OrderResponse {
   OrderOutcome Outcome = OrderOutcome::Unanswered;
   std::optional<int64_t> ClockMs;
+  /// As in PollResponse; only renewals learn of it.
+  int64_t Incarnation = 0;
 };
 
 /// One row of a worker's list of running tasks.
--- a/Tests/Jobs/LeaseRenewalTest.cpp
+++ b/Tests/Jobs/LeaseRenewalTest.cpp
@@ -66,6 +66,26 @@
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
+// The polls of an overloaded leader are rare; renewals ask first.
+TEST(LeaseRenewal, ARenewalTellsThatAWorkerHasRestarted) {
+  SchedulerHarness Harness;
+  BusyLeaderPort Leader(Harness.Timers, Harness.Workers, Duration(6250));
+  Harness.LeaderPort = &Leader;
+  Harness.addPool("p", 60, 16);
+  Harness.beginLeadership();
+  Harness.advanceTime(seconds(1));
+  Harness.submitJob("lasting", "p", makeLongRunningSpec());
+  Harness.advanceTime(seconds(2));
+  submitJobsFor(Harness, seconds(6));
+  Harness.SendsHeartbeats = false;
+  for (int I = 0; I < 10; ++I)
+    Harness.Workers.restart("p-" + std::to_string(I));
+  submitJobsFor(Harness, seconds(3));
+  EXPECT_EQ(countEvents(Harness, "worker_gone"), 10U);
+  EXPECT_EQ(countEvents(Harness, "worker_silent"), 0U);
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
 // A change of leader costs up to half of a lease; the next leader must not let
 // the rest run out while it is busy with the work that has waited for it.
 TEST(LeaseRenewal, TasksDoNotLapseWhenABusyLeaderIsReplaced) {
--- a/Tests/Support/VirtualWorkers.cpp
+++ b/Tests/Support/VirtualWorkers.cpp
@@ -409,12 +409,26 @@
 
 void VirtualWorkers::renewLease(const WorkerEntry &To, const RenewOrder &Order,
                                 OrderCallback Done) {
+  // The answer names the process that it comes from.
+  auto Response = std::make_shared<OrderResponse>();
   deliverOrder(
       To,
-      [this, Id = To.Key.Id, Order] {
-        return handleRenewal(Workers.at(Id), Order);
+      [this, To, Order, Response] {
+        VirtualWorker &Worker = Workers.at(To.Key.Id);
+        OrderOutcome Outcome = handleRenewal(Worker, Order);
+        Response->Incarnation = Worker.Entry.Key.Incarnation;
+        bool IsNext = Worker.Entry.Key != To.Key;
+        return IsNext && Outcome == OrderOutcome::Accepted
+                   ? OrderOutcome::Restarted
+                   : Outcome;
       },
-      Done);
+      [Done, Response](const OrderResponse &Answer) {
+        OrderResponse Named = Answer;
+        Named.Incarnation = Response->Incarnation;
+        if (Named.Outcome == OrderOutcome::Restarted)
+          Named.ClockMs.reset();
+        Done(Named);
+      });
 }
 
 void VirtualWorkers::pollWorker(const WorkerEntry &To, const PollOrder &Order,
