Scheduling: an unanswered start that was listed counts as taken

A start that a list confirmed had no time of its confirmation. When the run later left the lists without an end, it stayed booked until it stood still for too long. Cause: only a start that was in flight got the time. Change: so does one that was not answered. Evidence: RestartedWorker.ARunThatLeavesTheNextProcessesListsIsStartedAgain fails without the change (mutant listed-not-taken).

--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -227,11 +227,10 @@
     return;
   if (CurrentRun.ListedAt == Instant())
     CurrentRun.ListedAt = Timers.now();
-  if (CurrentRun.State == RunState::Unconfirmed) {
-    CurrentRun.State = RunState::Running;
+  if (CurrentRun.State == RunState::Unconfirmed)
     removeLoss(Reported.Task, Reported.Attempt);
-  }
-  if (CurrentRun.State == RunState::Starting) {
+  if (CurrentRun.State == RunState::Unconfirmed ||
+      CurrentRun.State == RunState::Starting) {
     CurrentRun.State = RunState::Running;
     CurrentRun.StartAckedAt = SentAt;
   }
--- a/Tests/Jobs/IncarnationsTest.cpp
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -61,6 +61,15 @@
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
+TEST_F(RestartedWorker, ARunThatLeavesTheNextProcessesListsIsStartedAgain) {
+  Harness.sendHeartbeats();
+  Harness.advanceTime(milliseconds(500));
+  EXPECT_EQ(Harness.Workers.StartCounts.begin()->second, 1);
+  Harness.Workers.at("p-0").Runs.clear();
+  Harness.advanceTime(milliseconds(500));
+  EXPECT_EQ(Harness.Workers.StartCounts.begin()->second, 2);
+}
+
 // The lease in the order is an instant of the first process's clock, which is
 // far ahead of the next one's.
 TEST_F(RestartedWorker, TheLeaseOfTheNextProcessIsNotTakenForAShortOne) {
