Fleet: a late farewell takes no later process of a worker away

The deregistration of an ended process, delivered late, marked its next process as leaving for good. Cause: the call names the worker's id, and so did we. Change: `born` in its body, if it is there, has to be that of the latest process. Evidence: Incarnations.ALateDeregistrationTakesNoLaterProcessAway (mutant farewell-of-anyone) and ControlCalls.ReadsWhichProcessOfAWorkerSaysFarewell.

--- a/Source/Fleet/Codecs.h
+++ b/Source/Fleet/Codecs.h
@@ -89,6 +89,8 @@
 /// A worker shuts down and must get no more tasks.
 struct WorkerDeregistration {
   std::string Id;
+  /// Which process of the worker, in Unix milliseconds, if it says so.
+  std::optional<int64_t> Incarnation;
 };
 /// An operator's new service configuration.
 struct ConfigurationUpload {
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -469,7 +469,8 @@
     return handleWorkerReport(Exchange, *Report);
   if (const auto *Deregistration =
           std::get_if<WorkerDeregistration>(&Request)) {
-    Scheduler->deregisterWorker(Deregistration->Id);
+    Scheduler->deregisterWorker(Deregistration->Id,
+                                Deregistration->Incarnation);
     return Exchange->respond(Ports.Control.acknowledgement());
   }
   if (const auto *Upload = std::get_if<ConfigurationUpload>(&Request))
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -201,8 +201,10 @@
   /// be answered; its argument is false if the change was not committed.
   void handleReport(const WorkerReport &Report,
                     std::function<void(bool)> Acknowledge);
-  /// Marks a worker that announced its shutdown as leaving.
-  void deregisterWorker(const std::string &Id);
+  /// Marks a worker that announced its shutdown as leaving. Does nothing if
+  /// \p Incarnation, in Unix milliseconds, is known and is not the latest.
+  void deregisterWorker(const std::string &Id,
+                        std::optional<int64_t> Incarnation);
 
   /// Polls due workers and schedules pools that changed. Called at the end of
   /// each turn of the event loop; does nothing while orders may not be issued.
--- a/Source/Scheduling/DispatcherWorkers.cpp
+++ b/Source/Scheduling/DispatcherWorkers.cpp
@@ -82,9 +82,11 @@
   });
 }
 
-void Dispatcher::deregisterWorker(const std::string &Id) {
+void Dispatcher::deregisterWorker(const std::string &Id,
+                                  std::optional<int64_t> Incarnation) {
   TrackedWorker *Worker = Table.findLatest(Id);
-  if (Worker == nullptr)
+  if (Worker == nullptr ||
+      (Incarnation && *Incarnation != Worker->key().Incarnation))
     return;
   Worker->Entry.Leaving = true;
   Table.schedulePoll(*Worker, Timers.now());
--- a/Tests/Jobs/IncarnationsTest.cpp
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -156,6 +156,25 @@
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
+TEST(Incarnations, ALateDeregistrationTakesNoLaterProcessAway) {
+  SchedulerHarness Harness;
+  Harness.addPool("p", 1, 8);
+  Harness.beginLeadership();
+  Harness.advanceTime(seconds(1));
+  int64_t Ended = Harness.Workers.at("p-0").Entry.Key.Incarnation;
+  Harness.Workers.restart("p-0");
+  Harness.advanceTime(seconds(2));
+  Harness.Scheduler->deregisterWorker("p-0", Ended);
+  Harness.submitJob("a", "p", makeChainSpec(1, 1, 1000, 300));
+  Harness.advanceTime(seconds(2));
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  Harness.Scheduler->deregisterWorker(
+      "p-0", Harness.Workers.at("p-0").Entry.Key.Incarnation);
+  Harness.submitJob("b", "p", makeChainSpec(1, 1, 1000, 300));
+  Harness.advanceTime(seconds(2));
+  EXPECT_NE(Harness.jobState("b"), JobState::Completed);
+}
+
 // Reports may come from another writer; a lease must rest on the worker's own
 // answers.
 TEST(Incarnations, AReportedClockDoesNotLengthenLeases) {
--- a/Tests/Platform/CallCodecTest.cpp
+++ b/Tests/Platform/CallCodecTest.cpp
@@ -190,6 +190,27 @@
   EXPECT_EQ(Report->Sequence, 4U);
 }
 
+TEST(ControlCalls, ReadsWhichProcessOfAWorkerSaysFarewell) {
+  ConfigurationCodec Reader;
+  ControlCalls Codec(Reader);
+  const std::string Path = "/mimosashunt/instances/i-7f/deregister";
+  auto Read = [&](const std::string &Body) {
+    return Codec.decode(makeRequest("POST", Path, Body));
+  };
+  ControlRequest Named = Read(R"({"born":1700000000000})");
+  ASSERT_TRUE(std::holds_alternative<WorkerDeregistration>(Named));
+  EXPECT_EQ(std::get<WorkerDeregistration>(Named).Incarnation, 1700000000000);
+  for (const char *Body : {"", "{}"}) {
+    ControlRequest Unnamed = Read(Body);
+    ASSERT_TRUE(std::holds_alternative<WorkerDeregistration>(Unnamed)) << Body;
+    EXPECT_EQ(std::get<WorkerDeregistration>(Unnamed).Incarnation,
+              std::nullopt);
+  }
+  for (const char *Body : {R"({"born":"now"})", R"({"born":1e400})", "\xff"})
+    EXPECT_TRUE(std::holds_alternative<InvalidControlRequest>(Read(Body)))
+        << Body;
+}
+
 TEST(ControlCalls, RejectsMalformedReports) {
   ConfigurationCodec Reader;
   ControlCalls Codec(Reader);
