Scheduling: a new leader waits for the leases that a restart has lengthened

Callers would see: a task runs again after it was done, or twice at once. A worker restarts; an order for its ended process gives the next one a lease by its own clock of up to 6 s. The leader knows that bound, but fails soon after. The next one waits 2.95 s for a worker that it cannot read, as if all leases were of its own length. Cause: what the leader knew of the restart was in its memory alone. Change: the worker's entry in the replicated state has the time at which a leader learned that the process had replaced another.

--- a/Source/Codec/CborFields.h
+++ b/Source/Codec/CborFields.h
@@ -26,6 +26,9 @@
   template <class T> void list(const char *, const T &Value) const {
     Count += Value.empty() ? 0 : 1;
   }
+  template <class T> void number(const char *, T Value) const {
+    Count += Value != 0 ? 1 : 0;
+  }
   void flag(const char *, bool Value) const { Count += Value ? 1 : 0; }
 };
 
@@ -60,6 +63,10 @@
     if (!Value.empty())
       (*this)(Key, Value);
   }
+  template <class T> void number(const char *Key, T Value) const {
+    if (Value != 0)
+      (*this)(Key, Value);
+  }
   void flag(const char *Key, bool Value) const {
     if (Value)
       (*this)(Key, Value);
@@ -135,6 +142,11 @@
     if (takeKey(Key))
       readValue(In, Value);
   }
+  template <class T> void number(const char *Key, T &Value) const {
+    Value = 0;
+    if (takeKey(Key))
+      readValue(In, Value);
+  }
   void flag(const char *Key, bool &Value) const {
     Value = false;
     if (takeKey(Key))
--- a/Source/Core/JsonFields.h
+++ b/Source/Core/JsonFields.h
@@ -133,7 +133,9 @@
       readJson(In.at(Key), Value);
   }
   template <class T> void number(const char *Key, T &Value) const {
-    Value = In.value(Key, T(0));
+    Value = 0;
+    if (In.contains(Key))
+      readJson(In.at(Key), Value);
   }
   void flag(const char *Key, bool &Value) const {
     Value = In.value(Key, false);
--- a/Source/Jobs/JobCommands.h
+++ b/Source/Jobs/JobCommands.h
@@ -26,6 +26,9 @@
   std::vector<std::string> Labels;
   Resources Capacity;
   bool Leaving = false;
+  /// When a leader learned that this process has replaced an earlier one of the
+  /// worker; zero if it has not.
+  UnixMillis ReplacedAt = 0;
   bool operator==(const WorkerEntry &) const = default;
 
   /// Returns the rack, which is the second label; empty if there is none. The
@@ -46,6 +49,7 @@
     Field("labels", Self.Labels);
     Field("room", Self.Capacity);
     Field("leaving", Self.Leaving);
+    Field.number("replaced", Self.ReplacedAt);
   }
 };
 
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -40,8 +40,8 @@
   for (const auto &[Key, Entry] : Store.workers()) {
     TrackedWorker &Worker = Table.add(Entry, Timers.now());
     Worker.IsCommitted = true;
-    Worker.LeaseEnd = StartedAt + Table.maxLeaseDuration();
     Worker.RenewedAt = StartedAt; // By an earlier leader, at the latest.
+    Worker.LeaseEnd = earlierLeasesEnd(Worker);
     Worker.LastReportAt = StartedAt;
     UnsyncedWorkers[Entry.Pool].insert(Key);
   }
@@ -53,6 +53,19 @@
       addJob(Record, /*IsInherited=*/true);
 }
 
+Instant Dispatcher::earlierLeasesEnd(const TrackedWorker &Worker) const {
+  constexpr int64_t MaxClockSkewMs = 5000; // Between control VMs.
+  constexpr int64_t MaxAgeMs = 60000;      // No lease lasts longer.
+  Instant End = StartedAt + Table.maxLeaseDuration();
+  if (Worker.Entry.ReplacedAt <= 0)
+    return End;
+  // Orders for the process before it may have reached this one until then.
+  int64_t AgeMs = Hooks.WallNow() - Worker.Entry.ReplacedAt - MaxClockSkewMs;
+  return std::max(End,
+                  Table.inheritedLeaseEnd(Worker) -
+                      milliseconds(std::clamp<int64_t>(AgeMs, 0, MaxAgeMs)));
+}
+
 void Dispatcher::addJob(const JobRecord &Record, bool IsInherited) {
   const QueueConfiguration *Queue = Configuration.findQueue(Record.Job.Queue);
   QueueConfiguration EmptyQueue;
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -291,6 +291,9 @@
   void reportUnlocatedJobs();
 
   void loadStore();
+  /// Returns until when an earlier leader's orders may keep runs alive on the
+  /// worker, to which this leader has sent none.
+  Instant earlierLeasesEnd(const TrackedWorker &Worker) const;
   void addJob(const JobRecord &Record, bool IsInherited);
 
   // Shares and rates of organisations.
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -194,8 +194,7 @@
   // The last lease of runs that another leader started may be about to end.
   bool MustRenewNow = !Worker->IsSynced && !Worker->Runs.empty();
   // What is not listed may run on under a lease of an earlier leader.
-  bool MayRunUnlisted =
-      Response.IsPartial && Timers.now() < StartedAt + Table.maxLeaseDuration();
+  bool MayRunUnlisted = Response.IsPartial && Timers.now() < Worker->LeaseEnd;
   if (!Worker->IsSynced && !MayRunUnlisted)
     markSynced(*Worker);
   stopStalledRuns(*Worker);
--- a/Source/Scheduling/DispatcherWorkers.cpp
+++ b/Source/Scheduling/DispatcherWorkers.cpp
@@ -55,9 +55,10 @@
                   ? &replaceRestarted(*Newest, Report.Entry, "superseded")
                   : &Table.add(Report.Entry, Timers.now());
   }
-  bool Changed = !Tracked->IsCommitted || Tracked->Entry != Report.Entry;
-  bool WasMarkedLeaving = Tracked->Entry.Leaving;
   WorkerEntry Entry = Report.Entry;
+  Entry.ReplacedAt = Tracked->Entry.ReplacedAt;
+  bool Changed = !Tracked->IsCommitted || Tracked->Entry != Entry;
+  bool WasMarkedLeaving = Tracked->Entry.Leaving;
   Entry.Leaving |= WasMarkedLeaving;
   Table.update(*Tracked, Entry);
   Tracked->IsCordoned = CordonedVms.count(Entry.Vm) > 0;
@@ -223,6 +224,7 @@
       IsKnown ? *Table.find(Next.Key) : Table.add(Next, Timers.now());
   if (!IsKnown)
     Replacement.LastReportAt = Timers.now();
+  Replacement.Entry.ReplacedAt = Hooks.WallNow();
   Replacement.Predecessors = std::move(Predecessors);
   Replacement.LeaseEnd = std::max(Replacement.LeaseEnd, LeaseEnd);
   Replacement.RenewedAt = std::max(Replacement.RenewedAt, RenewedAt);
--- a/Tests/Jobs/CommandCodecTest.cpp
+++ b/Tests/Jobs/CommandCodecTest.cpp
@@ -70,6 +70,7 @@
   Entry.Labels = anything<std::vector<std::string>>();
   Entry.Capacity = anyResources();
   Entry.Leaving = anything<bool>();
+  Entry.ReplacedAt = anything<UnixMillis>();
   return Entry;
 }
 
--- a/Tests/Jobs/IncarnationsTest.cpp
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -93,6 +93,20 @@
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
+// Also a lease that an order for the first process has given to the next one.
+TEST_F(RestartedWorker, ANewLeaderWaitsForTheLeasesOfTheNextProcess) {
+  Harness.sendHeartbeats();
+  Harness.advanceTime(milliseconds(100));
+  Harness.submitJob("b", "p", makeChainSpec(1, 12, 1000, 9000));
+  Harness.advanceTime(milliseconds(100));
+  EXPECT_GT(Harness.Workers.at("p-0").Runs.size(), 1U);
+  Harness.Workers.at("p-0").Faults.IsUnreachable = true;
+  Harness.beginLeadership();
+  Harness.advanceTime(seconds(25));
+  EXPECT_EQ(Harness.jobState("b"), JobState::Completed);
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
 TEST_F(RestartedWorker, TheBoundOfItsLeasesHoldsOverASecondRestart) {
   VirtualWorker Running = Harness.Workers.at("p-0");
   Harness.sendHeartbeats();
