--- a/Tests/Jobs/IncarnationsTest.cpp
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -123,6 +123,22 @@
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
+TEST(Incarnations, AnUnansweredStartMayRunOnTheNextProcess) {
+  SchedulerHarness Harness;
+  Harness.addPool("p", 4, 8);
+  Harness.beginLeadership();
+  Harness.advanceTime(seconds(5));
+  Harness.SendsHeartbeats = false;
+  Harness.Workers.restart("p-0");
+  Harness.Workers.at("p-0").Faults.LosesResponses = true;
+  Harness.submitJob("a", "p", makeChainSpec(1, 1, 1000, 4000));
+  Harness.advanceTime(milliseconds(30));
+  ASSERT_EQ(Harness.Workers.at("p-0").Runs.size(), 1U);
+  Harness.advanceTime(seconds(15));
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
 /// A report that names the address of \p Worker as its own.
 WorkerReport otherReportFrom(const VirtualWorker &Worker) {
   WorkerReport Report{Worker.Entry, 1, 5};
--- a/Tests/Support/VirtualWorkers.cpp
+++ b/Tests/Support/VirtualWorkers.cpp
@@ -187,6 +187,10 @@
       Answer.Outcome = Run();
       Answer.ClockMs = workerClockMs(*Receiver);
     }
+    if (Receiver->Faults.LosesResponses) {
+      Timers.scheduleAt(Timers.now() + ResponseTimeout, [Done] { Done({}); });
+      return;
+    }
     Timers.scheduleAt(Timers.now() + OneWayDelay, [this, To, Done, Answer] {
       // The connection is reset with the worker's process.
       Done(find(To)->Faults.IsDown ? OrderResponse{} : Answer);
@@ -455,7 +459,7 @@
       if (std::exchange(*Answered, true))
         return;
       VirtualWorker &Receiver = *find(To);
-      if (Receiver.Faults.IsUnreachable)
+      if (Receiver.Faults.IsUnreachable || Receiver.Faults.LosesResponses)
         return Timers.scheduleAt(Timers.now() + ResponseTimeout,
                                  [Done] { Done({}); }),
                void();
--- a/Tests/Support/VirtualWorkers.h
+++ b/Tests/Support/VirtualWorkers.h
@@ -24,7 +24,8 @@
 struct WorkerFaults {
   /// Rows of running tasks cannot be read, so the lists are partial.
   bool HasUnreadableRuns = false;
-  bool IsUnreachable = false; // No messages arrive at or come from the worker.
+  bool IsUnreachable = false;  // No messages arrive at or come from the worker.
+  bool LosesResponses = false; // Orders arrive, their responses do not.
   /// The worker's process has ended; connections to it are refused.
   bool IsDown = false;
   bool IsReplaced = false; // Another worker answers at its address.
