Tests: the report of a later start meets runs that were listed

Cause: the mutant report-believed passed. Change: the report comes once the worker's lists have told of the runs. Result: with the mutant each of eight tasks runs twice at once; without it the test passes.

--- a/Tests/Jobs/IncarnationsTest.cpp
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -171,12 +171,13 @@
   SchedulerHarness Harness;
   Harness.addPool("p", 4, 8);
   Harness.beginLeadership();
-  Harness.submitJob("a", "p", makeChainSpec(1, 8, 1000, 3000));
-  Harness.advanceTime(milliseconds(700));
+  Harness.submitJob("a", "p", makeChainSpec(1, 8, 1000, 6000));
+  // Its lists have told the leader of the runs.
+  Harness.advanceTime(seconds(3));
   WorkerReport Report{Harness.Workers.at("p-0").Entry, 1, 5};
   Report.Entry.Key.Incarnation += 500;
   Harness.Scheduler->handleReport(Report, [](bool) {});
-  Harness.advanceTime(seconds(5));
+  Harness.advanceTime(seconds(8));
   EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
   for (const auto &[Task, Count] : Harness.Workers.StartCounts)
     EXPECT_EQ(Count, 1) << Task.Index;
