Scheduling: a probe that is not answered confirms no report

Callers would see: all tasks of a sound worker run twice. A report names a later start of it, and one response is lost: that of the poll that asks the worker. Cause: any answer but that of the known process, none included, made the report believed. Change: while the known process counts as reachable, the report is not acknowledged, and its sender tries again. If the process has gone, polls show it soon.

--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -358,12 +358,8 @@
   void onFenced(const WorkerKey &Key);
 
   // Processes of workers.
-  /// Like handleReport(). With \p IsBelieved a report of a next process is
-  /// believed although the one before answers.
-  void acceptReport(const WorkerReport &Report,
-                    std::function<void(bool)> Acknowledge, bool IsBelieved);
-  /// Asks the worker, which answers, whether the report of a next process of it
-  /// is true. Without an answer the report is believed.
+  /// Asks the worker, which answers its polls, whether the report of a next
+  /// process of it is true.
   void confirmReport(TrackedWorker &Worker, const WorkerReport &Report,
                      std::function<void(bool)> Acknowledge);
   /// Asks whether the worker still answers at its address, beside its polls.
--- a/Source/Scheduling/DispatcherWorkers.cpp
+++ b/Source/Scheduling/DispatcherWorkers.cpp
@@ -14,22 +14,12 @@
 /// Of one worker. Its reports are seconds apart, a probe takes less.
 constexpr size_t MaxReportsToConfirm = 4;
 
-bool isAnswering(const TrackedWorker &Worker) {
-  return Worker.IsReachable && Worker.FailedPolls == 0;
-}
-
 } // namespace
 
 // Worker reports.
 
 void Dispatcher::handleReport(const WorkerReport &Report,
                               std::function<void(bool)> Acknowledge) {
-  acceptReport(Report, std::move(Acknowledge), /*IsBelieved=*/false);
-}
-
-void Dispatcher::acceptReport(const WorkerReport &Report,
-                              std::function<void(bool)> Acknowledge,
-                              bool IsBelieved) {
   const WorkerKey &Key = Report.Entry.Key;
   TrackedWorker *Newest = Table.findLatest(Key.Id);
   TrackedWorker *SameAddress = Table.findByAddress(Report.Entry.Address);
@@ -49,7 +39,7 @@
       return Acknowledge(false);
     }
     // All that runs on a worker that answers rests on the report being true.
-    if (Newest != nullptr && isAnswering(*Newest) && !IsBelieved)
+    if (Newest != nullptr && Newest->IsReachable)
       return confirmReport(*Newest, Report, std::move(Acknowledge));
     Tracked = Newest != nullptr
                   ? &replaceRestarted(*Newest, Report.Entry, "superseded")
@@ -123,17 +113,18 @@
   auto Waiting = ReportsToConfirm.extract(Key);
   if (Waiting.empty())
     return;
+  if (Response.Outcome == OrderOutcome::Accepted)
+    Hooks.LogEvent("report_refuted", {{"worker", Key.Id},
+                                      {"born", Key.Incarnation},
+                                      {"reports", Waiting.mapped().size()}});
   for (PendingReport &Pending : Waiting.mapped()) {
-    if (Response.Outcome != OrderOutcome::Accepted) {
-      acceptReport(Pending.Report, std::move(Pending.Acknowledge),
-                   /*IsBelieved=*/true);
-      continue;
-    }
-    Hooks.LogEvent("report_refuted",
-                   {{"worker", Key.Id},
-                    {"born", Pending.Report.Entry.Key.Incarnation},
-                    {"answers", Key.Incarnation}});
-    Pending.Acknowledge(false);
+    // Without an answer the polls decide whether the process is there. The
+    // reporting worker tries again.
+    TrackedWorker *Newest = Table.findLatest(Key.Id);
+    if (Newest != nullptr && Newest->key() == Key && Newest->IsReachable)
+      Pending.Acknowledge(false);
+    else
+      handleReport(Pending.Report, std::move(Pending.Acknowledge));
   }
 }
 
--- a/Tests/Jobs/IncarnationsTest.cpp
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -108,19 +108,26 @@
 }
 
 TEST_F(RestartedWorker, TheBoundOfItsLeasesHoldsOverASecondRestart) {
-  VirtualWorker Running = Harness.Workers.at("p-0");
-  Harness.sendHeartbeats();
-  Harness.Workers.at("p-0").Faults.IsUnreachable = true;
-  // A report of a third process, which does not answer yet.
+  VirtualWorker &Running = Harness.Workers.at("p-0");
+  Running.Faults.IsUnreachable = true;
+  Harness.advanceTime(seconds(3));
+  // A report of the process that runs "a", and of a third one that does not
+  // exist.
   WorkerReport Report{Running.Entry, 1, 5};
+  Harness.Scheduler->handleReport(Report, [](bool) {});
   ++Report.Entry.Key.Incarnation;
   Harness.Scheduler->handleReport(Report, [](bool) {});
-  Harness.advanceTime(seconds(4));
+  Harness.advanceTime(milliseconds(900));
   EXPECT_EQ(Harness.Workers.StartCounts.begin()->second, 1);
-  Harness.Workers.at("p-0").Faults.IsUnreachable = false;
+  Running.Faults.IsUnreachable = false;
   Harness.advanceTime(seconds(10));
   EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+  // It is no predecessor of itself, so its own reports count.
+  const TrackedWorker *Known =
+      Harness.Scheduler->workers().find(Running.Entry.Key);
+  ASSERT_NE(Known, nullptr);
+  EXPECT_TRUE(Known->IsCommitted);
 }
 
 TEST(Incarnations, AnUnansweredStartMayRunOnTheNextProcess) {
@@ -206,6 +213,27 @@
   EXPECT_NE(Harness.jobState("b"), JobState::Completed);
 }
 
+// A response that is lost confirms no report.
+TEST(Incarnations, AReportOfALaterStartEndsNothingWhenItsProbeIsLost) {
+  SchedulerHarness Harness;
+  Harness.addPool("p", 4, 8);
+  Harness.beginLeadership();
+  Harness.submitJob("a", "p", makeChainSpec(1, 8, 1000, 7000));
+  Harness.advanceTime(seconds(3));
+  WorkerReport Report{Harness.Workers.at("p-0").Entry, 1, 5};
+  Report.Entry.Key.Incarnation += 500;
+  ASSERT_FALSE(Harness.Workers.at("p-0").Runs.empty());
+  Harness.Scheduler->handleReport(Report, [](bool) {});
+  Harness.Workers.at("p-0").Faults.LosesResponses = true;
+  Harness.advanceTime(milliseconds(2));
+  Harness.Workers.at("p-0").Faults.LosesResponses = false;
+  Harness.advanceTime(seconds(8));
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  for (const auto &[Task, Count] : Harness.Workers.StartCounts)
+    EXPECT_EQ(Count, 1) << Task.Index;
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
 // Reports may come from another writer; a lease must rest on the worker's own
 // answers.
 TEST(Incarnations, AReportedClockDoesNotLengthenLeases) {
