Workers: an answer that was overtaken shows no restart

Callers would see: a worker that is cut off soon after an answer came late counts as running its tasks for 4.9 s longer than it can, and gets shorter leases. Cause: the bound of a worker's clock was drawn back from a later sample at the slowest rate, which puts it ahead of a clock that is not slow. Change: before the sample the bound goes back at the full rate.

--- a/Source/Workers/WorkerTable.cpp
+++ b/Source/Workers/WorkerTable.cpp
@@ -182,8 +182,11 @@
   if (!Worker.Clock)
     return std::nullopt;
   Duration SinceSample = Now - Worker.Clock->At;
+  // Before the sample the bound is lowest for a clock that is not slow.
   Duration SlowestProgress =
-      SinceSample * (100 - Options.MaxClockDriftPercent) / 100;
+      SinceSample < Duration::zero()
+          ? SinceSample
+          : SinceSample * (100 - Options.MaxClockDriftPercent) / 100;
   return Worker.Clock->ClockMs + toMillis(SlowestProgress);
 }
 
--- a/Tests/Jobs/LeaseRenewalTest.cpp
+++ b/Tests/Jobs/LeaseRenewalTest.cpp
@@ -152,6 +152,22 @@
 
 // A worker that was suspended has a clock that lags what was expected; leases
 // by the old estimate would last too long.
+TEST(LeaseRenewal, AnAnswerThatWasOvertakenShowsNoClockThatStoodStill) {
+  WorkerTable Table({});
+  Instant Start(seconds(1000));
+  TrackedWorker &Worker =
+      Table.add({{"w", 1}, "10.0.0.1:1", "p", "", "", {}, {}}, Start);
+  // The clock goes right; each way takes 1 ms.
+  Table.recordClock(Worker, Start, Start + milliseconds(2), 110001);
+  Table.grantLease(Worker, Start);
+  Instant LeaseEnd = Worker.LeaseEnd;
+  Table.recordClock(Worker, Start + milliseconds(390),
+                    Start + milliseconds(392), 110391);
+  Table.recordClock(Worker, Start, Start + milliseconds(402), 110001);
+  EXPECT_EQ(Worker.LeaseEnd, LeaseEnd);
+  EXPECT_GE(*Table.estimateClockMs(Worker, Start + milliseconds(402)), 110391);
+}
+
 TEST(LeaseRenewal, AClockThatStoodStillIsLearnedAnew) {
   LeaseOptions Options;
   WorkerTable Table(Options);
