Scheduling: a new leader knows of a restart that was not reported yet

Callers would see: a task runs again after it was done. Cause: when a leader learned of a restart was committed with the report of the next process alone. Change: what shows the restart marks the ended process, which a new leader looks for until then.

--- a/Source/Jobs/JobCommands.h
+++ b/Source/Jobs/JobCommands.h
@@ -27,7 +27,8 @@
   Resources Capacity;
   bool Leaving = false;
   /// When a leader learned that this process has replaced an earlier one of the
-  /// worker; zero if it has not.
+  /// worker, or that another has replaced it; zero if neither. In Unix
+  /// milliseconds.
   UnixMillis ReplacedAt = 0;
   bool operator==(const WorkerEntry &) const = default;
 
--- a/Source/Scheduling/DispatcherWorkers.cpp
+++ b/Source/Scheduling/DispatcherWorkers.cpp
@@ -255,7 +255,16 @@
   WorkerEntry Next = Worker.Entry;
   Next.Key.Incarnation = Incarnation;
   Next.Leaving = false;
+  // The next process is committed with its report. Until then a later leader
+  // knows the ended one.
+  UpdateWorkers Command;
+  if (Worker.IsCommitted)
+    Command.Workers.push_back(Worker.Entry);
   replaceRestarted(Worker, Next, "restarted");
+  if (Command.Workers.empty())
+    return;
+  Command.Workers.front().ReplacedAt = Hooks.WallNow();
+  Hooks.Propose(Command, [](bool) {});
 }
 
 // Workers that this leader has not read.
--- a/Tests/Jobs/IncarnationsTest.cpp
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -107,6 +107,19 @@
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
+// Also when it has not reported yet.
+TEST_F(RestartedWorker, ANewLeaderWaitsForTheLeasesOfAnUnreportedProcess) {
+  Harness.SendsHeartbeats = false;
+  Harness.advanceTime(milliseconds(2500)); // Polls tell of the restart.
+  Harness.Workers.at("p-0").Faults.IsUnreachable = true;
+  Harness.submitJob("b", "p", makeChainSpec(1, 1, 1000, 300));
+  Harness.beginLeadership();
+  Harness.advanceTime(seconds(25));
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  EXPECT_EQ(Harness.jobState("b"), JobState::Completed);
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
 TEST_F(RestartedWorker, TheBoundOfItsLeasesHoldsOverASecondRestart) {
   VirtualWorker &Running = Harness.Workers.at("p-0");
   Running.Faults.IsUnreachable = true;
