Scheduling: a worker whose lists cannot be read whole is polled with pauses

Callers saw: nothing. A worker with an odd row was polled without a pause until earlier leases had ended: 2.95 s after a change of leader, and since 7.7 s after a restart. Cause: polls follow each other at once so that a worker that has been read gets its lease; one that was not read gets none. Change: they do so only once it was read.

--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -191,12 +191,13 @@
     excuseUnlistedRuns(*Worker, Response, Timers.now());
   else
     removeVanishedRuns(*Worker, Response, SentAt);
-  // The last lease of runs that another leader started may be about to end.
-  bool MustRenewNow = !Worker->IsSynced && !Worker->Runs.empty();
   // What is not listed may run on under a lease of an earlier leader.
   bool MayRunUnlisted = Response.IsPartial && Timers.now() < Worker->LeaseEnd;
-  if (!Worker->IsSynced && !MayRunUnlisted)
+  bool IsNewlySynced = !Worker->IsSynced && !MayRunUnlisted;
+  if (IsNewlySynced)
     markSynced(*Worker);
+  // The last lease of runs that another leader started may be about to end.
+  bool MustRenewNow = IsNewlySynced && !Worker->Runs.empty();
   stopStalledRuns(*Worker);
   adjustPaces(*Worker);
   markPoolDirty(Worker->Entry.Pool);
--- a/Tests/Jobs/IncarnationsTest.cpp
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -260,6 +260,18 @@
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
+// The process is not read before the leases of the one before it have ended.
+TEST_F(RestartedWorker, APartialListOfTheNextProcessIsNotAskedForWithoutPause) {
+  Harness.Workers.at("p-0").Faults.HasUnreadableRuns = true;
+  Harness.sendHeartbeats();
+  Harness.advanceTime(milliseconds(10));
+  uint64_t Polls = Harness.Scheduler->counters().Polls;
+  Harness.advanceTime(seconds(5));
+  constexpr uint64_t ManyPolls = 500; // Of four workers.
+  EXPECT_LT(Harness.Scheduler->counters().Polls - Polls, ManyPolls);
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
 // Reports may come from another writer; a lease must rest on the worker's own
 // answers.
 TEST(Incarnations, AReportedClockDoesNotLengthenLeases) {
