Scheduling: a listed start is confirmed when its list arrives

Callers saw: nothing; found by the review. A run that a list confirmed counted as there since the poll was sent, which may have waited for 2 s: a canary could pass too early. Change: it counts from the arrival of the list, a lower bound. A poll that is sent at that instant has to list it, too.

--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -343,8 +343,7 @@
   void onPollResponse(const WorkerKey &Key, Instant SentAt, Duration MaxWait,
                       const PollResponse &Response);
   void markSynced(TrackedWorker &Worker);
-  void updateRun(TrackedWorker &Worker, const RunningTask &Reported,
-                 Instant SentAt);
+  void updateRun(TrackedWorker &Worker, const RunningTask &Reported);
   void adoptRun(TrackedWorker &Worker, const RunningTask &Reported);
   void removeVanishedRuns(TrackedWorker &Worker, const PollResponse &Response,
                           Instant SentAt);
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -186,7 +186,7 @@
   for (const FinishedRun &End : Response.Finished)
     handleRunEnd(*Worker, End);
   for (const RunningTask &Reported : Response.Running)
-    updateRun(*Worker, Reported, SentAt);
+    updateRun(*Worker, Reported);
   if (Response.IsPartial)
     excuseUnlistedRuns(*Worker, Response, Timers.now());
   else
@@ -212,8 +212,7 @@
                                    {"runs", Worker.Runs.size()}});
 }
 
-void Dispatcher::updateRun(TrackedWorker &Worker, const RunningTask &Reported,
-                           Instant SentAt) {
+void Dispatcher::updateRun(TrackedWorker &Worker, const RunningTask &Reported) {
   auto It = Worker.Runs.find(Reported.Task);
   if (It != Worker.Runs.end() && It->second.State == RunState::Booked) {
     // What already runs there makes the start needless.
@@ -232,7 +231,7 @@
   if (CurrentRun.State == RunState::Unconfirmed ||
       CurrentRun.State == RunState::Starting) {
     CurrentRun.State = RunState::Running;
-    CurrentRun.StartAckedAt = SentAt;
+    CurrentRun.StartAckedAt = Timers.now();
   }
   if (Reported.ProgressPercent != CurrentRun.ProgressPercent) {
     CurrentRun.ProgressPercent = Reported.ProgressPercent;
@@ -334,7 +333,7 @@
     bool WasRunning = (CurrentRun.State == RunState::Running ||
                        CurrentRun.State == RunState::Stopping) &&
                       CurrentRun.StartAckedAt > Instant() &&
-                      CurrentRun.StartAckedAt < SentAt;
+                      CurrentRun.StartAckedAt <= SentAt;
     if (CannotStart || WasRunning)
       Vanished.push_back(Task);
     else if (CurrentRun.State == RunState::Unconfirmed &&
