Scheduling: a stop against a late start is not repeated once it has begun

Cause: a start that was not answered and is not listed is stopped, so that it cannot be carried out later. Change: when a list shows the run before the stop was acknowledged, it is a run like any other, if its task is still wanted.

--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -226,10 +226,14 @@
     return;
   if (CurrentRun.ListedAt == Instant())
     CurrentRun.ListedAt = Timers.now();
-  if (CurrentRun.State == RunState::Unconfirmed)
+  // A stop that was not carried out in time has nothing left to prevent.
+  bool IsNeedlesslyStopped =
+      CurrentRun.State == RunState::Stopping && CurrentRun.IsStoppedInDoubt &&
+      !CurrentRun.StopAckedAt && findWantedTask(Reported.Task) != nullptr;
+  if (CurrentRun.State == RunState::Unconfirmed || IsNeedlesslyStopped)
     removeLoss(Reported.Task, Reported.Attempt);
   if (CurrentRun.State == RunState::Unconfirmed ||
-      CurrentRun.State == RunState::Starting) {
+      CurrentRun.State == RunState::Starting || IsNeedlesslyStopped) {
     CurrentRun.State = RunState::Running;
     CurrentRun.StartAckedAt = Timers.now();
   }
@@ -344,8 +348,10 @@
     removeRun(Worker, Task);
   // An unanswered start order may still arrive. Stopping the attempt ensures
   // that it cannot start afterwards.
-  for (const TaskId &Task : Unconfirmed)
+  for (const TaskId &Task : Unconfirmed) {
+    Worker.Runs.at(Task).IsStoppedInDoubt = true;
     stopRun(Worker, Task);
+  }
 }
 
 void Dispatcher::handleRunEnd(TrackedWorker &Worker, const FinishedRun &End) {
--- a/Source/Workers/WorkerTable.h
+++ b/Source/Workers/WorkerTable.h
@@ -44,6 +44,8 @@
   /// attempt after that.
   std::optional<Instant> StopAckedAt;
   bool StopInFlight = false;
+  /// It is stopped only so that its unanswered start is not carried out later.
+  bool IsStoppedInDoubt = false;
   std::string Checkpoint;
   int32_t ProgressPercent = -1;
   Instant ProgressChangedAt; // When ProgressPercent last changed.
--- a/Tests/Jobs/WorkerFaultsTest.cpp
+++ b/Tests/Jobs/WorkerFaultsTest.cpp
@@ -22,6 +22,28 @@
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
+// The stop kept a late start from being carried out, and was repeated when the
+// start had been.
+TEST(WorkerFaults, ARunThatBeganBeforeItsStopArrivedIsNotEnded) {
+  SchedulerHarness Harness;
+  Harness.addPool("p", 1, 8);
+  Harness.beginLeadership();
+  Harness.advanceTime(seconds(1));
+  WorkerFaults &Faults = Harness.Workers.at("p-0").Faults;
+  Faults.OrderDelay = milliseconds(2400);
+  Faults.DelayedOrderCount = 1;
+  Harness.submitJob("a", "p", makeChainSpec(1, 1, 1000, 6000));
+  Harness.advanceTime(milliseconds(100));
+  ASSERT_EQ(Faults.DelayedOrderCount, 0);
+  Faults.OrderDelay = seconds(30); // The first stop is lost.
+  Faults.DelayedOrderCount = 1;
+  Harness.advanceTime(seconds(9));
+  EXPECT_EQ(Faults.DelayedOrderCount, 0);
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  EXPECT_EQ(Harness.Workers.StartCounts.begin()->second, 1);
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
 TEST(WorkerFaults, ARunWhoseRowCannotBeReadIsNotTakenForEnded) {
   for (bool HasNewLeader : {false, true}) {
     SchedulerHarness Harness;
