Tests: a loop over messages binds no temporary

Cause: gcc warns of a reference to a string that is built for each item (-Wrange-loop-construct) in CommandCodec.ExcessiveSizesAreRefused. Change: the loop runs over two named strings, both cases as before.

--- a/Tests/Jobs/CommandCodecTest.cpp
+++ b/Tests/Jobs/CommandCodecTest.cpp
@@ -167,8 +167,9 @@
 TEST(CommandCodec, ExcessiveSizesAreRefused) {
   JobCommand Command;
   JobRequest Request;
-  for (const std::string &Bytes : {"\x9b\xe8\x9a\x24\x38\xc7\x17\xd2\x0b",
-                                   "\xbb\xe8\x9a\x24\x38\xc7\x17\xd2\x0b"}) {
+  const std::string Array = "\x9b\xe8\x9a\x24\x38\xc7\x17\xd2\x0b";
+  const std::string Map = "\xbb\xe8\x9a\x24\x38\xc7\x17\xd2\x0b";
+  for (const std::string &Bytes : {Array, Map}) {
     EXPECT_FALSE(decodeJobCommand(Bytes, Command));
     EXPECT_FALSE(fromCbor(Bytes, Request));
   }
