Tests: one expectation for tasks that run once, in IncarnationsTest

Change: expectEachTaskRanOnce() makes them: the job is completed, each task was started once, no worker saw a violation. No check is left out; a failed count now names the step in each of the four.

--- a/Tests/Jobs/IncarnationsTest.cpp
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -10,6 +10,15 @@
 
 namespace {
 
+/// Expects that the job, the only one so far, is completed and that each of its
+/// tasks was started once.
+void expectEachTaskRanOnce(const SchedulerHarness &Harness, const JobId &Job) {
+  EXPECT_EQ(Harness.jobState(Job), JobState::Completed);
+  for (const auto &[Task, Count] : Harness.Workers.StartCounts)
+    EXPECT_EQ(Count, 1) << Task.Step << "." << Task.Index;
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
 /// A pool of four workers, the first of which has just restarted; the leader
 /// does not know. Job "a" is running there by an order for the first process.
 class RestartedWorker : public testing::Test {
@@ -159,10 +168,7 @@
       [&WasAcknowledged](bool Done) { WasAcknowledged = Done; });
   Harness.advanceTime(seconds(5));
   EXPECT_FALSE(WasAcknowledged);
-  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
-  for (const auto &[Task, Count] : Harness.Workers.StartCounts)
-    EXPECT_EQ(Count, 1) << Task.Index;
-  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+  expectEachTaskRanOnce(Harness, "a");
 }
 
 // A late report of an ended process may name a later start, as may one of
@@ -177,9 +183,7 @@
   Report.Entry.Key.Incarnation += 500;
   Harness.Scheduler->handleReport(Report, [](bool) {});
   Harness.advanceTime(seconds(5));
-  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
-  for (const auto &[Task, Count] : Harness.Workers.StartCounts)
-    EXPECT_EQ(Count, 1) << Task.Index;
+  expectEachTaskRanOnce(Harness, "a");
   Harness.submitJob("b", "p", makeChainSpec(1, 32, 1000, 300));
   Harness.advanceTime(milliseconds(250));
   EXPECT_FALSE(Harness.Workers.at("p-0").Runs.empty());
@@ -241,10 +245,7 @@
   Harness.advanceTime(milliseconds(500));
   Harness.beginLeadership();
   Harness.advanceTime(seconds(4));
-  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
-  for (const auto &[Task, Count] : Harness.Workers.StartCounts)
-    EXPECT_EQ(Count, 1) << Task.Step << "." << Task.Index;
-  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+  expectEachTaskRanOnce(Harness, "a");
 }
 
 TEST(Incarnations, EndsBeyondThePageDoNotMakeRunsVanish) {
@@ -255,10 +256,7 @@
   Harness.advanceTime(milliseconds(100));
   Harness.submitJob("a", "p", makeChainSpec(2, 16, 1000, 200));
   Harness.advanceTime(seconds(5));
-  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
-  for (const auto &[Task, Count] : Harness.Workers.StartCounts)
-    EXPECT_EQ(Count, 1) << Task.Step << "." << Task.Index;
-  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+  expectEachTaskRanOnce(Harness, "a");
 }
 
 } // namespace
