Workers: the drift of a worker's clock is allowed for in one place

Cause: the same formula stood three times in WorkerTable.cpp. Change: maxTimeToAdvance() returns the longest time in which a worker's clock advances by a span; leases, their longest duration and those of the next process use it.

--- a/Source/Workers/WorkerTable.cpp
+++ b/Source/Workers/WorkerTable.cpp
@@ -5,6 +5,16 @@
 
 namespace mimosashunt {
 
+namespace {
+
+/// Returns the longest time in which a worker's clock advances by
+/// \p ByWorkerClock.
+Duration maxTimeToAdvance(Duration ByWorkerClock, const LeaseOptions &Options) {
+  return ByWorkerClock * 100 / (100 - Options.MaxClockDriftPercent);
+}
+
+} // namespace
+
 const char *nameOf(OrderOutcome Outcome) {
   switch (Outcome) {
   case OrderOutcome::Accepted:
@@ -210,25 +220,23 @@
     return std::nullopt;
   // The bound holds if the clock has run as slowly as it may since the sample,
   // and goes on so.
-  Duration WithDrift =
-      Options.LeaseDuration * 100 / (100 - Options.MaxClockDriftPercent);
-  Instant Ends = Now + WithDrift + Options.ExpiryMargin;
+  Instant Ends = Now + maxTimeToAdvance(Options.LeaseDuration, Options) +
+                 Options.ExpiryMargin;
   Worker.LeaseEnd = std::max(Worker.LeaseEnd, Ends);
   Worker.RenewedAt = Now;
   return *Clock + toMillis(Options.LeaseDuration);
 }
 
 Duration WorkerTable::maxLeaseDuration() const {
-  return Options.LeaseDuration * 100 / (100 - Options.MaxClockDriftPercent) +
+  return maxTimeToAdvance(Options.LeaseDuration, Options) +
          2 * Options.ExpiryMargin;
 }
 
 Instant WorkerTable::inheritedLeaseEnd(const TrackedWorker &Ended) const {
   if (Ended.RenewedAt == Instant())
     return Instant();
-  Duration WithDrift =
-      Options.MaxAcceptedLease * 100 / (100 - Options.MaxClockDriftPercent);
-  return Ended.RenewedAt + Options.MaxOrderTransit + WithDrift +
+  return Ended.RenewedAt + Options.MaxOrderTransit +
+         maxTimeToAdvance(Options.MaxAcceptedLease, Options) +
          Options.ExpiryMargin;
 }
 
