Scheduling: what a run has from its step is set in one place

Cause: bookRun(), adoptRun() and expectRun() each copied the same seven fields of a run, so a new field could be missed in one of them. Change: the fields are a base of Run, RunProperties. RunProperties::of() sets them from the step, the organisation and the worker; expectRun() copies them as a whole from the run of the ended process. The values are the same as before.

--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -251,7 +251,15 @@
 
 void Dispatcher::adoptRun(TrackedWorker &Worker, const RunningTask &Reported) {
   const JobRecord *Record = Store.findJob(Reported.Task.Job);
-  Run Adopted;
+  bool IsValid =
+      Record != nullptr && Reported.Task.Step < Record->Job.Spec.Steps.size() &&
+      Reported.Task.Index < Record->Job.Spec.Steps[Reported.Task.Step].Count &&
+      Reported.Task.Occurrence < Record->Job.Spec.Recurrence.occurrences();
+  RunProperties Properties;
+  if (IsValid)
+    Properties = RunProperties::of(Record->Job.Spec.Steps[Reported.Task.Step],
+                                   Record->Job.Organisation, Worker.Entry);
+  Run Adopted(std::move(Properties));
   Adopted.Attempt = Reported.Attempt;
   Adopted.IsAdopted = true;
   Adopted.State = RunState::Running;
@@ -260,21 +268,6 @@
   Adopted.ProgressPercent = Reported.ProgressPercent;
   Adopted.Gauge = Reported.Gauge;
   Adopted.Checkpoint = Reported.Checkpoint;
-  bool IsValid =
-      Record != nullptr && Reported.Task.Step < Record->Job.Spec.Steps.size() &&
-      Reported.Task.Index < Record->Job.Spec.Steps[Reported.Task.Step].Count &&
-      Reported.Task.Occurrence < Record->Job.Spec.Recurrence.occurrences();
-  if (IsValid) {
-    const StepSpec &Spec = Record->Job.Spec.Steps[Reported.Task.Step];
-    Adopted.ReservedResources = Spec.reservedResources();
-    Adopted.QuotaUsage = Spec.TaskResources;
-    Adopted.Organisation = Record->Job.Organisation;
-    Adopted.UsesSpareCpu = Spec.UsesSpareCpu;
-    Adopted.LongRunning = Spec.LongRunning;
-    Adopted.TailTargetMs = Spec.TailTargetMs;
-    Adopted.IsRemote =
-        !Spec.DataRack.empty() && Worker.Entry.rack() != Spec.DataRack;
-  }
   Table.addRun(Worker, Reported.Task, std::move(Adopted));
   auto Job = Jobs.find(Reported.Task.Job);
   TaskProgress *TaskState = IsValid && Job != Jobs.end()
--- a/Source/Scheduling/DispatcherStarts.cpp
+++ b/Source/Scheduling/DispatcherStarts.cpp
@@ -41,20 +41,12 @@
 void Dispatcher::bookRun(JobProgress &Job, const BookedStart &Start,
                          bool IsCanary) {
   const StepSpec &Spec = Job.stepSpec(Start.Task.Step);
-  Run NewRun;
+  TrackedWorker &Worker = *Table.find(Start.Worker);
+  Run NewRun(RunProperties::of(Spec, Job.job().Organisation, Worker.Entry));
   NewRun.Attempt = Start.Attempt;
   NewRun.State = RunState::Booked;
-  NewRun.ReservedResources = Spec.reservedResources();
-  NewRun.QuotaUsage = Spec.TaskResources;
-  NewRun.Organisation = Job.job().Organisation;
   NewRun.OrderedAt = NewRun.ProgressChangedAt = Timers.now();
-  NewRun.UsesSpareCpu = Spec.UsesSpareCpu;
-  NewRun.LongRunning = Spec.LongRunning;
-  NewRun.TailTargetMs = Spec.TailTargetMs;
   NewRun.IsCanary = IsCanary;
-  TrackedWorker &Worker = *Table.find(Start.Worker);
-  NewRun.IsRemote =
-      !Spec.DataRack.empty() && Worker.Entry.rack() != Spec.DataRack;
   endLocalityWait(Start.Task, NewRun.IsRemote && !Spec.Gang ? "far" : "near");
   updateForecast(Job, Spec, Worker, NewRun.IsRemote);
   Table.addRun(Worker, Start.Task, std::move(NewRun));
--- a/Source/Scheduling/DispatcherWorkers.cpp
+++ b/Source/Scheduling/DispatcherWorkers.cpp
@@ -240,17 +240,10 @@
 
 void Dispatcher::expectRun(TrackedWorker &Worker, const TaskId &Task,
                            const Run &Ordered) {
-  Run Expected;
+  Run Expected(Ordered.properties());
   Expected.Attempt = Ordered.Attempt;
   Expected.State = RunState::Unconfirmed;
-  Expected.ReservedResources = Ordered.ReservedResources;
-  Expected.QuotaUsage = Ordered.QuotaUsage;
-  Expected.Organisation = Ordered.Organisation;
   Expected.OrderedAt = Expected.ProgressChangedAt = Timers.now();
-  Expected.UsesSpareCpu = Ordered.UsesSpareCpu;
-  Expected.LongRunning = Ordered.LongRunning;
-  Expected.TailTargetMs = Ordered.TailTargetMs;
-  Expected.IsRemote = Ordered.IsRemote;
   Table.addRun(Worker, Task, std::move(Expected));
   auto Job = Jobs.find(Task.Job);
   if (Job != Jobs.end() && Job->second->findTask(Task) != nullptr)
--- a/Source/Workers/WorkerTable.cpp
+++ b/Source/Workers/WorkerTable.cpp
@@ -45,6 +45,20 @@
   return "unknown";
 }
 
+RunProperties RunProperties::of(const StepSpec &Spec,
+                                const std::string &Organisation,
+                                const WorkerEntry &On) {
+  RunProperties Result;
+  Result.ReservedResources = Spec.reservedResources();
+  Result.QuotaUsage = Spec.TaskResources;
+  Result.Organisation = Organisation;
+  Result.UsesSpareCpu = Spec.UsesSpareCpu;
+  Result.LongRunning = Spec.LongRunning;
+  Result.TailTargetMs = Spec.TailTargetMs;
+  Result.IsRemote = !Spec.DataRack.empty() && On.rack() != Spec.DataRack;
+  return Result;
+}
+
 Resources TrackedWorker::freeResources() const {
   Resources Free = Entry.Capacity;
   Free -= UsedResources;
--- a/Source/Workers/WorkerTable.h
+++ b/Source/Workers/WorkerTable.h
@@ -25,14 +25,35 @@
   Stopping, // A stop was ordered.
 };
 
-/// A run on a worker, as far as the leader knows.
-struct Run {
-  uint32_t Attempt = 0;
-  RunState State = RunState::Starting;
+/// What a run has from its step, its organisation and its worker. Each attempt
+/// of its task on the worker has the same.
+struct RunProperties {
   /// Reserved on the worker until the run is known to have ended.
   Resources ReservedResources;
   Resources QuotaUsage; // Counted against the organisation's quota.
   std::string Organisation;
+  bool UsesSpareCpu = false;
+  bool LongRunning = false;
+  int64_t TailTargetMs = 0; // Zero if there is none.
+  /// Its worker is far from its data, or from other members of its gang.
+  bool IsRemote = false;
+
+  /// Returns those of a run of the step on the worker \p On. IsRemote is set by
+  /// the place of its data alone.
+  static RunProperties of(const StepSpec &Spec, const std::string &Organisation,
+                          const WorkerEntry &On);
+};
+
+/// A run on a worker, as far as the leader knows.
+struct Run : RunProperties {
+  Run() = default;
+  explicit Run(RunProperties Properties)
+      : RunProperties(std::move(Properties)) {}
+
+  const RunProperties &properties() const { return *this; }
+
+  uint32_t Attempt = 0;
+  RunState State = RunState::Starting;
   /// When the start was booked, ordered or went unanswered, or the run was
   /// adopted.
   Instant OrderedAt;
@@ -50,15 +71,10 @@
   int64_t Gauge = 0;
   uint32_t PacePercent = 100;
   Instant PaceChangedAt; // When PacePercent last changed.
-  bool UsesSpareCpu = false;
-  bool LongRunning = false;
   /// An earlier leader started it, at a time that is not known.
   bool IsAdopted = false;
-  /// Its worker is far from its data, or from other members of its gang.
-  bool IsRemote = false;
   /// The worker takes no other task meanwhile. Changed only by WorkerTable.
   bool IsCanary = false;
-  int64_t TailTargetMs = 0;
 };
 
 /// A lower bound of the worker's clock at some time.
