Fleet: comments state present reasons

Cause: comments told of earlier versions where the reason is another one: the replicated state outlives upgrades, and during an upgrade a gateway may not check what a scheduler checks. One in Maintenance spoke of a refused move alone; an accepted or timed-out one removes the cordon, too. Change: comments only. JobTests: 259 pass, and the four that are known to fail fail; PlatformTests and FleetTests pass.

--- a/Source/Fleet/RejectedInput.h
+++ b/Source/Fleet/RejectedInput.h
@@ -17,7 +17,7 @@
   WorkerList,  // A worker's lists of running and ended runs.
   VmList,      // The platform's list of VMs.
   Advice,      // A response of the advice service.
-  StoredState  // The replicated state, written by an earlier version.
+  StoredState  // The replicated state; its entries outlive upgrades.
 };
 
 /// Name of the source in logs and metrics.
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -694,7 +694,7 @@
   const QueueConfiguration *Queue = Configuration.findQueue(Request.Queue);
   bool IsOverloaded =
       Scheduler->isOverloaded() && !Request.Spec.isLongRunning();
-  // Gateways of earlier versions let larger jobs through.
+  // During an upgrade a gateway may not check the limits.
   bool Refused = Queue == nullptr || !limitError(Request.Spec).empty() ||
                  Group->pendingProposals() > MaxPendingProposals ||
                  IsOverloaded;
--- a/Source/Jobs/Limits.h
+++ b/Source/Jobs/Limits.h
@@ -34,10 +34,10 @@
 bool isConsistent(const JobSpec &Spec);
 
 /// Returns the first limit that the job exceeds; empty if there is none.
-/// Earlier versions have accepted jobs beyond these limits.
+/// Applies to new jobs; stored ones may exceed the limits.
 std::string limitError(const JobSpec &Spec);
 
-/// Bring amounts that an earlier version stored into their ranges.
+/// Bring amounts of the stored state into their ranges.
 Resources clampAmounts(const Resources &Value);
 void clampAmounts(JobSpec &Spec);
 
--- a/Source/Pools/Maintenance.cpp
+++ b/Source/Pools/Maintenance.cpp
@@ -213,7 +213,7 @@
 void Maintenance::advanceVm(const std::string &Vm, VmMaintenance &Entry) {
   if (Entry.CurrentStage == Stage::Ordered)
     return;
-  // A move that was refused has taken the cordon back.
+  // A move of the VM that ends meanwhile removes its cordon.
   Scheduler.setCordoned(Vm, true);
   if (Entry.OrderInFlight)
     return;
