Tests: comments name the failure that each test guards against

Cause: comments of the newest tests told in the past tense what earlier code did. Change: comments only; they name the failure.

--- a/Tests/Daemon/CodecTest.cpp
+++ b/Tests/Daemon/CodecTest.cpp
@@ -200,8 +200,8 @@
     encodeOutcome(*Decoded);
 }
 
-// Nested values are read recursively, so that a message of some hundred
-// kilobytes overflowed the stack.
+// Guards against a stack overflow: nested values are read recursively, and a
+// message of some hundred kilobytes is enough.
 TEST(Decoders, DeeplyNestedMessagesAreRefused) {
   std::string Nested(1000000, '\x81'); // Arrays of one array each.
   EXPECT_FALSE(decodeRecordPage(Nested).has_value());
@@ -210,8 +210,8 @@
   EXPECT_FALSE(FleetState().restore(Nested));
 }
 
-// An announcement of -1 slots was taken for one of 4294967295, whose sum with
-// those of other backend servers wraps around.
+// Guards against -1 slots that are taken for 4294967295, whose sum with those
+// of other backend servers wraps around.
 TEST(Decoders, NumbersOutOfRangeAreRefused) {
   BackendAnnouncement Announcement{"b", "s",   "vm", "127.0.0.1:80",
                                    4,   false, 1,    {}};
--- a/Tests/Daemon/EntryDaemonTest.cpp
+++ b/Tests/Daemon/EntryDaemonTest.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 // Guards against a diagnostic that quotes the sender's bytes and so is no UTF-8
-// either, which ended the process.
+// either, which ends the process.
 TEST(EntryDaemon, AnswersMalformedAnnouncements) {
   EntrySettings Settings;
   Settings.ListenAddress = freeAddress();
--- a/Tests/Daemon/TracingTest.cpp
+++ b/Tests/Daemon/TracingTest.cpp
@@ -33,8 +33,8 @@
   EXPECT_EQ(Child.at("tags").at("number"), 7);
 }
 
-// A queue's name in a caller's path that is no UTF-8 ended the process that
-// wrote the span.
+// Guards against an exception while a span is written: a queue's name in a
+// caller's path may be no UTF-8.
 TEST(Tracing, TagsThatAreNoUtf8AreWritten) {
   TemporaryFolder Folder;
   std::string File = Folder.file("trace.jsonl");
--- a/Tests/Fleet/CarrierTest.cpp
+++ b/Tests/Fleet/CarrierTest.cpp
@@ -233,8 +233,8 @@
       encodeResults({{1, {OrderOutcome::Accepted, std::nullopt, {}, {}}}})));
 }
 
-// The response to an order of this VM's earlier process, whose ids began anew,
-// was taken for the response to another order: a refusal freed a run that had
+// Guards against a response to an order of this VM's earlier process that is
+// taken for the response to another order: a refusal would free a run that has
 // started.
 TEST(Carrier, ResultsOfAnEarlierProcessesOrdersAreIgnored) {
   CarrierHarness Env;
@@ -270,7 +270,7 @@
   EXPECT_EQ(Outcome, OrderOutcome::Unanswered);
 }
 
-// The orders were carried out, and their results went nowhere.
+// Guards against orders that are carried out and whose results go nowhere.
 TEST(Carrier, ABatchWithoutAnAddressForItsResultsIsRefused) {
   CarrierHarness Env;
   for (const char *Address : {"127.0.0.1:99999", "host:80", ""}) {
--- a/Tests/Fleet/FleetSettingsTest.cpp
+++ b/Tests/Fleet/FleetSettingsTest.cpp
@@ -9,7 +9,7 @@
 namespace mimosashunt::test {
 namespace {
 
-// A duration beyond its type's range became an arbitrary one, mostly negative.
+// Guards against durations beyond their type's range, which become arbitrary.
 TEST(FleetSettings, DiagnosticsNameNumbersOutOfRange) {
   Json Valid = {{"vm", "vm-1"},
                 {"dataCentre", "dc-1"},
--- a/Tests/Jobs/CommandCodecTest.cpp
+++ b/Tests/Jobs/CommandCodecTest.cpp
@@ -162,8 +162,8 @@
   EXPECT_FALSE(decodeJobCommand(generalCbor(Tree), Ignored));
 }
 
-// Json::from_cbor() throws on this size even if it was told not to, which ended
-// the process.
+// Guards against an exception that ends the process: Json::from_cbor() throws
+// on this size even with exceptions off.
 TEST(CommandCodec, ExcessiveSizesAreRefused) {
   JobCommand Command;
   JobRequest Request;
@@ -175,8 +175,8 @@
   }
 }
 
-// The general codec reads nested values recursively, so that a message of some
-// hundred kilobytes overflowed the stack.
+// Guards against a stack overflow: the general codec reads nested values
+// recursively.
 TEST(CommandCodec, DeeplyNestedMessagesAreRefused) {
   std::string Nested(1000000, '\x81'); // Arrays of one array each.
   JobCommand Command;
@@ -185,8 +185,8 @@
   EXPECT_FALSE(fromCbor(Nested, Request));
 }
 
-// A number that was truncated to its field was taken for another one, such as
-// the attempt of another run.
+// Guards against a number that is truncated to its field and taken for another
+// one, such as the attempt of another run.
 TEST(CommandCodec, NumbersOutOfRangeAreRefused) {
   RecordRunResults Results{{{{"job", 1, 2, 3}, 4, true}}};
   JobCommand Ignored;
--- a/Tests/Jobs/JobStoreTest.cpp
+++ b/Tests/Jobs/JobStoreTest.cpp
@@ -30,8 +30,8 @@
   EXPECT_EQ(Store.findJob("a")->Job.Spec.Steps.size(), 1U);
 }
 
-// Such a job took more memory than the process has, on each control VM and
-// again at each start, or was run by an index beyond its steps.
+// Guards against a job that takes more memory than the process has, on each
+// control VM and at each start, or that is run by an index beyond its steps.
 TEST(JobStore, JobsThatCannotRunAreNotAccepted) {
   JobStore Store;
   std::vector<JobSpec> Odd(6, makeChainSpec(2, 3, 1, 1));
@@ -47,7 +47,7 @@
       EXPECT_FALSE(Store.apply(makeJob("a", Spec)));
     }
   }
-  EXPECT_TRUE(isConsistent(Odd[5])); // Earlier versions have accepted it.
+  EXPECT_TRUE(isConsistent(Odd[5])); // Stored jobs may exceed the limits.
   EXPECT_TRUE(Store.apply(makeJob("a", makeChainSpec(2, 3, 1, 1))));
 }
 
@@ -213,7 +213,7 @@
   EXPECT_EQ(Copy.leaderships(), 1U);
 }
 
-// A snapshot that cannot be read ended the process by an exception, or left it
+// Guards against a snapshot that ends the process by an exception, or leaves it
 // with a part of the state.
 TEST(JobStore, UnreadableSnapshotsAreRefusedAndChangeNothing) {
   JobStore Store;
@@ -258,7 +258,7 @@
 }
 
 TEST(JobStore, StoredAmountsAreBroughtIntoTheirRange) {
-  // Guards against sums that overflow over amounts of earlier versions.
+  // Guards against sums of stored amounts that overflow.
   constexpr int64_t Most = std::numeric_limits<int64_t>::max();
   UpdateWorkers Command;
   Command.Workers.emplace_back();
--- a/Tests/Jobs/LeaderChangeTest.cpp
+++ b/Tests/Jobs/LeaderChangeTest.cpp
@@ -104,8 +104,8 @@
   EXPECT_EQ(Running, 3U);
 }
 
-// A queue was directed to another pool while its tasks ran. A new leader looked
-// for them in the new pool alone and started them again there.
+// Guards against a second start of tasks whose queue was directed to another
+// pool while they ran: a new leader must not look in the new pool alone.
 TEST(LeaderChange, TasksMayStillRunInThePoolThatTheirQueueHadBefore) {
   SchedulerHarness Harness;
   Harness.addPool("p", 3, 8);
--- a/Tests/Jobs/PoolsTest.cpp
+++ b/Tests/Jobs/PoolsTest.cpp
@@ -413,8 +413,8 @@
   }
 }
 
-// A worker that restarts while its VM waits for an order got tasks before the
-// next tick, which the repeated order ended.
+// Guards against tasks that a repeated order ends: a worker that restarts while
+// its VM waits for the order must get none before the next tick.
 TEST(Maintenance, WorkersThatRegisterOnAClaimedVmGetNoTasks) {
   MaintenanceHarness Harness(2, 1);
   Harness.Platform.OrdersToLose = 1;
@@ -496,8 +496,8 @@
   EXPECT_FALSE(Harness.Platform.Orders.empty());
 }
 
-// A VM whose move was neither answered nor carried out was kept from tasks and
-// from moves for good.
+// Guards against a VM that is kept from tasks and moves for good since its move
+// was neither answered nor carried out.
 TEST(PoolMover, AVmWhoseMoveTimedOutIsUsableAgain) {
   TakeoverHarness Harness;
   Harness.Platform.HoldsOrders = true;
@@ -510,8 +510,8 @@
     EXPECT_FALSE(Worker.IsCordoned) << Key.Id;
 }
 
-// Of two workers on one VM, such as a restarted one under a new id, only one
-// was looked at; the move ended the runs of the other.
+// Guards against a move that ends the runs of the second of two workers on a
+// VM, such as a restarted one under a new id.
 TEST(PoolMover, AVmWithABusyWorkerBesideAnIdleOneStays) {
   TakeoverHarness Harness;
   Harness.Fleet.Workers.at("spare-1").Entry.Vm = "vm-spare-0";
--- a/Tests/Jobs/ReplicaTest.cpp
+++ b/Tests/Jobs/ReplicaTest.cpp
@@ -298,7 +298,7 @@
     EXPECT_FALSE(decodeRaftMessages(Whole.substr(0, Length), Result));
 }
 
-// Such a snapshot replaced what the member had stored, and ended it.
+// Guards against a member that stores such a snapshot and ends by it.
 TEST(Replica, ASnapshotThatCannotBeReadIsNotInstalled) {
   TestGroup Group(ThreeSeeds);
   DiskId Disk = 10;
@@ -322,8 +322,8 @@
   }
 }
 
-// A reply with a damaged index was followed by a read beyond the log, and one
-// with a time to come kept a leader's lease valid that nobody else had
+// Guards against a read beyond the log after a reply with a damaged index, and
+// against a leader's lease that only a reply with a time in the future has
 // confirmed.
 TEST(Replica, RepliesWithOddIndicesAndTimesChangeNothing) {
   TestGroup Group(ThreeSeeds);
--- a/Tests/Links/HttpTest.cpp
+++ b/Tests/Links/HttpTest.cpp
@@ -327,8 +327,8 @@
   EXPECT_EQ(Server->openConnections(), 0U);
 }
 
-// A connection referred to its server's configuration after the server was
-// destroyed.
+// Guards against a connection that refers to its server's configuration after
+// the server is destroyed.
 TEST(Http, AServerCanBeDestroyedWhileConnectionsAreOpen) {
   HttpFixture Env;
   SocketAddress Address = freeAddress();
--- a/Tests/Platform/CallCodecTest.cpp
+++ b/Tests/Platform/CallCodecTest.cpp
@@ -263,7 +263,7 @@
 }
 
 TEST(CallerCalls, RefusesJobsBeyondTheLimits) {
-  // A job of 10^10 tasks took the memory of each scheduler that applied it.
+  // Guards against a job that takes the memory of each scheduler, 10^10 tasks.
   for (const char *Body :
        {R"({"steps":[{"count":1,"cpu":9223372036854775807}]})",
         R"({"steps":[{"count":1,"target-ms":-1}]})",
@@ -295,7 +295,7 @@
 }
 
 TEST(WorkerClient, NothingIsSentToAStoredWorkerWithoutAnAddress) {
-  // Earlier versions stored such entries; each new leader polls them.
+  // The replicated state may hold such entries; each new leader polls them.
   test::TestLoop Lasting;
   EventLoop &Loop = Lasting.Loop;
   RejectedInput Rejected;
