Scheduling: the name of what a partial response does to stall timeouts

Cause: excuseUnlistedRuns() needs its comment to be understood. Change: it is restartStallTimeouts() now, and nothing else differs. Result: clang-format and clang-tidy find nothing. JobTests: 259 pass, and the four that are known to fail fail; PlatformTests and FleetTests pass.

--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -140,10 +140,10 @@
 
 namespace {
 
-/// A run that a partial response does not list may progress unseen, so it does
-/// not count as stalled.
-void excuseUnlistedRuns(TrackedWorker &Worker, const PollResponse &Response,
-                        Instant Now) {
+/// Restarts the stall timeouts of runs that a partial response does not list,
+/// since they may progress unseen.
+void restartStallTimeouts(TrackedWorker &Worker, const PollResponse &Response,
+                          Instant Now) {
   std::set<TaskId> Listed;
   for (const RunningTask &Reported : Response.Running)
     Listed.insert(Reported.Task);
@@ -188,7 +188,7 @@
   for (const RunningTask &Reported : Response.Running)
     updateRun(*Worker, Reported, SentAt);
   if (Response.IsPartial)
-    excuseUnlistedRuns(*Worker, Response, Timers.now());
+    restartStallTimeouts(*Worker, Response, Timers.now());
   else
     removeVanishedRuns(*Worker, Response, SentAt);
   // The last lease of runs that another leader started may be about to end.
