--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -140,10 +140,10 @@
 
 namespace {
 
-/// A run that a partial response does not list may progress unseen, so it does
-/// not count as stalled.
-void excuseUnlistedRuns(TrackedWorker &Worker, const PollResponse &Response,
-                        Instant Now) {
+/// Restarts the stall timeouts of runs that a partial response does not list,
+/// since they may progress unseen.
+void restartStallTimeouts(TrackedWorker &Worker, const PollResponse &Response,
+                          Instant Now) {
   std::set<TaskId> Listed;
   for (const RunningTask &Reported : Response.Running)
     Listed.insert(Reported.Task);
@@ -188,7 +188,7 @@
   for (const RunningTask &Reported : Response.Running)
     updateRun(*Worker, Reported);
   if (Response.IsPartial)
-    excuseUnlistedRuns(*Worker, Response, Timers.now());
+    restartStallTimeouts(*Worker, Response, Timers.now());
   else
     removeVanishedRuns(*Worker, Response, SentAt);
   // What is not listed may run on under a lease of an earlier leader.
@@ -255,7 +255,15 @@
 
 void Dispatcher::adoptRun(TrackedWorker &Worker, const RunningTask &Reported) {
   const JobRecord *Record = Store.findJob(Reported.Task.Job);
-  Run Adopted;
+  bool IsValid =
+      Record != nullptr && Reported.Task.Step < Record->Job.Spec.Steps.size() &&
+      Reported.Task.Index < Record->Job.Spec.Steps[Reported.Task.Step].Count &&
+      Reported.Task.Occurrence < Record->Job.Spec.Recurrence.occurrences();
+  RunProperties Properties;
+  if (IsValid)
+    Properties = RunProperties::of(Record->Job.Spec.Steps[Reported.Task.Step],
+                                   Record->Job.Organisation, Worker.Entry);
+  Run Adopted(std::move(Properties));
   Adopted.Attempt = Reported.Attempt;
   Adopted.IsAdopted = true;
   Adopted.State = RunState::Running;
@@ -264,21 +272,6 @@
   Adopted.ProgressPercent = Reported.ProgressPercent;
   Adopted.Gauge = Reported.Gauge;
   Adopted.Checkpoint = Reported.Checkpoint;
-  bool IsValid =
-      Record != nullptr && Reported.Task.Step < Record->Job.Spec.Steps.size() &&
-      Reported.Task.Index < Record->Job.Spec.Steps[Reported.Task.Step].Count &&
-      Reported.Task.Occurrence < Record->Job.Spec.Recurrence.occurrences();
-  if (IsValid) {
-    const StepSpec &Spec = Record->Job.Spec.Steps[Reported.Task.Step];
-    Adopted.ReservedResources = Spec.reservedResources();
-    Adopted.QuotaUsage = Spec.TaskResources;
-    Adopted.Organisation = Record->Job.Organisation;
-    Adopted.UsesSpareCpu = Spec.UsesSpareCpu;
-    Adopted.LongRunning = Spec.LongRunning;
-    Adopted.TailTargetMs = Spec.TailTargetMs;
-    Adopted.IsRemote =
-        !Spec.DataRack.empty() && Worker.Entry.rack() != Spec.DataRack;
-  }
   Table.addRun(Worker, Reported.Task, std::move(Adopted));
   auto Job = Jobs.find(Reported.Task.Job);
   TaskProgress *TaskState = IsValid && Job != Jobs.end()
--- a/Tests/Jobs/CommandCodecTest.cpp
+++ b/Tests/Jobs/CommandCodecTest.cpp
@@ -162,20 +162,21 @@
   EXPECT_FALSE(decodeJobCommand(generalCbor(Tree), Ignored));
 }
 
-// Json::from_cbor() throws on this size even if it was told not to, which ended
-// the process.
+// Guards against an exception that ends the process: Json::from_cbor() throws
+// on this size even with exceptions off.
 TEST(CommandCodec, ExcessiveSizesAreRefused) {
   JobCommand Command;
   JobRequest Request;
-  for (const std::string &Bytes : {"\x9b\xe8\x9a\x24\x38\xc7\x17\xd2\x0b",
-                                   "\xbb\xe8\x9a\x24\x38\xc7\x17\xd2\x0b"}) {
+  const std::string Array = "\x9b\xe8\x9a\x24\x38\xc7\x17\xd2\x0b";
+  const std::string Map = "\xbb\xe8\x9a\x24\x38\xc7\x17\xd2\x0b";
+  for (const std::string &Bytes : {Array, Map}) {
     EXPECT_FALSE(decodeJobCommand(Bytes, Command));
     EXPECT_FALSE(fromCbor(Bytes, Request));
   }
 }
 
-// The general codec reads nested values recursively, so that a message of some
-// hundred kilobytes overflowed the stack.
+// Guards against a stack overflow: the general codec reads nested values
+// recursively.
 TEST(CommandCodec, DeeplyNestedMessagesAreRefused) {
   std::string Nested(1000000, '\x81'); // Arrays of one array each.
   JobCommand Command;
@@ -184,8 +185,8 @@
   EXPECT_FALSE(fromCbor(Nested, Request));
 }
 
-// A number that was truncated to its field was taken for another one, such as
-// the attempt of another run.
+// Guards against a number that is truncated to its field and taken for another
+// one, such as the attempt of another run.
 TEST(CommandCodec, NumbersOutOfRangeAreRefused) {
   RecordRunResults Results{{{{"job", 1, 2, 3}, 4, true}}};
   JobCommand Ignored;
