--- a/Tests/Jobs/IncarnationsTest.cpp
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -226,6 +226,68 @@
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
 }
 
+/// Passes orders on; the first start arrives late and is not answered.
+class LateStartPort : public WorkerPort {
+public:
+  LateStartPort(TimerService &Timers, VirtualWorkers &Workers)
+      : Timers(Timers), Workers(Workers) {}
+
+  void startRun(const WorkerEntry &To, const StartOrder &Order,
+                OrderCallback Done) override {
+    if (!FirstWorker.empty())
+      return Workers.startRun(To, Order, Done);
+    FirstWorker = To.Key.Id;
+    Timers.scheduleAt(Timers.now() + milliseconds(1390), [this, To, Order] {
+      Workers.startRun(To, Order, [](const OrderResponse &) {});
+    });
+    Timers.scheduleAt(Timers.now() + milliseconds(700), [Done] { Done({}); });
+  }
+  void stopRun(const WorkerEntry &To, const StopOrder &Order,
+               OrderCallback Done) override {
+    Workers.stopRun(To, Order, Done);
+  }
+  void setPace(const WorkerEntry &To, const PaceOrder &Order,
+               OrderCallback Done) override {
+    Workers.setPace(To, Order, Done);
+  }
+  void pollWorker(const WorkerEntry &To, const PollOrder &Order,
+                  PollCallback Done) override {
+    Workers.pollWorker(To, Order, Done);
+  }
+  void renewLease(const WorkerEntry &To, const RenewOrder &Order,
+                  OrderCallback Done) override {
+    Workers.renewLease(To, Order, Done);
+  }
+  void requestAdvice(const TaskId &Step, const std::vector<std::string> &Ids,
+                     AdviceCallback Done) override {
+    Workers.requestAdvice(Step, Ids, Done);
+  }
+
+  std::string FirstWorker; // The late start is for it.
+
+private:
+  TimerService &Timers;
+  VirtualWorkers &Workers;
+};
+
+TEST(Incarnations, AStopOfTheEndedProcessKeepsNoLateStartFromTheNext) {
+  SchedulerHarness Harness;
+  LateStartPort Port(Harness.Timers, Harness.Workers);
+  Harness.LeaderPort = &Port;
+  Harness.addPool("p", 4, 8);
+  Harness.beginLeadership();
+  Harness.advanceTime(seconds(5));
+  Harness.submitJob("a", "p", makeChainSpec(1, 1, 1000, 4000));
+  Harness.advanceTime(milliseconds(100));
+  Harness.Scheduler->setCordoned("vm-" + Port.FirstWorker, true);
+  for (int I = 0; I < 1200 && Harness.Workers.StartCounts.empty(); ++I)
+    Harness.advanceTime(milliseconds(1));
+  ASSERT_FALSE(Harness.Workers.StartCounts.empty());
+  Harness.Workers.restart(Port.FirstWorker);
+  Harness.advanceTime(seconds(10));
+  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+}
+
 TEST(Incarnations, ALateDeregistrationTakesNoLaterProcessAway) {
   SchedulerHarness Harness;
   Harness.addPool("p", 1, 8);
