Tests: what the tests of restarts, renewals and replicas share stands once

Cause: the newcomer's reading and the search for duplicates: the end of seven tests of RestartedWorker, the busy leader's set-up in four tests of LeaseRenewal and the three seeds in three tests of Replica were written out in each. Left as they are: the opening lines that the scripts in Tests/Processes share, and tests that are alike by shape alone.

--- a/Tests/Jobs/IncarnationsTest.cpp
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -30,7 +30,26 @@
     Harness.Workers.restart("p-0");
     Harness.submitJob("a", "p", makeChainSpec(1, 1, 1000, 4000));
     Harness.advanceTime(milliseconds(30));
-    EXPECT_EQ(Harness.Workers.at("p-0").Runs.size(), 1U);
+    EXPECT_EQ(restarted().Runs.size(), 1U);
+  }
+
+  VirtualWorker &restarted() { return Harness.Workers.at("p-0"); }
+
+  /// The leader learns of the restart, and orders starts of job "b" that are
+  /// meant for the next process.
+  void startMoreOnTheNextProcess() {
+    Harness.sendHeartbeats();
+    Harness.advanceTime(milliseconds(100));
+    Harness.submitJob("b", "p", makeChainSpec(1, 12, 1000, 9000));
+    Harness.advanceTime(milliseconds(100));
+    EXPECT_GT(restarted().Runs.size(), 1U);
+  }
+
+  /// Passes time, after which the job is done, with no rule broken.
+  void expectSafeCompletion(const JobId &Job, Duration Within) {
+    Harness.advanceTime(Within);
+    EXPECT_EQ(Harness.jobState(Job), JobState::Completed);
+    EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
   }
 
   SchedulerHarness Harness;
@@ -50,31 +69,27 @@
   Harness.advanceTime(seconds(6));
   EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
   Harness.SendsHeartbeats = true;
-  Harness.advanceTime(seconds(3));
-  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
-  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+  expectSafeCompletion("a", seconds(3));
 }
 
 TEST_F(RestartedWorker, ANewLeaderWaitsForTheNextProcessToBeRead) {
-  Harness.Workers.at("p-0").Faults.IsUnreachable = true;
+  restarted().Faults.IsUnreachable = true;
   Harness.beginLeadership();
   Harness.advanceTime(milliseconds(100));
-  Harness.Workers.at("p-0").Faults.IsUnreachable = false;
+  restarted().Faults.IsUnreachable = false;
   Harness.sendHeartbeats();
   // The next process is known and silent when the leader could start the job.
-  Harness.Workers.at("p-0").Faults.IsUnreachable = true;
+  restarted().Faults.IsUnreachable = true;
   Harness.advanceTime(seconds(2));
-  Harness.Workers.at("p-0").Faults.IsUnreachable = false;
-  Harness.advanceTime(seconds(8));
-  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
-  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+  restarted().Faults.IsUnreachable = false;
+  expectSafeCompletion("a", seconds(8));
 }
 
 TEST_F(RestartedWorker, ARunThatLeavesTheNextProcessesListsIsStartedAgain) {
   Harness.sendHeartbeats();
   Harness.advanceTime(milliseconds(500));
   EXPECT_EQ(Harness.Workers.StartCounts.begin()->second, 1);
-  Harness.Workers.at("p-0").Runs.clear();
+  restarted().Runs.clear();
   Harness.advanceTime(milliseconds(500));
   EXPECT_EQ(Harness.Workers.StartCounts.begin()->second, 2);
 }
@@ -82,58 +97,42 @@
 // The lease in the order is an instant of the first process's clock, which is
 // far ahead of the next one's.
 TEST_F(RestartedWorker, TheLeaseOfTheNextProcessIsNotTakenForAShortOne) {
-  Harness.sendHeartbeats();
-  Harness.advanceTime(milliseconds(100));
-  Harness.submitJob("b", "p", makeChainSpec(1, 12, 1000, 9000));
-  Harness.advanceTime(milliseconds(100));
-  EXPECT_GT(Harness.Workers.at("p-0").Runs.size(), 1U);
-  Harness.Workers.at("p-0").Faults.IsUnreachable = true;
-  Harness.advanceTime(seconds(25));
-  EXPECT_EQ(Harness.jobState("b"), JobState::Completed);
-  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+  startMoreOnTheNextProcess();
+  restarted().Faults.IsUnreachable = true;
+  expectSafeCompletion("b", seconds(25));
 }
 
 // Nothing but the answer to the start, with its clock, tells of the restart.
 TEST_F(RestartedWorker, TheClockOfItsAnswerBoundsItsLeases) {
   Harness.SendsHeartbeats = false;
-  Harness.Workers.at("p-0").Faults.IsUnreachable = true;
-  Harness.advanceTime(seconds(15));
-  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
-  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+  restarted().Faults.IsUnreachable = true;
+  expectSafeCompletion("a", seconds(15));
 }
 
 // Also a lease that an order for the first process has given to the next one.
 TEST_F(RestartedWorker, ANewLeaderWaitsForTheLeasesOfTheNextProcess) {
-  Harness.sendHeartbeats();
-  Harness.advanceTime(milliseconds(100));
-  Harness.submitJob("b", "p", makeChainSpec(1, 12, 1000, 9000));
-  Harness.advanceTime(milliseconds(100));
-  EXPECT_GT(Harness.Workers.at("p-0").Runs.size(), 1U);
-  Harness.Workers.at("p-0").Faults.IsUnreachable = true;
+  startMoreOnTheNextProcess();
+  restarted().Faults.IsUnreachable = true;
   Harness.beginLeadership();
-  Harness.advanceTime(seconds(25));
-  EXPECT_EQ(Harness.jobState("b"), JobState::Completed);
-  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+  expectSafeCompletion("b", seconds(25));
 }
 
 // The time of day may be 5 s off on the old leader's VM, and on the new one's.
 TEST_F(RestartedWorker, ANewLeaderWhoseTimeOfDayIsAheadWaitsAsLong) {
   Harness.sendHeartbeats();
   Harness.advanceTime(milliseconds(100));
-  Harness.Workers.at("p-0").Faults.IsUnreachable = true;
+  restarted().Faults.IsUnreachable = true;
   constexpr int64_t BothOffMs = 10000;
   Harness.WallOffsetMs += BothOffMs;
   Harness.beginLeadership();
-  Harness.advanceTime(seconds(25));
-  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
-  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+  expectSafeCompletion("a", seconds(25));
 }
 
 // Also when it has not reported yet.
 TEST_F(RestartedWorker, ANewLeaderWaitsForTheLeasesOfAnUnreportedProcess) {
   Harness.SendsHeartbeats = false;
   Harness.advanceTime(milliseconds(2500)); // Polls tell of the restart.
-  Harness.Workers.at("p-0").Faults.IsUnreachable = true;
+  restarted().Faults.IsUnreachable = true;
   Harness.submitJob("b", "p", makeChainSpec(1, 1, 1000, 300));
   Harness.beginLeadership();
   Harness.advanceTime(seconds(25));
@@ -143,7 +142,7 @@
 }
 
 TEST_F(RestartedWorker, TheBoundOfItsLeasesHoldsOverASecondRestart) {
-  VirtualWorker &Running = Harness.Workers.at("p-0");
+  VirtualWorker &Running = restarted();
   Running.Faults.IsUnreachable = true;
   Harness.advanceTime(seconds(3));
   // A report of the process that runs "a", and of a third one that does not
@@ -157,9 +156,7 @@
   Harness.FailsProposals = false;
   EXPECT_EQ(Harness.Workers.StartCounts.begin()->second, 1);
   Running.Faults.IsUnreachable = false;
-  Harness.advanceTime(seconds(10));
-  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
-  EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+  expectSafeCompletion("a", seconds(10));
   // It is no predecessor of itself, so its own reports count.
   const TrackedWorker *Known =
       Harness.Scheduler->workers().find(Running.Entry.Key);
@@ -327,7 +324,7 @@
 
 // The process is not read before the leases of the one before it have ended.
 TEST_F(RestartedWorker, APartialListOfTheNextProcessIsNotAskedForWithoutPause) {
-  Harness.Workers.at("p-0").Faults.HasUnreadableRuns = true;
+  restarted().Faults.HasUnreadableRuns = true;
   Harness.sendHeartbeats();
   Harness.advanceTime(milliseconds(10));
   uint64_t Polls = Harness.Scheduler->counters().Polls;
--- a/Tests/Jobs/LeaseRenewalTest.cpp
+++ b/Tests/Jobs/LeaseRenewalTest.cpp
@@ -46,18 +46,29 @@
   }
 }
 
+/// A pool of 60 workers whose leader processes 160 responses a second; polls
+/// and the jobs of submitJobsFor() need some 400.
+struct BusyFleet : SchedulerHarness {
+  BusyFleet() {
+    LeaderPort = &Leader;
+    addPool("p", 60, 16);
+    beginLeadership();
+    advanceTime(seconds(1));
+  }
+
+  void startLastingTasks() {
+    submitJob("lasting", "p", makeLongRunningSpec());
+    advanceTime(seconds(2));
+  }
+
+  BusyLeaderPort Leader{Timers, Workers, Duration(6250)};
+};
+
 // The incident AVAIL of 2026-12-04: renewals waited behind other work, and the
 // long-running tasks of a step lapsed together.
 TEST(LeaseRenewal, TasksDoNotLapseTogetherWhileTheLeaderIsOverloaded) {
-  SchedulerHarness Harness;
-  // 160 responses a second; the jobs below and the polls need some 400.
-  BusyLeaderPort Leader(Harness.Timers, Harness.Workers, Duration(6250));
-  Harness.LeaderPort = &Leader;
-  Harness.addPool("p", 60, 16);
-  Harness.beginLeadership();
-  Harness.advanceTime(seconds(1));
-  Harness.submitJob("lasting", "p", makeLongRunningSpec());
-  Harness.advanceTime(seconds(2));
+  BusyFleet Harness;
+  Harness.startLastingTasks();
   ASSERT_EQ(Harness.Workers.StartCounts.size(), LongRunningTasks);
   submitJobsFor(Harness, seconds(20));
   expectLastingTasksStartedOnce(Harness);
@@ -68,14 +79,8 @@
 
 // The polls of an overloaded leader are rare; renewals ask first.
 TEST(LeaseRenewal, ARenewalTellsThatAWorkerHasRestarted) {
-  SchedulerHarness Harness;
-  BusyLeaderPort Leader(Harness.Timers, Harness.Workers, Duration(6250));
-  Harness.LeaderPort = &Leader;
-  Harness.addPool("p", 60, 16);
-  Harness.beginLeadership();
-  Harness.advanceTime(seconds(1));
-  Harness.submitJob("lasting", "p", makeLongRunningSpec());
-  Harness.advanceTime(seconds(2));
+  BusyFleet Harness;
+  Harness.startLastingTasks();
   submitJobsFor(Harness, seconds(6));
   Harness.SendsHeartbeats = false;
   for (int I = 0; I < 10; ++I)
@@ -89,14 +94,8 @@
 // A change of leader costs up to half of a lease; the next leader must not let
 // the rest run out while it is busy with the work that has waited for it.
 TEST(LeaseRenewal, TasksDoNotLapseWhenABusyLeaderIsReplaced) {
-  SchedulerHarness Harness;
-  BusyLeaderPort Leader(Harness.Timers, Harness.Workers, Duration(6250));
-  Harness.LeaderPort = &Leader;
-  Harness.addPool("p", 60, 16);
-  Harness.beginLeadership();
-  Harness.advanceTime(seconds(1));
-  Harness.submitJob("lasting", "p", makeLongRunningSpec());
-  Harness.advanceTime(seconds(2));
+  BusyFleet Harness;
+  Harness.startLastingTasks();
   for (int Change = 0; Change < 5; ++Change) {
     submitJobsFor(Harness, seconds(4));
     Harness.Scheduler.reset();
@@ -111,17 +110,12 @@
 // What the leader cannot do in time it must not begin: its backlog stays below
 // the lease however much work there is, and short jobs go on.
 TEST(LeaseRenewal, AnOverloadedLeaderStartsLess) {
-  SchedulerHarness Harness;
-  BusyLeaderPort Leader(Harness.Timers, Harness.Workers, Duration(6250));
-  Harness.LeaderPort = &Leader;
-  Harness.addPool("p", 60, 16);
-  Harness.beginLeadership();
-  Harness.advanceTime(seconds(1));
+  BusyFleet Harness;
   submitJobsFor(Harness, seconds(20));
-  EXPECT_LT(Leader.backlog(), milliseconds(1300));
-  int StartsSoFar = Leader.Starts;
+  EXPECT_LT(Harness.Leader.backlog(), milliseconds(1300));
+  int StartsSoFar = Harness.Leader.Starts;
   submitJobsFor(Harness, seconds(2));
-  EXPECT_GT(Leader.Starts, StartsSoFar + 20);
+  EXPECT_GT(Harness.Leader.Starts, StartsSoFar + 20);
 }
 
 // The leader learns a worker's clock from responses. One that it handles late
--- a/Tests/Jobs/ReplicaTest.cpp
+++ b/Tests/Jobs/ReplicaTest.cpp
@@ -67,6 +67,13 @@
     return *Vms[Address];
   }
 
+  /// Adds a VM at each seed, with disks 10 and so on, at its first start.
+  void addSeeds() {
+    DiskId Disk = 10;
+    for (const std::string &Address : Seeds)
+      add(Address, Disk++, true);
+  }
+
   /// Delivers a message through its encoding, as between processes.
   void deliver(const std::string &To, const RaftMessage &Message) {
     std::string Bytes = encodeRaftMessages({Message});
@@ -160,10 +167,8 @@
 
 TEST(Replica, SeedsBootstrapOneGroupThatAFourthVmJoins) {
   TestGroup Group(ThreeSeeds);
-  DiskId Disk = 10;
-  for (const std::string &Address : ThreeSeeds)
-    Group.add(Address, Disk++, true);
-  Group.add("d:1", Disk, true);
+  Group.addSeeds();
+  Group.add("d:1", 13, true);
   Group.run(seconds(4));
   ASSERT_NE(Group.leader(), nullptr);
   EXPECT_EQ(Group.leader()->Node->membership().Voters.size(), 3U);
@@ -301,9 +306,7 @@
 // Guards against a member that stores such a snapshot and ends by it.
 TEST(Replica, ASnapshotThatCannotBeReadIsNotInstalled) {
   TestGroup Group(ThreeSeeds);
-  DiskId Disk = 10;
-  for (const std::string &Address : ThreeSeeds)
-    Group.add(Address, Disk++, true);
+  Group.addSeeds();
   Group.run(seconds(4));
   ASSERT_NE(Group.leader(), nullptr);
   const Raft &Leader = Group.leader()->Node->log();
@@ -327,9 +330,7 @@
 // confirmed.
 TEST(Replica, RepliesWithOddIndicesAndTimesChangeNothing) {
   TestGroup Group(ThreeSeeds);
-  DiskId Disk = 10;
-  for (const std::string &Address : ThreeSeeds)
-    Group.add(Address, Disk++, true);
+  Group.addSeeds();
   Group.run(seconds(4));
   ASSERT_NE(Group.leader(), nullptr);
   ASSERT_TRUE(Group.propose("word"));
