Review: a lost start is never repeated while a minion's list is partial

Claimed: one entry of another writer in a minion's list, and one start lost with its channel, and the task is never started again; LOST.

--- a/review/standin.cpp
+++ b/review/standin.cpp
@@ -144,7 +144,9 @@
   }
 }
 
-/// Status 0: no answer; the connection stays open and silent.
+/// In place of a status: the connection is reset without an answer.
+constexpr int Reset = -1;
+
 using Handler = std::function<std::pair<int, Json>(
     const string &Method, const string &Path, const Message &Request)>;
 
@@ -171,8 +173,11 @@
           if (Words.size() < 2)
             break;
           auto [Status, Body] = Handle(Words[0], Words[1], Request);
-          if (Status == 0)
-            continue;
+          if (Status == Reset) {
+            linger Now{1, 0};
+            setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Now, sizeof(Now));
+            break;
+          }
           string Text = Body.is_null() ? "" : Body.dump();
           sendAll(Socket, "HTTP/1.1 " + std::to_string(Status) +
                               " -\r\ncontent-type: application/json\r\n"
@@ -299,6 +304,12 @@
           std::to_string(Body["attempt"].get<int64_t>()) + " 503");
       return {503, {{"clock-ms", clock()}}};
     }
+    if (Path == "/mimosashunt/run-start" && isOn("RESET")) {
+      unlink(option("RESET").c_str());
+      say(Name() + " resets the channel of a start of " +
+          Body["task"].get<string>() + " and does nothing");
+      return {Reset, nullptr};
+    }
     int64_t Token = Body.value("fencing-token", int64_t{0});
     if (Token < Highest)
       return conflict("fence");
@@ -371,6 +382,9 @@
                                                         (Active.WorkMs + 1));
       Running.push_back({Task, Active.Attempt, "", Percent, 0});
     }
+    // An entry of another writer.
+    if (isOn("FOREIGN"))
+      Running.push_back({"nightly backup", 1, "", 10, 0});
     for (const End &Ended : Ends)
       if (Finished.size() < 500)
         Finished.push_back(
