--- a/review/standin.cpp
+++ b/review/standin.cpp
@@ -7,6 +7,9 @@
 //   standin provider ADDRESS=ip:port MACHINES=m:pool:ip,.. CONTROL=.. [KEY=VALUE ..]
 //     runs a minion process on each machine; it ends them with itself
 //
+//   standin relay LISTEN=ip:port TO=ip:port HOLD=file HOLD_MS=ms
+//     passes calls on; holds one start back, unanswered, while the file is there
+//
 // A task's spec is "work MS" (ends done after MS of work) or "lasts" (at work
 // 200 ms after its start, until it is stopped).
 
@@ -146,6 +149,8 @@
 
 /// In place of a status: the connection is reset without an answer.
 constexpr int Reset = -1;
+/// There is no answer; the connection stays open.
+constexpr int Silent = -2;
 
 using Handler = std::function<std::pair<int, Json>(
     const string &Method, const string &Path, const Message &Request)>;
@@ -173,6 +178,8 @@
           if (Words.size() < 2)
             break;
           auto [Status, Body] = Handle(Words[0], Words[1], Request);
+          if (Status == Silent)
+            continue;
           if (Status == Reset) {
             linger Now{1, 0};
             setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Now, sizeof(Now));
@@ -192,7 +199,8 @@
 
 /// Returns the status and the body, or status 0 without an answer in time.
 std::pair<int, string> post(const string &Address, const string &Path,
-                            const Json &Body, int64_t TimeoutMs) {
+                            const string &Text, int64_t TimeoutMs,
+                            const string &ExpectedInstance = "") {
   int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   timeval Limit{TimeoutMs / 1000, (TimeoutMs % 1000) * 1000};
   setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof(Limit));
@@ -200,9 +208,12 @@
   sockaddr_in To = addressOf(Address);
   std::pair<int, string> Result{0, ""};
   if (connect(Socket, reinterpret_cast<sockaddr *>(&To), sizeof(To)) == 0) {
-    string Text = Body.dump();
+    string Expected = ExpectedInstance.empty()
+                          ? ""
+                          : "mimosashunt-expect-instance: " + ExpectedInstance +
+                                "\r\n";
     sendAll(Socket, "POST " + Path + " HTTP/1.1\r\nhost: " + Address +
-                        "\r\ncontent-type: application/json\r\n"
+                        "\r\ncontent-type: application/json\r\n" + Expected +
                         "connection: close\r\ncontent-length: " +
                         std::to_string(Text.size()) + "\r\n\r\n" + Text);
     string Buffer;
@@ -402,7 +413,7 @@
     string Endpoint;
     for (int64_t Sequence = 1;; ++Sequence) {
       Json Body = {{"service", option("SERVICE")},
-                   {"address", option("ADDRESS")},
+                   {"address", option("ADVERTISED", option("ADDRESS"))},
                    {"zone", option("ZONE", "arusha-a")},
                    {"version", "v1"},
                    {"capacity", 8},
@@ -424,7 +435,7 @@
         auto [Status, Text] = post(To,
                                    "/mimosashunt/instances/" + option("ID") +
                                        "/heartbeat",
-                                   Body, 1000);
+                                   Body.dump(), 1000);
         Acked = Status >= 200 && Status < 300;
         if (!Acked) {
           Endpoint.clear();
@@ -594,6 +605,37 @@
   bool WasOdd = false;
 };
 
+// A relay in front of a minion.
+
+void runRelay() {
+  serve(option("LISTEN"), [](const string &, const string &Path,
+                             const Message &Request) -> std::pair<int, Json> {
+    auto Header = Request.Headers.find("mimosashunt-expect-instance");
+    string Expected = Header == Request.Headers.end() ? "" : Header->second;
+    auto PassOn = [Path, Expected, Text = Request.Body] {
+      return post(option("TO"), Path, Text, 5000, Expected);
+    };
+    bool IsHeld = Path == "/mimosashunt/run-start" &&
+                  unlink(option("HOLD").c_str()) == 0;
+    if (IsHeld) {
+      say("relay holds back " + Request.Body);
+      std::thread([PassOn] {
+        pause(number("HOLD_MS", 2500));
+        say("relay delivers what it has held back");
+        auto [Status, Text] = PassOn();
+        say("relay: answer " + std::to_string(Status) + " " + Text);
+      }).detach();
+      return {Silent, nullptr};
+    }
+    auto [Status, Text] = PassOn();
+    if (Status == 0)
+      return {Reset, nullptr};
+    return {Status, Json::parse(Text, nullptr, false)};
+  });
+  for (;;)
+    pause(1000);
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -611,6 +653,8 @@
   } else if (Mode == "provider") {
     static Provider Self;
     Self.run();
+  } else if (Mode == "relay") {
+    runRelay();
   }
   return 2;
 }
