--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -51,8 +51,8 @@
   call GET /slot/$job
   [ "$status" = 200 ] && known=yes
   for c in "${there[@]}"; do
-    got=$(curl -s -m 1 "http://$(ip $c):7400/mimosashunt/config/get")
-    [[ $got == *'"version":1'* ]] && held=yes
+    http "$(ip $c):7400" GET /mimosashunt/config/get 1000
+    [[ $status == 200 && $answer == *'"version":1'* ]] && held=yes
   done
 done
 running=$(for f in "$work"/i-*.events; do
--- a/review/common.sh
+++ b/review/common.sh
@@ -94,13 +94,21 @@
     sleep 0.05
   done
 }
+# An HTTP call: $1 address, $2 method, $3 path, $4 time-out in ms, $5 body, then
+# header lines. Sets $status and $answer; $status is 000 without an answer.
+http() {
+  local all
+  all=$("$standin" call "$1" "$2" "$3" "$4" "${5:-}" "${@:6}" 2>/dev/null)
+  status=${all%% *}
+  answer=${all#* }
+}
 # Sends $2 with body $3 to path $1 of any control VM until one answers 2xx.
 operator() {
-  local n status until=$(($(now_ms) + 15000))
+  local n until=$(($(now_ms) + 15000))
   while [ "$(now_ms)" -lt "$until" ]; do
     for n in 1 2 3; do
-      status=$(curl -s -o "$work/answer" -w '%{http_code}' -m 1 -X "$2" -H 'content-type: application/json' ${3:+-d "$3"} "http://$(ip $n):7400$1")
-      [[ $status == 2* ]] && { note "operator $2 $1: $status $(head -c 200 "$work/answer")"; return 0; }
+      http "$(ip $n):7400" "$2" "$1" 1000 "${3:-}"
+      [[ $status == 2* ]] && { note "operator $2 $1: $status ${answer:0:200}"; return 0; }
     done
     sleep 0.2
   done
@@ -109,12 +117,13 @@
 entry="$(ip 11):7300"
 # A caller's call: $1 method, $2 path, $3 body. Sets $status and $answer.
 call() {
-  status=$(curl -s -o "$work/answer" -w '%{http_code}' -m 3 -X "$1" -H 'host: bookings.example' -H 'mimosashunt-deadline-ms: 3000' ${3:+-H 'content-type: application/json' -d "$3"} "http://$entry$2")
-  answer=$(cat "$work/answer" 2>/dev/null)
-  : >"$work/answer"
+  http "$entry" "$1" "$2" 3000 "${3:-}" 'host: bookings.example' 'mimosashunt-deadline-ms: 3000'
   note "caller $1 $2 ${3:-}: $status $answer"
 }
-is_ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' -m 1 "http://$(ip 11):7301/mimosashunt/ready")" = 200 ]; }
+is_ready() {
+  http "$(ip 11):7301" GET /mimosashunt/ready 1000
+  [ "$status" = 200 ]
+}
 # Hands in the job $1 with body $2 on queue $3; repeats what was not accepted.
 submit() {
   local until=$(($(now_ms) + 10000))
@@ -125,5 +134,7 @@
   done
   return 1
 }
-# One queue, slot-check, whose service is bookings; office stands by.
+# One queue, slot-check, whose service is bookings; office stands by. $manifest_alone
+# has no service that stands by, so that no machine moves.
 manifest='{"version":1,"routes":[{"name":"slot-check","host":"bookings.example","path-prefix":"/slot/","type":"unsafe","timeout-ms":3000,"target-latency-ms":600,"priority":0,"service":"bookings","max-attempts":3,"stretch":1.6,"public":true}],"services":[{"name":"bookings","health-path":"/health","max-connections":64,"protocol":"h1","tls":false,"rejects-overload":true,"standby":false},{"name":"office","health-path":"/health","max-connections":64,"protocol":"h1","tls":false,"rejects-overload":true,"standby":true}],"limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"parents","api-keys":["k1parentsparents0001"],"priority":1,"weight":40,"maximum":{"cpu":0,"mem-mb":0,"gpu":0}}]}'
+manifest_alone='{"version":1,"routes":[{"name":"slot-check","host":"bookings.example","path-prefix":"/slot/","type":"unsafe","timeout-ms":3000,"target-latency-ms":600,"priority":0,"service":"bookings","max-attempts":3,"stretch":1.6,"public":true}],"services":[{"name":"bookings","health-path":"/health","max-connections":64,"protocol":"h1","tls":false,"rejects-overload":true,"standby":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"parents","api-keys":["k1parentsparents0001"],"priority":1,"weight":40,"maximum":{"cpu":0,"mem-mb":0,"gpu":0}}]}'
--- a/review/standin.cpp
+++ b/review/standin.cpp
@@ -10,6 +10,9 @@
 //   standin relay LISTEN=ip:port TO=ip:port HOLD=file HOLD_MS=ms
 //     passes calls on; holds one start back, unanswered, while the file is there
 //
+//   standin call ip:port METHOD PATH TIMEOUT_MS BODY [HEADER ..]
+//     prints the status of the answer, 000 without one, and its body
+//
 // A task's spec is "work MS" (ends done after MS of work) or "lasts" (at work
 // 200 ms after its start, until it is stopped).
 
@@ -198,9 +201,11 @@
 }
 
 /// Returns the status and the body, or status 0 without an answer in time.
-std::pair<int, string> post(const string &Address, const string &Path,
-                            const string &Text, int64_t TimeoutMs,
-                            const string &ExpectedInstance = "") {
+/// \p Headers are whole lines without their ends.
+std::pair<int, string> call(const string &Address, const string &Method,
+                            const string &Path, const string &Body,
+                            int64_t TimeoutMs,
+                            const std::vector<string> &Headers = {}) {
   int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   timeval Limit{TimeoutMs / 1000, (TimeoutMs % 1000) * 1000};
   setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof(Limit));
@@ -208,14 +213,18 @@
   sockaddr_in To = addressOf(Address);
   std::pair<int, string> Result{0, ""};
   if (connect(Socket, reinterpret_cast<sockaddr *>(&To), sizeof(To)) == 0) {
-    string Expected = ExpectedInstance.empty()
-                          ? ""
-                          : "mimosashunt-expect-instance: " + ExpectedInstance +
-                                "\r\n";
-    sendAll(Socket, "POST " + Path + " HTTP/1.1\r\nhost: " + Address +
-                        "\r\ncontent-type: application/json\r\n" + Expected +
-                        "connection: close\r\ncontent-length: " +
-                        std::to_string(Text.size()) + "\r\n\r\n" + Text);
+    string Head = Method + " " + Path + " HTTP/1.1\r\n";
+    bool HasHost = false;
+    for (const string &Line : Headers) {
+      HasHost |= Line.rfind("host:", 0) == 0;
+      Head += Line + "\r\n";
+    }
+    if (!HasHost)
+      Head += "host: " + Address + "\r\n";
+    if (Method == "POST")
+      Head += "content-type: application/json\r\ncontent-length: " +
+              std::to_string(Body.size()) + "\r\n";
+    sendAll(Socket, Head + "connection: close\r\n\r\n" + Body);
     string Buffer;
     Message Answer;
     if (readMessage(Socket, Buffer, Answer))
@@ -432,7 +441,7 @@
       for (size_t Try = 0; Try < 2 * Controls.size() && !Acked; ++Try) {
         string To =
             Endpoint.empty() ? Controls[Next % Controls.size()] : Endpoint;
-        auto [Status, Text] = post(To,
+        auto [Status, Text] = call(To, "POST",
                                    "/mimosashunt/instances/" + option("ID") +
                                        "/heartbeat",
                                    Body.dump(), 1000);
@@ -611,9 +620,11 @@
   serve(option("LISTEN"), [](const string &, const string &Path,
                              const Message &Request) -> std::pair<int, Json> {
     auto Header = Request.Headers.find("mimosashunt-expect-instance");
-    string Expected = Header == Request.Headers.end() ? "" : Header->second;
-    auto PassOn = [Path, Expected, Text = Request.Body] {
-      return post(option("TO"), Path, Text, 5000, Expected);
+    std::vector<string> Headers;
+    if (Header != Request.Headers.end())
+      Headers.push_back(Header->first + ": " + Header->second);
+    auto PassOn = [Path, Headers, Text = Request.Body] {
+      return call(option("TO"), "POST", Path, Text, 5000, Headers);
     };
     bool IsHeld = Path == "/mimosashunt/run-start" &&
                   unlink(option("HOLD").c_str()) == 0;
@@ -641,6 +652,14 @@
 int main(int Count, char **Arguments) {
   signal(SIGPIPE, SIG_IGN);
   string Mode = Count > 1 ? Arguments[1] : "";
+  if (Mode == "call" && Count >= 7) {
+    auto [Status, Body] =
+        call(Arguments[2], Arguments[3], Arguments[4], Arguments[6],
+             std::stoll(Arguments[5]),
+             std::vector<string>(Arguments + 7, Arguments + Count));
+    std::cout << (Status == 0 ? "000" : std::to_string(Status)) << ' ' << Body;
+    return 0;
+  }
   for (int I = 2; I < Count; ++I) {
     string Text = Arguments[I];
     size_t Equals = Text.find('=');
