Review: each script reads TROUBLE, and ends the provider's minions before it returns

The build no longer makes a folder beside the cases. Case 4 left six minions for up to a second after it had returned; mended.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,6 +3,8 @@
 # good, 1 s later an empty one starts at another address (replace_core). The
 # settings of all name the three that are there. At most one machine is lost at
 # any time, and each successor has 9 s to catch up (catch-up-s is 4).
+# TROUBLE=0: the same without the disruption.
+trouble=${TROUBLE:-1}
 case_dir=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 . "$case_dir/../common.sh"
 
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,6 +3,8 @@
 # Once, the channel to this minion is reset while a start is on its way, and the
 # minion has not seen that start. The task has to be started again. (TROUBLE=reset
 # and TROUBLE=entry are the two apart.)
+# TROUBLE=0: the same without the disruption.
+trouble=${TROUBLE:-1}
 case_dir=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 . "$case_dir/../common.sh"
 
--- a/review/common.sh
+++ b/review/common.sh
@@ -1,12 +1,11 @@
 # Sourced by the scripts of the cases: a small deployment on loopback, three
 # control VMs and one entry VM, started with the commands of deploy/system.toml
 # and settings as deploy/settings.json makes them of a small site (the bounds of
-# sites/farasi-arusha.toml). Requires $case_dir. TROUBLE=0 leaves the trouble out.
+# sites/farasi-arusha.toml). Requires $case_dir and $trouble.
 set -u
 review_dir=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 root=$(cd "$review_dir/.." && pwd)
-standin="$review_dir/bin/standin"
-trouble=${TROUBLE:-1}
+standin="$review_dir/standin"
 work=$(mktemp -d)
 record="$case_dir/record.txt"
 : >"$record"
@@ -23,6 +22,11 @@
 finish() {
   local status=$?
   trap - EXIT
+  # The provider ends the minions on its machines first.
+  if [ -n "${pid_of[provider]:-}" ]; then
+    kill -TERM "${pid_of[provider]}" 2>/dev/null
+    wait "${pid_of[provider]}" 2>/dev/null
+  fi
   [ ${#pids[@]} -eq 0 ] || kill -CONT "${pids[@]}" 2>/dev/null
   [ ${#pids[@]} -eq 0 ] || kill -KILL "${pids[@]}" 2>/dev/null
   wait 2>/dev/null
--- a/review/standin.cpp
+++ b/review/standin.cpp
@@ -18,6 +18,7 @@
 
 #include <arpa/inet.h>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <condition_variable>
 #include <csignal>
@@ -479,7 +480,7 @@
 class Provider {
 public:
   void run() {
-    signal(SIGCHLD, SIG_IGN);
+    signal(SIGTERM, [](int) { MustStop = true; });
     for (const string &Text : split(option("MACHINES"), ',')) {
       auto Parts = split(Text, ':');
       Machine &Item = Machines[Parts.at(0)];
@@ -495,11 +496,18 @@
     for (;;) {
       pause(10);
       std::lock_guard<std::mutex> Lock(Mutex);
+      if (MustStop) {
+        for (auto &[Name, Item] : Machines)
+          endMinion(Item);
+        _exit(0);
+      }
       advance();
     }
   }
 
 private:
+  static inline std::atomic<bool> MustStop{false};
+
   struct Machine {
     string Pool;
     string Ip;
@@ -513,6 +521,16 @@
     }
   };
 
+  /// Returns once the process is gone.
+  static void endMinion(Machine &Item) {
+    if (Item.Process <= 0)
+      return;
+    kill(Item.Process, SIGKILL);
+    while (waitpid(Item.Process, nullptr, 0) < 0 && errno == EINTR) {
+    }
+    Item.Process = 0;
+  }
+
   void startMinion(const string &Name, Machine &Item) {
     ++Item.Lives;
     std::vector<string> Words = {"standin",
@@ -597,7 +615,7 @@
       return {409, {{"reason", "busy"}}};
     if (IsUpkeep && Done.count({Name, Body.value("wave", int64_t{0})}))
       return {200, nullptr};
-    kill(Item.Process, SIGKILL);
+    endMinion(Item);
     Item.State = IsUpkeep ? "upkeep" : "moving";
     Item.Until = wallMs() + (IsUpkeep ? 2000 : 1500);
     if (IsUpkeep)
