--- a/Tests/Jobs/ReplicaTest.cpp
+++ b/Tests/Jobs/ReplicaTest.cpp
@@ -1,172 +1,20 @@
 // Tests of bootstrapping, joining and replacing control VMs over an in-memory
 // network in virtual time.
 
-#include "Agreement/Replica.h"
 #include "Agreement/RaftCodec.h"
-#include "Support/MemoryLog.h"
+#include "Support/VirtualGroup.h"
 
 #include <gtest/gtest.h>
-#include <map>
-#include <memory>
 
 using namespace mimosashunt;
+using namespace mimosashunt::test;
 
 namespace {
 
-class RecordingState : public ReplicatedState {
-public:
-  void apply(LogIndex, const std::string &Command) override {
-    AppliedWords.push_back(Command);
-  }
-  std::string snapshot() const override {
-    std::string Text;
-    for (const std::string &Word : AppliedWords)
-      Text += Word + "\n";
-    return Text;
-  }
-  bool canRestore(const std::string &Data) override {
-    return Data != "unreadable";
-  }
-  std::error_code restore(const std::string &Data) override {
-    if (!canRestore(Data))
-      return make_error_code(std::errc::bad_message);
-    AppliedWords.clear();
-    size_t At = 0;
-    for (size_t End; (End = Data.find('\n', At)) != std::string::npos;
-         At = End + 1)
-      AppliedWords.push_back(Data.substr(At, End - At));
-    return {};
-  }
-  std::vector<std::string> AppliedWords;
-};
-
-class TestGroup;
-
-struct ControlVm : RaftTransport {
-  ControlVm(TestGroup &Group, std::string Address, DiskId Disk,
-            bool IsFirstStart);
-  void send(const RaftMessage &Message, const std::string &To) override;
-  void sendJoinRequest(const Member &Self, const std::string &) override;
-
-  TestGroup &Group;
-  std::string Address;
-  RecordingState State;
-  test::MemoryLog Store;
-  GroupBootstrap Bootstrap;
-  std::unique_ptr<Replica> Node;
-};
-
-class TestGroup {
-public:
-  explicit TestGroup(std::vector<std::string> Seeds)
-      : Seeds(std::move(Seeds)) {}
-
-  ControlVm &add(const std::string &Address, DiskId Disk, bool IsFirstStart) {
-    Vms[Address] =
-        std::make_unique<ControlVm>(*this, Address, Disk, IsFirstStart);
-    return *Vms[Address];
-  }
-
-  /// Adds a VM at each seed, with disks 10 and so on, at its first start.
-  void addSeeds() {
-    DiskId Disk = 10;
-    for (const std::string &Address : Seeds)
-      add(Address, Disk++, true);
-  }
-
-  /// Delivers a message through its encoding, as between processes.
-  void deliver(const std::string &To, const RaftMessage &Message) {
-    std::string Bytes = encodeRaftMessages({Message});
-    Timers.scheduleAt(Timers.now() + milliseconds(1), [this, To, Bytes] {
-      std::vector<RaftMessage> Decoded;
-      ASSERT_TRUE(decodeRaftMessages(Bytes, Decoded));
-      if (Vms.count(To) && !IsolatedVms.count(To))
-        Vms[To]->Node->receive(Decoded.front());
-    });
-  }
-
-  void run(Duration For) {
-    Instant Until = Timers.now() + For;
-    while (Timers.now() < Until) {
-      Timers.advance(Timers.now() + milliseconds(1));
-      for (auto &[Address, Item] : Vms)
-        Item->Node->pump();
-      if (toMillis(Timers.now().time_since_epoch()) % 100 == 0)
-        exchangeOffers();
-    }
-  }
-
-  void exchangeOffers() {
-    for (auto &[From, Sender] : Vms)
-      for (const std::string &To : Seeds) {
-        if (To == From || !Vms.count(To) || IsolatedVms.count(From) ||
-            IsolatedVms.count(To))
-          continue;
-        BootstrapOffer Offer =
-            Sender->Bootstrap.offer(Sender->Node->membership().Voters);
-        if (auto List = Vms[To]->Bootstrap.receive(Offer))
-          Vms[To]->Node->bootstrapGroup(*List);
-      }
-  }
-
-  ControlVm *leader() {
-    for (auto &[Address, Item] : Vms)
-      if (Item->Node->isLeader() && !IsolatedVms.count(Address))
-        return Item.get();
-    return nullptr;
-  }
-
-  bool propose(const std::string &Word) {
-    ProposalOutcome Result = ProposalOutcome::Unknown;
-    if (leader() == nullptr)
-      return false;
-    leader()->Node->propose(Word,
-                            [&](ProposalOutcome Outcome) { Result = Outcome; });
-    run(milliseconds(100));
-    return Result == ProposalOutcome::Committed;
-  }
-
-  TimerService Timers{Instant(seconds(100))};
-  std::vector<std::string> Seeds;
-  std::map<std::string, std::unique_ptr<ControlVm>> Vms;
-  std::set<std::string> IsolatedVms;
-};
-
-ControlVm::ControlVm(TestGroup &Group, std::string At, DiskId Disk,
-                     bool IsFirstStart)
-    : Group(Group), Address(std::move(At)),
-      Bootstrap({Disk, Address, Address}, Group.Seeds, IsFirstStart) {
-  ReplicaOptions Options;
-  Options.BytesPerSnapshot = 4000;
-  Node = std::make_unique<Replica>(Member{Disk, Address, Address}, DurableLog{},
-                                   Options, Group.Timers, Disk, Store, *this,
-                                   State);
-}
-
-void ControlVm::send(const RaftMessage &Message, const std::string &To) {
-  if (Group.IsolatedVms.count(Address))
-    return;
-  // A VM with an empty log knows no addresses; it replies on the connection of
-  // the request.
-  std::string Target = To;
-  for (auto &[Other, Item] : Group.Vms)
-    if (Item->Node->log().self() == Message.To)
-      Target = Other;
-  Group.deliver(Target, Message);
-}
-
-void ControlVm::sendJoinRequest(const Member &Self, const std::string &) {
-  if (Group.IsolatedVms.count(Address))
-    return;
-  for (auto &[Other, Item] : Group.Vms)
-    if (Other != Address && !Group.IsolatedVms.count(Other))
-      Item->Node->handleJoinRequest(Self);
-}
-
 const std::vector<std::string> ThreeSeeds = {"a:1", "b:1", "c:1"};
 
 TEST(Replica, SeedsBootstrapOneGroupThatAFourthVmJoins) {
-  TestGroup Group(ThreeSeeds);
+  VirtualGroup Group(ThreeSeeds);
   Group.addSeeds();
   Group.add("d:1", 13, true);
   Group.run(seconds(4));
@@ -181,7 +29,7 @@
 }
 
 TEST(Replica, NoGroupIsBootstrappedWhileASeedIsMissing) {
-  TestGroup Group(ThreeSeeds);
+  VirtualGroup Group(ThreeSeeds);
   Group.add("a:1", 10, true);
   Group.add("b:1", 11, true);
   Group.run(seconds(4));
@@ -193,7 +41,7 @@
 }
 
 TEST(Replica, EmptyDisksDoNotBootstrapAfterTheFirstStart) {
-  TestGroup Group(ThreeSeeds);
+  VirtualGroup Group(ThreeSeeds);
   for (size_t I = 0; I < ThreeSeeds.size(); ++I)
     Group.add(ThreeSeeds[I], 10 + I, /*IsFirstStart=*/false);
   Group.run(seconds(4));
@@ -201,7 +49,7 @@
 }
 
 TEST(Replica, ANewDiskReplacesTheLostDiskOfItsVm) {
-  TestGroup Group(ThreeSeeds);
+  VirtualGroup Group(ThreeSeeds);
   for (size_t I = 0; I < ThreeSeeds.size(); ++I)
     Group.add(ThreeSeeds[I], 10 + I, true);
   Group.run(seconds(3));
@@ -220,7 +68,7 @@
 }
 
 TEST(Replica, AnUnresponsiveVoterIsReplacedAndRejoinsTheGroup) {
-  TestGroup Group(ThreeSeeds);
+  VirtualGroup Group(ThreeSeeds);
   for (size_t I = 0; I < ThreeSeeds.size(); ++I)
     Group.add(ThreeSeeds[I], 10 + I, true);
   Group.add("d:1", 20, true);
@@ -242,7 +90,7 @@
 }
 
 TEST(Replica, AnIsolatedLeaderCommitsNothing) {
-  TestGroup Group(ThreeSeeds);
+  VirtualGroup Group(ThreeSeeds);
   for (size_t I = 0; I < ThreeSeeds.size(); ++I)
     Group.add(ThreeSeeds[I], 10 + I, true);
   Group.run(seconds(3));
@@ -261,7 +109,7 @@
 }
 
 TEST(Replica, NewMembersReceiveALongLogAsASnapshot) {
-  TestGroup Group(ThreeSeeds);
+  VirtualGroup Group(ThreeSeeds);
   for (size_t I = 0; I < ThreeSeeds.size(); ++I)
     Group.add(ThreeSeeds[I], 10 + I, true);
   Group.run(seconds(3));
@@ -305,7 +153,7 @@
 
 // Guards against a member that stores such a snapshot and ends by it.
 TEST(Replica, ASnapshotThatCannotBeReadIsNotInstalled) {
-  TestGroup Group(ThreeSeeds);
+  VirtualGroup Group(ThreeSeeds);
   Group.addSeeds();
   Group.run(seconds(4));
   ASSERT_NE(Group.leader(), nullptr);
@@ -329,7 +177,7 @@
 // against a leader's lease that only a reply with a time in the future has
 // confirmed.
 TEST(Replica, RepliesWithOddIndicesAndTimesChangeNothing) {
-  TestGroup Group(ThreeSeeds);
+  VirtualGroup Group(ThreeSeeds);
   Group.addSeeds();
   Group.run(seconds(4));
   ASSERT_NE(Group.leader(), nullptr);
