Fleet: the log names the members after each change of them

Without it the logs could not tell apart why a group of control VMs has no leader: lost voters that still count, a learner that never catches up, or an election that fails. Each control VM now logs 'membership' with voters and learners when the members in its log change. It also takes over their addresses for join requests at that moment, not only at the next change of role.

--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -288,6 +288,7 @@
     // turn without a pause until they commit.
     bool HasWork = Group->hasWork();
     Group->pump();
+    logMembershipChange();
     DidWork |= Transport.sendPending() || HasWork;
     if (!HasWork)
       break;
@@ -333,8 +334,26 @@
   }
 }
 
-void SchedulerDaemon::onRoleChange() {
+void SchedulerDaemon::logMembershipChange() {
+  const Membership &Members = Group->membership();
+  if (Members == LoggedMembers)
+    return;
+  LoggedMembers = Members;
+  // Join requests go there, also if all seeds are gone.
   Transport.setMemberAddresses(memberAddresses());
+  auto Describe = [](const std::vector<Member> &List) {
+    Json Result = Json::array();
+    for (const Member &Item : List)
+      Result.push_back(
+          {{"vm", Item.Vm}, {"address", Item.Address}, {"disk", Item.Disk}});
+    return Result;
+  };
+  Events.log("membership", {{"voters", Describe(Members.Voters)},
+                            {"learners", Describe(Members.Learners)},
+                            {"term", Group->log().term()}});
+}
+
+void SchedulerDaemon::onRoleChange() {
   bool IsLeader = Group->log().role() == RaftRole::Leader;
   Events.log("role", {{"leader", IsLeader}, {"term", Group->log().term()}});
   LeadershipProposed = false;
--- a/Source/Fleet/SchedulerDaemon.h
+++ b/Source/Fleet/SchedulerDaemon.h
@@ -72,6 +72,8 @@
   /// true if there was any.
   bool onTurn();
   void onRoleChange();
+  /// Logs the group's members after each change of them in this VM's log.
+  void logMembershipChange();
   /// Proposes the start of this VM's leadership. Scheduling begins once the
   /// proposal is committed; the number of committed leaderships is the fencing
   /// token.
@@ -143,6 +145,7 @@
   std::unique_ptr<DiskLog> LogStore;
   std::unique_ptr<GroupBootstrap> Bootstrap;
   std::unique_ptr<Replica> Group;
+  Membership LoggedMembers;
   JobStore State;
   ServiceConfiguration Configuration; // Parsed from State's text.
   /// Some configuration after Configuration was skipped or not read.
