Agreement: members that are gone no longer count

Cause: a request to join was never forgotten, so a lost voter was added as a learner as soon as it was out, and the number of voters followed from all members listed. With five listed a fourth voter was wanted beside the lost one; the next loss left two of four. Class: what is gone still counts. Change: MembershipPlanner, a pure module, plans one change from the members, when each was heard by reply or request, and the time. Only members that reply call for voters, requests age, learners that are silent leave, and a group of more than three lets lost voters go without a successor. On the way: a learner without a leader asks to join again, a leader that was paused listens anew, and the progress of a removed member is forgotten.

--- a/Source/Agreement/Replica.cpp
+++ b/Source/Agreement/Replica.cpp
@@ -5,6 +5,29 @@
 
 namespace mimosashunt {
 
+namespace {
+
+/// Carries out a planned change of the membership.
+class MembershipChanger {
+public:
+  explicit MembershipChanger(Raft &Log) : Log(Log) {}
+
+  ProposeResult operator()(const AddLearner &Change) const {
+    return Log.addLearner(Change.New);
+  }
+  ProposeResult operator()(const PromoteLearner &Change) const {
+    return Log.promoteLearner(Change.Disk);
+  }
+  ProposeResult operator()(const RemoveMember &Change) const {
+    return Log.removeMember(Change.Disk);
+  }
+
+private:
+  Raft &Log;
+};
+
+} // namespace
+
 const char *nameOf(ProposalOutcome Outcome) {
   switch (Outcome) {
   case ProposalOutcome::Committed:
@@ -24,7 +47,7 @@
     : Self(Self), Options(Options), Timers(Timers), Store(Store),
       Transport(Transport), State(State),
       Log(Self.Disk, Durable, Options.Raft, Timers, Seed), LastRole(Log.role()),
-      RoleChangedAt(Timers.now()) {
+      ListeningSince(Timers.now()), LastPlannedAt(Timers.now()) {
   if (Durable.Base.Index > 0) {
     StoreError = State.restore(Durable.Base.Data);
     LastApplied = Durable.Base.Index;
@@ -32,7 +55,7 @@
   JoinTimer =
       Timers.scheduleEvery(Options.JoinInterval, [this] { requestToJoin(); });
   MembershipPlanTimer = Timers.scheduleEvery(Options.MembershipPlanInterval,
-                                             [this] { planMembership(); });
+                                             [this] { changeMembership(); });
 }
 
 Replica::~Replica() {
@@ -94,7 +117,7 @@
   if (Log.role() == LastRole)
     return;
   LastRole = Log.role();
-  RoleChangedAt = Timers.now();
+  ListeningSince = Timers.now();
   if (RoleChangeHandler)
     RoleChangeHandler();
 }
@@ -169,16 +192,9 @@
   return {};
 }
 
-size_t Replica::targetVoterCount() const {
-  const Membership &Members = Log.membership();
-  size_t MemberCount = Members.Voters.size() + Members.Learners.size();
-  size_t OddCount = MemberCount % 2 == 1 ? MemberCount : MemberCount - 1;
-  return std::min(OddCount, Options.MaxVoters);
-}
-
 void Replica::handleJoinRequest(const Member &Candidate) {
   if (Candidate.Disk != NoDisk)
-    JoinRequests[Candidate.Address] = Candidate;
+    JoinRequests[Candidate.Address] = {Candidate, Timers.now()};
 }
 
 void Replica::requestToJoin() {
@@ -192,51 +208,44 @@
   Transport.sendJoinRequest(Self, {});
 }
 
-bool Replica::replaceUnresponsiveVoter(const Member &Learner) {
-  const Membership Members = Log.membership();
-  for (const Member &Voter : Members.Voters) {
-    if (Voter.Disk == Self.Disk)
-      continue;
-    // The VM has come back with a new disk and will never use the earlier one
-    // again.
-    bool HasNewDisk = Voter.Address == Learner.Address;
-    std::optional<Instant> LastReply = Log.lastReplyTime(Voter.Disk);
-    Instant Since = std::max(RoleChangedAt, LastReply.value_or(RoleChangedAt));
-    bool IsUnresponsive =
-        Timers.now() - Since > Options.VoterReplacementTimeout;
-    if (!HasNewDisk && !IsUnresponsive)
-      continue;
-    return Log.removeMember(Voter.Disk) == ProposeResult::Accepted;
-  }
-  return false;
+void Replica::forgetOldJoinRequests() {
+  Instant Since = Timers.now() - Options.Membership.JoinRequestLifetime;
+  std::erase_if(JoinRequests, [&](const auto &Entry) {
+    return Entry.second.ReceivedAt < Since;
+  });
 }
 
-void Replica::planMembership() {
-  if (!isLeader())
+MembershipView Replica::membershipView() const {
+  MembershipView View;
+  View.Self = Self.Disk;
+  View.Members = Log.membership();
+  View.JoinRequests = JoinRequests;
+  View.ListeningSince = ListeningSince;
+  View.Now = Timers.now();
+  for (const auto *List : {&View.Members.Voters, &View.Members.Learners})
+    for (const Member &Item : *List)
+      View.Contacts[Item.Disk] = {Log.lastReplyTime(Item.Disk),
+                                  Log.isCaughtUp(Item.Disk)};
+  return View;
+}
+
+void Replica::changeMembership() {
+  Duration SincePlanned =
+      Timers.now() - std::exchange(LastPlannedAt, Timers.now());
+  // What others sent while this process was paused has not been read yet.
+  if (SincePlanned > Options.Membership.LossTimeout / 2)
+    ListeningSince = Timers.now();
+  forgetOldJoinRequests();
+  if (!isLeader() || !Log.isMembershipCommitted())
     return;
-  const Membership Members = Log.membership();
-  for (const Member &Learner : Members.Learners) {
-    if (!Log.isCaughtUp(Learner.Disk))
-      continue;
-    bool NeedsVoter = Members.Voters.size() < targetVoterCount();
-    if (NeedsVoter &&
-        Log.promoteLearner(Learner.Disk) == ProposeResult::Accepted)
-      return;
-    if (replaceUnresponsiveVoter(Learner))
-      return;
-  }
-  // Removes learners whose VM has come back with a new disk.
-  for (const Member &Learner : Members.Learners) {
-    auto Request = JoinRequests.find(Learner.Address);
-    bool HasNewDisk =
-        Request != JoinRequests.end() && Request->second.Disk != Learner.Disk;
-    if (HasNewDisk && Log.removeMember(Learner.Disk) == ProposeResult::Accepted)
-      return;
-  }
-  for (const auto &[Address, Item] : JoinRequests)
-    if (!Members.isVoter(Item.Disk) && !Members.isLearner(Item.Disk) &&
-        Log.addLearner(Item) == ProposeResult::Accepted)
-      return;
+  std::optional<PlannedMembershipChange> Planned =
+      planMembership(membershipView(), Options.Membership);
+  if (!Planned)
+    return;
+  bool Begun = std::visit(MembershipChanger(Log), Planned->Change) ==
+               ProposeResult::Accepted;
+  if (Begun && MembershipChangeHandler)
+    MembershipChangeHandler(*Planned);
 }
 
 } // namespace mimosashunt
--- a/Source/Agreement/Replica.h
+++ b/Source/Agreement/Replica.h
@@ -1,13 +1,14 @@
 // One control VM's replica of a replicated state. It drives the Raft log,
 // batches the proposals of one event-loop turn into one sync, applies committed
-// entries and manages the group's membership: bootstrap, joins, promotion of
-// learners and replacement of voters.
+// entries, bootstraps the group and carries out the planned changes of its
+// membership.
 
 #ifndef MIMOSASHUNT_AGREEMENT_REPLICA_H
 #define MIMOSASHUNT_AGREEMENT_REPLICA_H
 
 #include "Agreement/GroupBootstrap.h"
 #include "Core/ControlPorts.h"
+#include "Core/MembershipPlanner.h"
 #include "Core/Raft.h"
 
 #include <functional>
@@ -45,15 +46,11 @@
 
 struct ReplicaOptions {
   RaftOptions Raft;
-  /// A caught-up learner may replace a voter that has not replied for this
-  /// long.
-  Duration VoterReplacementTimeout = seconds(2);
+  MembershipOptions Membership;
   Duration JoinInterval = milliseconds(300);
   Duration MembershipPlanInterval = milliseconds(200);
   /// Bytes of applied commands after which the log is compacted.
   size_t BytesPerSnapshot = 6 << 20;
-  /// Further members stay learners.
-  size_t MaxVoters = 5;
 };
 
 /// One member of the group, or a VM that wants to become one.
@@ -108,6 +105,12 @@
   void setRoleChangeHandler(std::function<void()> Handler) {
     RoleChangeHandler = std::move(Handler);
   }
+  /// Sets the function that runs after this VM, as the leader, has begun a
+  /// change of the membership.
+  void setMembershipChangeHandler(
+      std::function<void(const PlannedMembershipChange &)> Handler) {
+    MembershipChangeHandler = std::move(Handler);
+  }
 
 private:
   /// A command that is proposed at the end of this turn.
@@ -126,12 +129,12 @@
   void applyCommitted(const RaftOutput &Output);
   void abandonPendingProposals();
   void compactIfNeeded();
-  void planMembership();
-  bool replaceUnresponsiveVoter(const Member &Learner);
+  void changeMembership();
+  MembershipView membershipView() const;
+  /// Forgets requests of candidates that have stopped asking.
+  void forgetOldJoinRequests();
   void requestToJoin();
   std::string addressOf(DiskId Disk) const;
-  /// Returns the largest odd number of members, at most MaxVoters.
-  size_t targetVoterCount() const;
 
   const Member Self;
   const ReplicaOptions Options;
@@ -145,14 +148,18 @@
   std::map<LogIndex, PendingProposal> PendingProposals;
   LogIndex LastApplied = 0;
   size_t BytesSinceSnapshot = 0;
-  std::map<std::string, Member> JoinRequests; // By address.
+  std::map<std::string, JoinRequest> JoinRequests; // By address.
   RaftRole LastRole = RaftRole::Follower;
   std::error_code StoreError;
   bool IsPumping = false;
   std::function<void()> RoleChangeHandler;
+  std::function<void(const PlannedMembershipChange &)> MembershipChangeHandler;
   TimerId JoinTimer = 0;
   TimerId MembershipPlanTimer = 0;
-  Instant RoleChangedAt;
+  /// Since when this VM has listened to the others without a pause, in its
+  /// present role.
+  Instant ListeningSince;
+  Instant LastPlannedAt;
 };
 
 } // namespace mimosashunt
--- a/Source/Core/Raft.cpp
+++ b/Source/Core/Raft.cpp
@@ -116,8 +116,13 @@
 
 void Raft::onElectionTimeout() {
   restartElectionTimer();
-  if (Role == RaftRole::Leader || !Members.isVoter(Self))
+  if (Role == RaftRole::Leader)
+    return;
+  // A member that hears from no leader may have been removed without a notice.
+  if (!Members.isVoter(Self)) {
+    Leader = NoDisk;
     return;
+  }
   startElection(/*PreVote=*/true);
 }
 
@@ -515,6 +520,10 @@
   Entry.Kind = LogEntryKind::Membership;
   Entry.Members = std::move(New);
   append(std::move(Entry));
+  // A member that is added again begins anew.
+  std::erase_if(Peers, [this](const auto &Peer) {
+    return !Members.isVoter(Peer.first) && !Members.isLearner(Peer.first);
+  });
   broadcastAppend(/*Repeat=*/false);
   return ProposeResult::Accepted;
 }
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -118,6 +118,12 @@
   if (std::error_code Error = Group->storeError())
     return Error;
   Group->setRoleChangeHandler([this] { onRoleChange(); });
+  Group->setMembershipChangeHandler(
+      [this](const PlannedMembershipChange &Planned) {
+        Events.log("membership_planned", {{"change", nameOf(Planned.Change)},
+                                          {"disk", diskOf(Planned.Change)},
+                                          {"why", nameOf(Planned.Reason)}});
+      });
   refreshConfiguration();
   Events.log("started", {{"disk", Folder.disk()},
                          {"entries", Durable.Entries.size()},
