Scheduling: an odd row hides no more than the task that it names

Cause: a row that cannot be read marked the whole response as partial. From a partial response the scheduler concluded nothing, so an unanswered start was neither found nor stopped, while the worker answered and its lease was renewed. Class: one odd value makes a whole incomplete, and what waits for the whole never happens. Change: a response says which tasks its unreadable rows name, and apart from that whether the page of ends is full. A row that names no task hides none; one that names a task hides that task, until a stop of it has been acknowledged for a second. Unanswered starts are stopped whatever is open, and logged as run_in_doubt. A new leader reads a worker whose list holds rows of other writers, where it let all runs there lapse. Checks: WorkerLists.AnOddRowLeavesTheOthers asked for the mark on the whole response; it now asks for exactly the tasks that the odd rows name. CarriedResults likewise.

--- a/Source/Codec/Cbor.h
+++ b/Source/Codec/Cbor.h
@@ -136,6 +136,8 @@
   }
   template <class T> T number() { return next().number<T>(); }
   std::string text() { return std::string(next().text()); }
+  /// Returns false at the end, where the array of an earlier version may be.
+  bool hasNext() const { return Left > 0; }
   void finish() {
     for (; Left > 0; --Left)
       In.skip();
--- a/Source/Fleet/CarriedOrders.cpp
+++ b/Source/Fleet/CarriedOrders.cpp
@@ -119,9 +119,15 @@
   return Order;
 }
 
+void writeTasks(CborWriter &Out, const std::set<TaskId> &Tasks) {
+  Out.array(Tasks.size());
+  for (const TaskId &Task : Tasks)
+    writeTask(Out, Task);
+}
+
 void writeResult(CborWriter &Out, const CarriedResult &Result) {
   const PollResponse &Response = Result.Response;
-  Out.array(7);
+  Out.array(9);
   Out.number(Result.Id);
   Out.number(static_cast<uint8_t>(Response.Outcome));
   writeOptional(Out, Response.ClockMs);
@@ -144,7 +150,9 @@
     Out.text(Row.Checkpoint);
   }
   Out.number(Response.Incarnation);
-  Out.boolean(Response.IsPartial);
+  Out.boolean(Response.HasMoreEnds);
+  writeTasks(Out, Response.UnreadableRuns);
+  writeTasks(Out, Response.UnreadableEnds);
 }
 
 /// Reads an enumerator that is at most \p Last.
@@ -173,6 +181,13 @@
   return Row;
 }
 
+std::set<TaskId> readTasks(CborReader &In) {
+  std::set<TaskId> Tasks;
+  for (size_t Left = In.array(); Left > 0; --Left)
+    Tasks.insert(readTask(In));
+  return Tasks;
+}
+
 CarriedResult readResult(CborReader &In) {
   CborArrayReader Fields(In);
   CarriedResult Result;
@@ -185,7 +200,11 @@
   for (size_t Left = Fields.next().array(); Left > 0; --Left)
     Response.Finished.push_back(readFinished(In));
   Response.Incarnation = Fields.number<int64_t>();
-  Response.IsPartial = Fields.next().boolean();
+  Response.HasMoreEnds = Fields.next().boolean();
+  if (Fields.hasNext())
+    Response.UnreadableRuns = readTasks(Fields.next());
+  if (Fields.hasNext())
+    Response.UnreadableEnds = readTasks(Fields.next());
   Fields.finish();
   return Result;
 }
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -77,6 +77,9 @@
   /// A task without progress for this long is restarted on another worker.
   Duration StallTimeout = milliseconds(1800);
   Duration StopRetryInterval = milliseconds(250);
+  /// A run that only a row names which cannot be read counts as gone this long
+  /// after its stop was acknowledged. Longer than a stop takes.
+  Duration UnreadableRowTimeout = seconds(1);
   /// Cores are requested such that overdue jobs end within this time. Callers
   /// wait up to three objectives, the shortest of which is about 1 s.
   Duration OverdueDrainTime = milliseconds(2500);
@@ -345,6 +348,14 @@
   void markSynced(TrackedWorker &Worker);
   void updateRun(TrackedWorker &Worker, const RunningTask &Reported);
   void adoptRun(TrackedWorker &Worker, const RunningTask &Reported);
+  /// Returns true if a run of a task that matters may be on a worker without
+  /// being listed in \p Response.
+  bool mayHideRuns(const PollResponse &Response);
+  /// Returns true if a run that \p Response does not list is there no more and
+  /// cannot start.
+  bool hasVanished(const TaskId &Task, const Run &Unlisted,
+                   const PollResponse &Response, Instant SentAt) const;
+  /// Removes the runs that have vanished and stops those in doubt.
   void removeVanishedRuns(TrackedWorker &Worker, const PollResponse &Response,
                           Instant SentAt);
   void handleRunEnd(TrackedWorker &Worker, const FinishedRun &End);
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -140,16 +140,27 @@
 
 namespace {
 
-/// Restarts the stall timeouts of runs that a partial response does not list,
-/// since they may progress unseen.
+/// Restarts the stall timeouts of runs whose rows cannot be read, since they
+/// may progress unseen.
 void restartStallTimeouts(TrackedWorker &Worker, const PollResponse &Response,
                           Instant Now) {
-  std::set<TaskId> Listed;
-  for (const RunningTask &Reported : Response.Running)
-    Listed.insert(Reported.Task);
-  for (auto &[Task, CurrentRun] : Worker.Runs)
-    if (!Listed.count(Task))
-      CurrentRun.ProgressChangedAt = Now;
+  for (const TaskId &Task : Response.UnreadableRuns) {
+    auto It = Worker.Runs.find(Task);
+    if (It != Worker.Runs.end())
+      It->second.ProgressChangedAt = Now;
+  }
+}
+
+/// Returns true if neither the list of \p Response nor a later one may tell
+/// what became of the run, unless it is stopped first.
+bool isInDoubt(const TaskId &Task, const Run &Unlisted,
+               const PollResponse &Response, Instant SentAt) {
+  // An unanswered start order may still arrive. Stopping the attempt ensures
+  // that it cannot start afterwards.
+  if (Unlisted.State == RunState::Unconfirmed && Unlisted.OrderedAt < SentAt)
+    return true;
+  return Unlisted.State == RunState::Running &&
+         Response.UnreadableEnds.count(Task) > 0;
 }
 
 } // namespace
@@ -187,12 +198,11 @@
     handleRunEnd(*Worker, End);
   for (const RunningTask &Reported : Response.Running)
     updateRun(*Worker, Reported);
-  if (Response.IsPartial)
-    restartStallTimeouts(*Worker, Response, Timers.now());
-  else
-    removeVanishedRuns(*Worker, Response, SentAt);
+  restartStallTimeouts(*Worker, Response, Timers.now());
+  removeVanishedRuns(*Worker, Response, SentAt);
   // What is not listed may run on under a lease of an earlier leader.
-  bool MayRunUnlisted = Response.IsPartial && Timers.now() < Worker->LeaseEnd;
+  bool MayRunUnlisted =
+      mayHideRuns(Response) && Timers.now() < Worker->LeaseEnd;
   bool IsNewlySynced = !Worker->IsSynced && !MayRunUnlisted;
   if (IsNewlySynced)
     markSynced(*Worker);
@@ -314,6 +324,34 @@
     stopRun(Worker, Reported.Task);
 }
 
+bool Dispatcher::mayHideRuns(const PollResponse &Response) {
+  auto IsWanted = [this](const TaskId &Task) {
+    return findWantedTask(Task) != nullptr;
+  };
+  const std::set<TaskId> &Runs = Response.UnreadableRuns;
+  const std::set<TaskId> &Ends = Response.UnreadableEnds;
+  return Response.HasMoreEnds ||
+         std::any_of(Runs.begin(), Runs.end(), IsWanted) ||
+         std::any_of(Ends.begin(), Ends.end(), IsWanted);
+}
+
+bool Dispatcher::hasVanished(const TaskId &Task, const Run &Unlisted,
+                             const PollResponse &Response,
+                             Instant SentAt) const {
+  if (Response.HasMoreEnds)
+    return false;
+  bool CannotStart = Unlisted.StopAckedAt && *Unlisted.StopAckedAt < SentAt;
+  // The row may be the run's own, which is there until a stop has ended it.
+  if (Response.isNamedUnreadably(Task))
+    return CannotStart &&
+           Timers.now() - *Unlisted.StopAckedAt > Options.UnreadableRowTimeout;
+  bool WasRunning = (Unlisted.State == RunState::Running ||
+                     Unlisted.State == RunState::Stopping) &&
+                    Unlisted.StartAckedAt > Instant() &&
+                    Unlisted.StartAckedAt <= SentAt;
+  return CannotStart || WasRunning;
+}
+
 void Dispatcher::removeVanishedRuns(TrackedWorker &Worker,
                                     const PollResponse &Response,
                                     Instant SentAt) {
@@ -321,28 +359,24 @@
   for (const RunningTask &Reported : Response.Running)
     Listed.insert(Reported.Task);
   std::vector<TaskId> Vanished;
-  std::vector<TaskId> Unconfirmed;
-  for (auto &[Task, CurrentRun] : Worker.Runs) {
+  std::vector<TaskId> Doubtful;
+  for (const auto &[Task, CurrentRun] : Worker.Runs) {
     if (Listed.count(Task))
       continue;
-    bool CannotStart =
-        CurrentRun.StopAckedAt && *CurrentRun.StopAckedAt < SentAt;
-    bool WasRunning = (CurrentRun.State == RunState::Running ||
-                       CurrentRun.State == RunState::Stopping) &&
-                      CurrentRun.StartAckedAt > Instant() &&
-                      CurrentRun.StartAckedAt <= SentAt;
-    if (CannotStart || WasRunning)
+    if (hasVanished(Task, CurrentRun, Response, SentAt))
       Vanished.push_back(Task);
-    else if (CurrentRun.State == RunState::Unconfirmed &&
-             CurrentRun.OrderedAt < SentAt)
-      Unconfirmed.push_back(Task);
+    else if (isInDoubt(Task, CurrentRun, Response, SentAt))
+      Doubtful.push_back(Task);
   }
   for (const TaskId &Task : Vanished)
     removeRun(Worker, Task);
-  // An unanswered start order may still arrive. Stopping the attempt ensures
-  // that it cannot start afterwards.
-  for (const TaskId &Task : Unconfirmed) {
-    Worker.Runs.at(Task).IsStoppedInDoubt = true;
+  for (const TaskId &Task : Doubtful) {
+    Run &CurrentRun = Worker.Runs.at(Task);
+    Json Fields = taskFields(Task, CurrentRun.Attempt);
+    Fields["worker"] = Worker.key().Id;
+    Fields["unreadable"] = Response.isNamedUnreadably(Task);
+    Hooks.LogEvent("run_in_doubt", std::move(Fields));
+    CurrentRun.IsStoppedInDoubt = true;
     stopRun(Worker, Task);
   }
 }
--- a/Source/Workers/WorkerPort.h
+++ b/Source/Workers/WorkerPort.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -120,9 +121,20 @@
   /// With outcome Restarted: the incarnation that answers, in Unix
   /// milliseconds.
   int64_t Incarnation = 0;
-  /// The lists hold less than the worker has: a run that they do not name may
-  /// be there, or have ended.
-  bool IsPartial = false;
+  /// More runs have ended than a response holds; the rest follows once these
+  /// are acknowledged.
+  bool HasMoreEnds = false;
+  /// Tasks named by rows of running tasks that cannot be read otherwise: each
+  /// may run with any attempt.
+  std::set<TaskId> UnreadableRuns = {};
+  /// Tasks named by rows of ended runs that cannot be read otherwise: how a run
+  /// of each ended is unknown.
+  std::set<TaskId> UnreadableEnds = {};
+
+  /// Returns true if a row names the task that cannot be read otherwise.
+  bool isNamedUnreadably(const TaskId &Task) const {
+    return UnreadableRuns.count(Task) > 0 || UnreadableEnds.count(Task) > 0;
+  }
 };
 
 /// The advice service's response for a step: the workers that may run it, with
--- a/Tests/Fleet/CarriedOrdersTest.cpp
+++ b/Tests/Fleet/CarriedOrdersTest.cpp
@@ -51,13 +51,18 @@
   RC_ASSERT(encodeOrders(Decoded) == Bytes);
 }
 
-TEST(CarriedResults, KeepThatAResponseIsPartial) {
+TEST(CarriedResults, KeepWhatAResponseMayHide) {
   // A leader that does not hear of it takes what is not listed for ended.
   PollResponse Response{OrderOutcome::Accepted, 5, {}, {}};
-  Response.IsPartial = true;
+  Response.HasMoreEnds = true;
+  Response.UnreadableRuns = {{"a", 0, 0, 1}, {"a", 0, 0, 2}};
+  Response.UnreadableEnds = {{"b", 0, 0, 0}};
   std::vector<CarriedResult> Decoded;
   ASSERT_TRUE(decodeResults(encodeResults({{7, Response}}), Decoded));
-  EXPECT_TRUE(Decoded.at(0).Response.IsPartial);
+  const PollResponse &Result = Decoded.at(0).Response;
+  EXPECT_TRUE(Result.HasMoreEnds);
+  EXPECT_EQ(Result.UnreadableRuns, Response.UnreadableRuns);
+  EXPECT_EQ(Result.UnreadableEnds, Response.UnreadableEnds);
 }
 
 RC_GTEST_PROP(CarriedResults, GiveTheBytesOfPositionalArrays,
@@ -71,7 +76,15 @@
         Signed,
         {{Task, 4, Text, Percent, Signed}, {Task, 5, "", 0, 0}},
         {{Number, Task, 6, EndKind::Alone, Text}}}},
-      {7, {OrderOutcome::Restarted, std::nullopt, {}, {}, Signed, true}}};
+      {7,
+       {OrderOutcome::Restarted,
+        std::nullopt,
+        {},
+        {},
+        Signed,
+        true,
+        {Task},
+        {}}}};
   Json Expected = Json::array(
       {Json::array(
            {Number, static_cast<int>(OrderOutcome::Unanswered), Signed,
@@ -79,9 +92,10 @@
                          Json::array({TaskRow, 5, "", 0, 0})}),
             Json::array({Json::array(
                 {Number, TaskRow, 6, static_cast<int>(EndKind::Alone), Text})}),
-            0, false}),
+            0, false, Json::array(), Json::array()}),
        Json::array({7, static_cast<int>(OrderOutcome::Restarted), nullptr,
-                    Json::array(), Json::array(), Signed, true})});
+                    Json::array(), Json::array(), Signed, true,
+                    Json::array({TaskRow}), Json::array()})});
   std::string Bytes = encodeResults(Results);
   RC_ASSERT(Bytes == generalCbor(Expected));
   std::vector<CarriedResult> Decoded;
--- a/Tests/Jobs/WorkerFaultsTest.cpp
+++ b/Tests/Jobs/WorkerFaultsTest.cpp
@@ -63,6 +63,94 @@
   }
 }
 
+/// A worker on which the start of job "b" gets lost, beside a task of "a".
+struct LostStart {
+  LostStart() {
+    Harness.addPool("p", 1, 8);
+    Harness.beginLeadership();
+    Harness.submitJob("a", "p", makeChainSpec(1, 1, 1000, 60000));
+    Harness.advanceTime(seconds(1));
+    worker().Faults.OrderDelay = seconds(60);
+    worker().Faults.DelayedOrderCount = 1;
+  }
+  VirtualWorker &worker() { return Harness.Workers.at("p-0"); }
+
+  /// Expects that "b" ends within the time in which work must not wait though
+  /// there is room for it, and that it ran once.
+  void expectRepeated() {
+    Harness.submitJob("b", "p", makeChainSpec(1, 1, 1000, 300));
+    Harness.advanceTime(milliseconds(3300));
+    EXPECT_EQ(worker().Faults.DelayedOrderCount, 0);
+    EXPECT_EQ(Harness.jobState("b"), JobState::Completed);
+    const TaskId Task{"b", 0, 0, 0};
+    EXPECT_EQ(Harness.Workers.StartCounts[Task], 1);
+    EXPECT_EQ(Harness.Workers.Violations, std::vector<std::string>());
+  }
+
+  SchedulerHarness Harness;
+};
+
+// Guards against a lost start that is never repeated as long as a row of any
+// other task cannot be read.
+TEST(WorkerFaults, ALostStartIsRepeatedWhileOtherRowsCannotBeRead) {
+  LostStart Env;
+  Env.worker().Faults.HasUnreadableRuns = true;
+  Env.expectRepeated();
+}
+
+// Guards against an odd row that keeps the task it names from running for good.
+TEST(WorkerFaults, ALostStartIsRepeatedAlthoughAnOddRowNamesItsTask) {
+  LostStart Env;
+  Env.worker().Faults.ForeignRows = {{"b", 0, 0, 0}};
+  Env.expectRepeated();
+}
+
+// Guards against a new leader that lets all runs of a worker lapse since its
+// list holds a row of another writer.
+TEST(WorkerFaults, AForeignRowKeepsNoNewLeaderFromRenewingLeases) {
+  SchedulerHarness Harness;
+  Harness.addPool("p", 1, 8);
+  Harness.beginLeadership();
+  Harness.submitJob("a", "p", makeChainSpec(1, 4, 1000, 5000));
+  Harness.advanceTime(seconds(1));
+  Harness.Workers.at("p-0").Faults.ForeignRows = {{"foreign", 0, 0, 0}};
+  Harness.beginLeadership();
+  Harness.advanceTime(seconds(6));
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  for (const auto &[Task, Starts] : Harness.Workers.StartCounts)
+    EXPECT_EQ(Starts, 1);
+}
+
+// Guards against a start after the end of a run whose row could not be read
+// when it was listed first.
+TEST(WorkerFaults, AnEndThatBecomesReadableIsTaken) {
+  SchedulerHarness Harness;
+  Harness.addPool("p", 1, 8);
+  Harness.beginLeadership();
+  Harness.submitJob("a", "p", makeChainSpec(1, 4, 1000, 500));
+  Harness.advanceTime(milliseconds(300));
+  Harness.Workers.at("p-0").Faults.HasUnreadableEnds = true;
+  Harness.advanceTime(seconds(1));
+  Harness.Workers.at("p-0").Faults.HasUnreadableEnds = false;
+  Harness.advanceTime(seconds(2));
+  EXPECT_EQ(Harness.jobState("a"), JobState::Completed);
+  for (const auto &[Task, Starts] : Harness.Workers.StartCounts)
+    EXPECT_EQ(Starts, 1);
+}
+
+// Guards against a task that never runs again since its end cannot be read.
+TEST(WorkerFaults, ATaskWhoseEndStaysUnreadableIsStartedAgain) {
+  SchedulerHarness Harness;
+  Harness.addPool("p", 1, 8);
+  Harness.beginLeadership();
+  Harness.Workers.at("p-0").Faults.FailsAllRuns = true;
+  Harness.Workers.at("p-0").Faults.HasUnreadableEnds = true;
+  Harness.submitJob("a", "p", makeChainSpec(1, 1, 1000, 500));
+  Harness.advanceTime(seconds(3));
+  const TaskId Task{"a", 0, 0, 0};
+  EXPECT_GE(Harness.Workers.StartCounts[Task], 2);
+}
+
 TEST(WorkerFaults, ACopyOfASpeculativeTaskDoesNotWaitForTheLease) {
   SchedulerHarness Harness;
   Harness.addPool("p", 3, 8);
--- a/Tests/Platform/ListTest.cpp
+++ b/Tests/Platform/ListTest.cpp
@@ -83,7 +83,7 @@
 TEST(WorkerLists, AnOddRowLeavesTheOthers) {
   // Guards against a worker that is silent, and its runs lost, as long as one
   // row cannot be read, and against rows taken for ended since they were
-  // skipped.
+  // skipped. A row that names no task leaves nothing open.
   for (const std::string &Odd : OddValues) {
     ListFixture Env(withOdd(
         R"({"clock-ms":5,"running":[["a.0.0.0",1,"",4],$,["a.0.0.1",$,"",4],)"
@@ -92,7 +92,9 @@
         Odd));
     PollResponse Response = Env.poll();
     EXPECT_EQ(Response.Outcome, OrderOutcome::Accepted) << Odd.substr(0, 30);
-    EXPECT_TRUE(Response.IsPartial);
+    EXPECT_EQ(Response.UnreadableRuns, (std::set<TaskId>{{"a", 0, 0, 1}}));
+    EXPECT_EQ(Response.UnreadableEnds, (std::set<TaskId>{{"a", 0, 0, 3}}));
+    EXPECT_FALSE(Response.HasMoreEnds);
     EXPECT_EQ(Response.ClockMs, 5);
     EXPECT_EQ(Response.Running.size(), 2U) << Odd.substr(0, 30);
     EXPECT_EQ(Response.Finished.size(), 1U) << Odd.substr(0, 30);
@@ -107,7 +109,8 @@
   EXPECT_EQ(Response.Outcome, OrderOutcome::Accepted);
   EXPECT_EQ(Response.ClockMs, std::nullopt);
   EXPECT_EQ(Response.Running.size(), 1U);
-  EXPECT_FALSE(Response.IsPartial);
+  EXPECT_TRUE(Response.UnreadableRuns.empty());
+  EXPECT_FALSE(Response.HasMoreEnds);
 }
 
 TEST(VmLists, AnOddEntryLeavesTheOthers) {
--- a/Tests/Support/VirtualWorkers.cpp
+++ b/Tests/Support/VirtualWorkers.cpp
@@ -377,12 +377,16 @@
     Answer.Running.push_back(Listed);
   }
   Answer.Finished = Worker.Finished;
-  Answer.IsPartial = Answer.Finished.size() >= MaxEndsPerResponse ||
-                     Worker.Faults.HasUnreadableRuns;
+  Answer.HasMoreEnds = Answer.Finished.size() >= MaxEndsPerResponse;
   if (Answer.Finished.size() > MaxEndsPerResponse)
     Answer.Finished.resize(MaxEndsPerResponse);
+  Answer.UnreadableRuns = Worker.Faults.ForeignRows;
   if (Worker.Faults.HasUnreadableRuns)
-    Answer.Running.clear();
+    for (const RunningTask &Row : std::exchange(Answer.Running, {}))
+      Answer.UnreadableRuns.insert(Row.Task);
+  if (Worker.Faults.HasUnreadableEnds)
+    for (const FinishedRun &Row : std::exchange(Answer.Finished, {}))
+      Answer.UnreadableEnds.insert(Row.Task);
   return Answer;
 }
 
--- a/Tests/Support/VirtualWorkers.h
+++ b/Tests/Support/VirtualWorkers.h
@@ -22,8 +22,12 @@
 
 /// The faults that one worker shows.
 struct WorkerFaults {
-  /// Rows of running tasks cannot be read, so the lists are partial.
+  /// Rows of running tasks cannot be read but for the task that they name.
   bool HasUnreadableRuns = false;
+  /// The same of ended runs.
+  bool HasUnreadableEnds = false;
+  /// Tasks that rows of another writer name, in the list of running tasks.
+  std::set<TaskId> ForeignRows;
   bool IsUnreachable = false;  // No messages arrive at or come from the worker.
   bool LosesResponses = false; // Orders arrive, their responses do not.
   /// The worker's process has ended; connections to it are refused.
