--- a/Source/Agreement/Replica.cpp
+++ b/Source/Agreement/Replica.cpp
@@ -209,7 +209,7 @@
 }
 
 void Replica::forgetOldJoinRequests() {
-  Instant Since = Timers.now() - Options.Membership.JoinRequestLifetime;
+  Instant Since = Timers.now() - Options.Membership.LearnerLossTimeout;
   std::erase_if(JoinRequests, [&](const auto &Entry) {
     return Entry.second.ReceivedAt < Since;
   });
--- a/Source/Agreement/Replica.h
+++ b/Source/Agreement/Replica.h
@@ -131,7 +131,7 @@
   void compactIfNeeded();
   void changeMembership();
   MembershipView membershipView() const;
-  /// Forgets requests of candidates that have stopped asking.
+  /// Forgets requests that no plan depends on any more.
   void forgetOldJoinRequests();
   void requestToJoin();
   std::string addressOf(DiskId Disk) const;
--- a/Source/Core/MembershipPlanner.cpp
+++ b/Source/Core/MembershipPlanner.cpp
@@ -68,7 +68,7 @@
   /// may not hear the leader.
   bool hasRepliedRecently(const Member &Item) const;
   bool hasNewerDisk(const Member &Item) const;
-  bool isLost(const Member &Item) const;
+  bool isLost(const Member &Item, Duration Timeout) const;
   bool isReady(const Member &Learner) const;
   bool isMember(DiskId Disk) const;
   size_t wantedVoters() const;
@@ -119,8 +119,8 @@
   return false;
 }
 
-bool MembershipPass::isLost(const Member &Item) const {
-  return !wasHeardWithin(Item, Options.LossTimeout) || hasNewerDisk(Item);
+bool MembershipPass::isLost(const Member &Item, Duration Timeout) const {
+  return !wasHeardWithin(Item, Timeout) || hasNewerDisk(Item);
 }
 
 bool MembershipPass::hasRepliedRecently(const Member &Item) const {
@@ -157,7 +157,7 @@
 std::vector<Member> MembershipPass::lostVoters() const {
   std::vector<Member> Lost;
   for (const Member &Voter : View.Members.Voters)
-    if (isLost(Voter))
+    if (isLost(Voter, Options.LossTimeout))
       Lost.push_back(Voter);
   return Lost;
 }
@@ -171,7 +171,7 @@
 
 const Member *MembershipPass::lostLearner() const {
   for (const Member &Learner : View.Members.Learners)
-    if (isLost(Learner))
+    if (isLost(Learner, Options.LearnerLossTimeout))
       return &Learner;
   return nullptr;
 }
--- a/Source/Core/MembershipPlanner.h
+++ b/Source/Core/MembershipPlanner.h
@@ -37,7 +37,8 @@
   DiskId Self = NoDisk;
   Membership Members;
   std::map<DiskId, MemberContact> Contacts;
-  /// By address: a VM has one disk at a time.
+  /// By address: a VM has one disk at a time. Requests count as signs of life
+  /// longer than they are answered, so they are kept for LearnerLossTimeout.
   std::map<std::string, JoinRequest> JoinRequests;
   /// Since when the leader has listened without a pause. A member that it has
   /// not heard since then may have replied before.
@@ -46,8 +47,11 @@
 };
 
 struct MembershipOptions {
-  /// A member that has not been heard for this long counts as lost.
+  /// A voter that has not been heard for this long counts as lost.
   Duration LossTimeout = seconds(2);
+  /// The same of a learner. It may be at work on a snapshot, and would begin
+  /// anew if it were removed; a lost one costs little.
+  Duration LearnerLossTimeout = seconds(5);
   /// A member that was heard within this time is there: it may get a vote, and
   /// no other disk has taken its place.
   Duration RecentContactAge = milliseconds(500);
--- a/Tests/Core/MembershipPlannerTest.cpp
+++ b/Tests/Core/MembershipPlannerTest.cpp
@@ -128,10 +128,13 @@
   EXPECT_EQ(Group.plan(), std::nullopt);
 }
 
-// A new learner may need a while for a snapshot; until then it goes on asking.
-TEST(MembershipPlanner, ALearnerThatStillAsksToJoinIsNotLost) {
-  EXPECT_EQ(Known(3).learner(4, false).silent(4).asks(memberOf(4)).plan(),
-            std::nullopt);
+// Guards against a learner that is removed while it is at work on a snapshot,
+// and begins anew each time: it does not reply then, and has ceased to ask.
+TEST(MembershipPlanner, ALearnerThatAskedToJoinALittleAgoIsNotLost) {
+  for (Duration Ago : {seconds(0), seconds(2), seconds(4)})
+    EXPECT_EQ(
+        Known(3).learner(4, false).silent(4).asks(memberOf(4), Ago).plan(),
+        std::nullopt);
 }
 
 Duration drawnSilence() {
--- a/Tests/Jobs/MembershipTest.cpp
+++ b/Tests/Jobs/MembershipTest.cpp
@@ -159,6 +159,20 @@
   }
 }
 
+// Guards against a new VM that never gets a vote since the leader forgets, at
+// the latest a second after its last request to join, that it was there.
+TEST(Membership, ANewVmThatIsSlowToReplyBecomesAMember) {
+  ChangingGroup Vms(3);
+  Vms.Group.add("10.0.9.9:1", 900, false);
+  Vms.Group.run(milliseconds(700));
+  ASSERT_TRUE(Vms.Group.leader()->Node->membership().isLearner(900));
+  Vms.Group.IsolatedVms.insert("10.0.9.9:1");
+  Vms.Group.run(seconds(3));
+  EXPECT_TRUE(Vms.Group.leader()->Node->membership().isLearner(900));
+  Vms.Group.IsolatedVms.clear();
+  Vms.check("a slow start");
+}
+
 // Guards against members that are gone and still count, whatever was lost
 // before: the next loss must be borne.
 RC_GTEST_PROP(Membership, EachLossIsBorneAfterAnyOthers, ()) {
