--- a/Tests/Processes/ReplacedControlVms.sh
+++ b/Tests/Processes/ReplacedControlVms.sh
@@ -23,17 +23,8 @@
   done
   fail "$what"
 }
-# Prints the configuration with version $1.
-configuration() {
-  cat <<JSON
-{"version":$1,"routes":[{"name":"q","host":"q.example","path-prefix":"/q/","type":"unsafe",
- "timeout-ms":3000,"target-latency-ms":600,"priority":0,"service":"s","max-attempts":3,
- "stretch":1.6,"public":true}],"services":[{"name":"s","health-path":"/health",
- "max-connections":64,"protocol":"h1","tls":false,"rejects-overload":true,"standby":false}],
- "limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,
- "idle-timeout-ms":15000},"tenants":[]}
-JSON
-}
+# Prints a configuration of one queue with version $1.
+configuration() { jq ".version = $1" "$script_dir/../Platform/OneQueue.json"; }
 # True once version $1 is acknowledged by one of the control VMs.
 is_accepted() {
   local n
