Tests: the process tests of the job path share await, fail and kill_vm

Change: they stand in Utilities/jobfleet.sh. No check changes; kill_vm waits for the killed process where some scripts did not.

--- a/Tests/Processes/Evacuation.sh
+++ b/Tests/Processes/Evacuation.sh
@@ -9,7 +9,6 @@
 script_dir=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 . "$script_dir/../../Utilities/jobfleet.sh"
 trap 'status=$?; end_jobs; [ $status -eq 0 ] || tail -n 5 "$work"/*.log; rm -rf "$work"' EXIT
-fail() { echo "FAILED: $1"; exit 1; }
 # Sends the order $2 (start or finish) for data centre $1 to control VM $3, with the
 # body $4 if there is one; prints the status.
 order() {
@@ -37,8 +36,7 @@
 await_status dc-1 start 1 200
 await_status dc-1 start 2 200
 for n in 1 2 3; do
-  kill -KILL "${pid_of[control-$n]}"
-  wait "${pid_of[control-$n]}" 2>/dev/null
+  kill_vm "control-$n"
 done
 first_start=false
 for n in 1 2 3; do
--- a/Tests/Processes/Jobs.sh
+++ b/Tests/Processes/Jobs.sh
@@ -10,18 +10,6 @@
 script_dir=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 . "$script_dir/../../Utilities/jobfleet.sh"
 trap 'status=$?; end_jobs; [ $status -eq 0 ] || tail -n 5 "$work"/*.log "$work"/*.out; rm -rf "$work"' EXIT
-fail() { echo "FAILED: $1"; exit 1; }
-# Waits until the command after $1 succeeds; fails with the description $1 after
-# 60 s. The bound only ends a hanging test; no test asserts elapsed time.
-await() {
-  local n what=$1
-  shift
-  for ((n = 0; n < 600; n++)); do
-    "$@" && return 0
-    sleep 0.1
-  done
-  fail "$what"
-}
 # Prints how often a control VM became leader.
 count_elections() { cat "$work"/control-*.log | grep -c '"event":"leads"'; }
 # Prints the name of the control VM that became leader last.
@@ -41,7 +29,7 @@
 pids+=($fleet)
 await "work runs" has_run_starts 40
 killed=$(newest_leader)
-kill -KILL "${pid_of[$killed]}"
+kill_vm "$killed"
 first_start=false
 await "another leader takes over" has_elections 2
 job_settings "$killed" "${killed#control-}" control
--- a/Tests/Processes/OddReports.sh
+++ b/Tests/Processes/OddReports.sh
@@ -9,7 +9,6 @@
 script_dir=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 . "$script_dir/../../Utilities/jobfleet.sh"
 trap 'status=$?; end_jobs; [ $status -eq 0 ] || tail -n 5 "$work"/*.log; rm -rf "$work"' EXIT
-fail() { echo "FAILED: $1"; exit 1; }
 # Reports worker $1 with the address $2 to control VM $3; prints the status.
 report() {
   curl -s -o /dev/null -w '%{http_code}' -X POST \
@@ -49,8 +48,7 @@
 
 # Alone, since a member of another group would take it in.
 for n in 1 2 3; do
-  kill -KILL "${pid_of[control-$n]}"
-  wait "${pid_of[control-$n]}" 2>/dev/null
+  kill_vm "control-$n"
 done
 first_start=false
 job_settings control-4 4 control
--- a/Tests/Processes/ReplacedControlVms.sh
+++ b/Tests/Processes/ReplacedControlVms.sh
@@ -11,18 +11,6 @@
 script_dir=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 . "$script_dir/../../Utilities/jobfleet.sh"
 trap 'status=$?; end_jobs; [ $status -eq 0 ] || tail -n 5 "$work"/*.log; rm -rf "$work"' EXIT
-fail() { echo "FAILED: $1"; exit 1; }
-# Waits until the command after $1 succeeds; fails with the description $1 after
-# 60 s. The bound only ends a hanging test; no test asserts elapsed time.
-await() {
-  local n what=$1
-  shift
-  for ((n = 0; n < 600; n++)); do
-    "$@" && return 0
-    sleep 0.1
-  done
-  fail "$what"
-}
 # Prints a configuration of one queue with version $1.
 configuration() { jq ".version = $1" "$script_dir/../Platform/OneQueue.json"; }
 # True once version $1 is acknowledged by one of the control VMs.
@@ -56,7 +44,7 @@
 next=4
 for turn in 2 2 0 1; do
   old=${present[$turn]}
-  kill -KILL "${pid_of[control-$old]}"
+  kill_vm "control-$old"
   rm -r "$work/disk-control-$old"
   present[turn]=$next
   seeds=$(printf '"127.0.'"$net"'.%s:7400",' "${present[@]}")
--- a/Utilities/jobfleet.sh
+++ b/Utilities/jobfleet.sh
@@ -34,6 +34,20 @@
   for ((n = 1; n <= $2; n++)); do job_settings "entry-$n" $((100 + n)) entry; done
 }
 
+# Reports $1 and ends the script with status 1.
+fail() { echo "FAILED: $1"; exit 1; }
+# Waits until the command after $1 succeeds; fails with the description $1 after
+# 60 s. The bound only ends a hanging test; no test asserts elapsed time.
+await() {
+  local n what=$1
+  shift
+  for ((n = 0; n < 600; n++)); do
+    "$@" && return 0
+    sleep 0.1
+  done
+  fail "$what"
+}
+
 # Starts VM $1 and appends its output to its log file.
 start_vm() {
   local program=mimosashunt-gateway
@@ -49,6 +63,12 @@
   for ((n = 1; n <= $2; n++)); do start_vm "entry-$n"; done
 }
 
+# Kills the process of VM $1 and waits until it is gone.
+kill_vm() {
+  kill -KILL "${pid_of[$1]}"
+  wait "${pid_of[$1]}" 2>/dev/null
+}
+
 # Ends the processes started by this script, by process id.
 end_jobs() {
   [ ${#pids[@]} -eq 0 ] || kill -KILL "${pids[@]}" 2>/dev/null
