Fleet: the log tells a lost quorum from a lost election

Cause: 'role' said only whether a VM leads, so that a learner that got its vote and a voter that lost its leader wrote the same line; 'leads_no_more' did not say whom the leader had missed. Change: 'role' has the role, the one before and the number of voters; a leader that gives up for lack of a quorum logs 'quorum_lost' with the silent voters; gauges of learners and of voters that have been silent for a second. Result: Membership.ALeaderWithoutAQuorumNamesTheSilentVoters passes; no decision changes.

--- a/Source/Agreement/Replica.cpp
+++ b/Source/Agreement/Replica.cpp
@@ -116,10 +116,10 @@
   IsPumping = false;
   if (Log.role() == LastRole)
     return;
-  LastRole = Log.role();
+  RaftRole Previous = std::exchange(LastRole, Log.role());
   ListeningSince = Timers.now();
   if (RoleChangeHandler)
-    RoleChangeHandler();
+    RoleChangeHandler(Previous);
 }
 
 void Replica::drainOutput() {
--- a/Source/Agreement/Replica.h
+++ b/Source/Agreement/Replica.h
@@ -100,9 +100,9 @@
   /// The first disk error, or that of a stored snapshot that cannot be read;
   /// the replica stops writing and leading after one.
   std::error_code storeError() const { return StoreError; }
-  /// Sets the function that runs when the Raft role changes, after committed
-  /// entries have been applied.
-  void setRoleChangeHandler(std::function<void()> Handler) {
+  /// Sets the function that runs with the previous role when the Raft role has
+  /// changed, after committed entries have been applied.
+  void setRoleChangeHandler(std::function<void(RaftRole)> Handler) {
     RoleChangeHandler = std::move(Handler);
   }
   /// Sets the function that runs after this VM, as the leader, has begun a
@@ -152,7 +152,7 @@
   RaftRole LastRole = RaftRole::Follower;
   std::error_code StoreError;
   bool IsPumping = false;
-  std::function<void()> RoleChangeHandler;
+  std::function<void(RaftRole)> RoleChangeHandler;
   std::function<void(const PlannedMembershipChange &)> MembershipChangeHandler;
   TimerId JoinTimer = 0;
   TimerId MembershipPlanTimer = 0;
--- a/Source/Core/Raft.cpp
+++ b/Source/Core/Raft.cpp
@@ -21,6 +21,22 @@
 
 } // namespace
 
+const char *nameOf(RaftRole Role) {
+  switch (Role) {
+  case RaftRole::Learner:
+    return "learner";
+  case RaftRole::Follower:
+    return "follower";
+  case RaftRole::PreCandidate:
+    return "pre_candidate";
+  case RaftRole::Candidate:
+    return "candidate";
+  case RaftRole::Leader:
+    return "leader";
+  }
+  return "unknown";
+}
+
 bool Membership::isVoter(DiskId Disk) const { return contains(Voters, Disk); }
 bool Membership::isLearner(DiskId Disk) const {
   return contains(Learners, Disk);
@@ -173,6 +189,7 @@
   Role = RaftRole::Leader;
   Leader = Self;
   LeaderSince = Timers.now();
+  SilentVoters.clear();
   Peers.clear();
   LogEntry Noop;
   Noop.AtTerm = State.CurrentTerm;
@@ -200,8 +217,12 @@
   for (const auto &[Disk, Peer] : Peers)
     if (Peer.LastReplyAt && *Peer.LastReplyAt >= HeardSince)
       Heard.insert(Disk);
-  if (!isQuorum(Heard))
-    becomeFollower(State.CurrentTerm, NoDisk);
+  if (isQuorum(Heard))
+    return;
+  for (const Member &Voter : Members.Voters)
+    if (!Heard.contains(Voter.Disk))
+      SilentVoters.push_back(Voter);
+  becomeFollower(State.CurrentTerm, NoDisk);
 }
 
 void Raft::broadcastAppend(bool Repeat) {
--- a/Source/Core/Raft.h
+++ b/Source/Core/Raft.h
@@ -32,6 +32,9 @@
 /// term.
 enum class RaftRole { Learner, Follower, PreCandidate, Candidate, Leader };
 
+/// Returns the name used in logs.
+const char *nameOf(RaftRole Role);
+
 /// Whether a proposal was appended to the log, and if not, why.
 enum class ProposeResult { Accepted, NotLeader, ChangePending, InvalidChange };
 
@@ -109,6 +112,10 @@
   /// the leader only.
   bool isCaughtUp(DiskId Learner) const;
 
+  /// The voters that had been silent when this member last gave up the lead for
+  /// lack of a quorum; empty if it has led since or lost the lead otherwise.
+  const std::vector<Member> &silentVoters() const { return SilentVoters; }
+
   /// When this leader last received a reply from the member, if it did.
   std::optional<Instant> lastReplyTime(DiskId Disk) const;
 
@@ -195,6 +202,7 @@
   std::map<DiskId, Progress> Peers;
   LogIndex FirstOwnIndex = 0; // Index of this leader's first entry in its term.
   Instant LeaderSince;
+  std::vector<Member> SilentVoters;
   TimerId ElectionTimer = 0;
   TimerId HeartbeatTimer = 0;
 
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -53,6 +53,14 @@
   return std::chrono::duration_cast<milliseconds>(Since).count();
 }
 
+Json describeMembers(const std::vector<Member> &List) {
+  Json Result = Json::array();
+  for (const Member &Item : List)
+    Result.push_back(
+        {{"vm", Item.Vm}, {"address", Item.Address}, {"disk", Item.Disk}});
+  return Result;
+}
+
 HttpResponse cborResponse(std::string Body) {
   return {Ok, {{"content-type", "application/cbor"}}, std::move(Body)};
 }
@@ -117,7 +125,8 @@
                                 randomNumber(), *LogStore, Transport, *this);
   if (std::error_code Error = Group->storeError())
     return Error;
-  Group->setRoleChangeHandler([this] { onRoleChange(); });
+  Group->setRoleChangeHandler(
+      [this](RaftRole Previous) { onRoleChange(Previous); });
   Group->setMembershipChangeHandler(
       [this](const PlannedMembershipChange &Planned) {
         Events.log("membership_planned", {{"change", nameOf(Planned.Change)},
@@ -347,21 +356,22 @@
   LoggedMembers = Members;
   // Join requests go there, also if all seeds are gone.
   Transport.setMemberAddresses(memberAddresses());
-  auto Describe = [](const std::vector<Member> &List) {
-    Json Result = Json::array();
-    for (const Member &Item : List)
-      Result.push_back(
-          {{"vm", Item.Vm}, {"address", Item.Address}, {"disk", Item.Disk}});
-    return Result;
-  };
-  Events.log("membership", {{"voters", Describe(Members.Voters)},
-                            {"learners", Describe(Members.Learners)},
+  Events.log("membership", {{"voters", describeMembers(Members.Voters)},
+                            {"learners", describeMembers(Members.Learners)},
                             {"term", Group->log().term()}});
 }
 
-void SchedulerDaemon::onRoleChange() {
-  bool IsLeader = Group->log().role() == RaftRole::Leader;
-  Events.log("role", {{"leader", IsLeader}, {"term", Group->log().term()}});
+void SchedulerDaemon::onRoleChange(RaftRole Previous) {
+  const Raft &Log = Group->log();
+  bool IsLeader = Log.role() == RaftRole::Leader;
+  Events.log("role", {{"leader", IsLeader},
+                      {"name", nameOf(Log.role())},
+                      {"was", nameOf(Previous)},
+                      {"voters", Log.membership().Voters.size()},
+                      {"term", Log.term()}});
+  if (Previous == RaftRole::Leader && !Log.silentVoters().empty())
+    Events.log("quorum_lost", {{"silent", describeMembers(Log.silentVoters())},
+                               {"voters", Log.membership().Voters.size()}});
   LeadershipProposed = false;
   if (!IsLeader)
     endLeadership("role");
--- a/Source/Fleet/SchedulerDaemon.h
+++ b/Source/Fleet/SchedulerDaemon.h
@@ -71,7 +71,7 @@
   /// Does the pending work at the end of each event loop iteration. Returns
   /// true if there was any.
   bool onTurn();
-  void onRoleChange();
+  void onRoleChange(RaftRole Previous);
   /// Logs the group's members after each change of them in this VM's log.
   void logMembershipChange();
   /// Proposes the start of this VM's leadership. Scheduling begins once the
@@ -124,6 +124,7 @@
   /// never sent, so they are not used.
   void countUnusableWorkers();
   std::string metricsText();
+  size_t countSilentVoters() const;
   void updateSchedulerMetrics();
   void updateShareMetrics();
 
--- a/Source/Fleet/SchedulerMetrics.cpp
+++ b/Source/Fleet/SchedulerMetrics.cpp
@@ -6,6 +6,18 @@
 
 namespace mimosashunt {
 
+size_t SchedulerDaemon::countSilentVoters() const {
+  const Raft &Log = Group->log();
+  if (Log.role() != RaftRole::Leader)
+    return 0;
+  Instant HeardSince = Loop.timers().now() - seconds(1);
+  const std::vector<Member> &Voters = Log.membership().Voters;
+  return std::count_if(Voters.begin(), Voters.end(), [&](const Member &Voter) {
+    return Voter.Disk != Log.self() &&
+           Log.lastReplyTime(Voter.Disk).value_or(Instant()) < HeardSince;
+  });
+}
+
 std::string SchedulerDaemon::metricsText() {
   Registry.gauge("mimosashunt_leads", "1 while this VM leads").Set(isLeader());
   Registry.gauge("mimosashunt_term", "Term of the log")
@@ -14,6 +26,12 @@
       .Set(static_cast<double>(Group->appliedIndex()));
   Registry.gauge("mimosashunt_voters", "Voters of the group")
       .Set(static_cast<double>(Group->membership().Voters.size()));
+  Registry.gauge("mimosashunt_learners", "Learners of the group")
+      .Set(static_cast<double>(Group->membership().Learners.size()));
+  Registry
+      .gauge("mimosashunt_silent_voters",
+             "Voters that have not replied to this leader for a second")
+      .Set(static_cast<double>(countSilentVoters()));
   Registry
       .gauge("mimosashunt_configuration_version", "Version that is in force")
       .Set(static_cast<double>(State.configurationVersion()));
--- a/Tests/Jobs/MembershipTest.cpp
+++ b/Tests/Jobs/MembershipTest.cpp
@@ -173,6 +173,22 @@
   Vms.check("a slow start");
 }
 
+// Guards against logs that do not tell a lost majority from a lost election.
+TEST(Membership, ALeaderWithoutAQuorumNamesTheSilentVoters) {
+  ChangingGroup Vms(3);
+  ControlVm *Deposed = Vms.Group.leader();
+  ASSERT_NE(Deposed, nullptr);
+  std::vector<Member> Others = Deposed->Node->membership().Voters;
+  std::erase_if(Others,
+                [&](const Member &M) { return M.Disk == Deposed->Disk; });
+  Vms.Group.IsolatedVms.insert(Deposed->Address);
+  Vms.Group.run(seconds(2));
+  EXPECT_EQ(Deposed->Node->log().silentVoters(), Others);
+  Vms.Group.IsolatedVms.clear();
+  Vms.check("a cut");
+  EXPECT_TRUE(Vms.Group.leader()->Node->log().silentVoters().empty());
+}
+
 // Guards against members that are gone and still count, whatever was lost
 // before: the next loss must be borne.
 RC_GTEST_PROP(Membership, EachLossIsBorneAfterAnyOthers, ()) {
