Core: the route path changes its members by the same rules as the job path

Change: MembershipChanger holds what a leader knows of the members, plans with MembershipPlanner and proposes the change; Replica and ControlCore both use it. A member without a leader asks to join again in both. Evidence: Agreement.ALearnerThatLosesItsDiskDoesNotStayListed and .ALeaderThatWasCutOffAddsNoDiskThatIsGone failed on the code before.

--- a/Source/Agreement/Replica.cpp
+++ b/Source/Agreement/Replica.cpp
@@ -1,33 +1,9 @@
 #include "Agreement/Replica.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace mimosashunt {
 
-namespace {
-
-/// Carries out a planned change of the membership.
-class MembershipChanger {
-public:
-  explicit MembershipChanger(Raft &Log) : Log(Log) {}
-
-  ProposeResult operator()(const AddLearner &Change) const {
-    return Log.addLearner(Change.New);
-  }
-  ProposeResult operator()(const PromoteLearner &Change) const {
-    return Log.promoteLearner(Change.Disk);
-  }
-  ProposeResult operator()(const RemoveMember &Change) const {
-    return Log.removeMember(Change.Disk);
-  }
-
-private:
-  Raft &Log;
-};
-
-} // namespace
-
 const char *nameOf(ProposalOutcome Outcome) {
   switch (Outcome) {
   case ProposalOutcome::Committed:
@@ -46,8 +22,8 @@
                  ReplicatedState &State)
     : Self(Self), Options(Options), Timers(Timers), Store(Store),
       Transport(Transport), State(State),
-      Log(Self.Disk, Durable, Options.Raft, Timers, Seed), LastRole(Log.role()),
-      ListeningSince(Timers.now()), LastPlannedAt(Timers.now()) {
+      Log(Self.Disk, Durable, Options.Raft, Timers, Seed),
+      Changer(Options.Membership, Log, Timers), LastRole(Log.role()) {
   if (Durable.Base.Index > 0) {
     StoreError = State.restore(Durable.Base.Data);
     LastApplied = Durable.Base.Index;
@@ -117,7 +93,6 @@
   if (Log.role() == LastRole)
     return;
   RaftRole Previous = std::exchange(LastRole, Log.role());
-  ListeningSince = Timers.now();
   if (RoleChangeHandler)
     RoleChangeHandler(Previous);
 }
@@ -193,8 +168,7 @@
 }
 
 void Replica::handleJoinRequest(const Member &Candidate) {
-  if (Candidate.Disk != NoDisk)
-    JoinRequests[Candidate.Address] = {Candidate, Timers.now()};
+  Changer.handleJoinRequest(Candidate);
 }
 
 void Replica::requestToJoin() {
@@ -208,44 +182,11 @@
   Transport.sendJoinRequest(Self, {});
 }
 
-void Replica::forgetOldJoinRequests() {
-  Instant Since = Timers.now() - Options.Membership.LearnerLossTimeout;
-  std::erase_if(JoinRequests, [&](const auto &Entry) {
-    return Entry.second.ReceivedAt < Since;
-  });
-}
-
-MembershipView Replica::membershipView() const {
-  MembershipView View;
-  View.Self = Self.Disk;
-  View.Members = Log.membership();
-  View.JoinRequests = JoinRequests;
-  View.ListeningSince = ListeningSince;
-  View.Now = Timers.now();
-  for (const auto *List : {&View.Members.Voters, &View.Members.Learners})
-    for (const Member &Item : *List)
-      View.Contacts[Item.Disk] = {Log.lastReplyTime(Item.Disk),
-                                  Log.isCaughtUp(Item.Disk)};
-  return View;
-}
-
 void Replica::changeMembership() {
-  Duration SincePlanned =
-      Timers.now() - std::exchange(LastPlannedAt, Timers.now());
-  // What others sent while this process was paused has not been read yet.
-  if (SincePlanned > Options.Membership.LossTimeout / 2)
-    ListeningSince = Timers.now();
-  forgetOldJoinRequests();
-  if (!isLeader() || !Log.isMembershipCommitted())
-    return;
-  std::optional<PlannedMembershipChange> Planned =
-      planMembership(membershipView(), Options.Membership);
-  if (!Planned)
-    return;
-  bool Begun = std::visit(MembershipChanger(Log), Planned->Change) ==
-               ProposeResult::Accepted;
+  std::optional<PlannedMembershipChange> Begun =
+      Changer.beginNextChange(isLeader());
   if (Begun && MembershipChangeHandler)
-    MembershipChangeHandler(*Planned);
+    MembershipChangeHandler(*Begun);
 }
 
 } // namespace mimosashunt
--- a/Source/Agreement/Replica.h
+++ b/Source/Agreement/Replica.h
@@ -8,7 +8,7 @@
 
 #include "Agreement/GroupBootstrap.h"
 #include "Core/ControlPorts.h"
-#include "Core/MembershipPlanner.h"
+#include "Core/MembershipChanger.h"
 #include "Core/Raft.h"
 
 #include <functional>
@@ -130,9 +130,6 @@
   void abandonPendingProposals();
   void compactIfNeeded();
   void changeMembership();
-  MembershipView membershipView() const;
-  /// Forgets requests that no plan depends on any more.
-  void forgetOldJoinRequests();
   void requestToJoin();
   std::string addressOf(DiskId Disk) const;
 
@@ -143,12 +140,12 @@
   RaftTransport &Transport;
   ReplicatedState &State;
   Raft Log;
+  MembershipChanger Changer;
 
   std::vector<QueuedProposal> QueuedProposals;
   std::map<LogIndex, PendingProposal> PendingProposals;
   LogIndex LastApplied = 0;
   size_t BytesSinceSnapshot = 0;
-  std::map<std::string, JoinRequest> JoinRequests; // By address.
   RaftRole LastRole = RaftRole::Follower;
   std::error_code StoreError;
   bool IsPumping = false;
@@ -156,10 +153,6 @@
   std::function<void(const PlannedMembershipChange &)> MembershipChangeHandler;
   TimerId JoinTimer = 0;
   TimerId MembershipPlanTimer = 0;
-  /// Since when this VM has listened to the others without a pause, in its
-  /// present role.
-  Instant ListeningSince;
-  Instant LastPlannedAt;
 };
 
 } // namespace mimosashunt
--- a/Source/Core/ControlCore.cpp
+++ b/Source/Core/ControlCore.cpp
@@ -21,6 +21,7 @@
     : Self(std::move(Self)), ConfiguredVms(std::move(ConfiguredVms)),
       Options(Options), Timers(Timers), Store(Store), Transport(Transport),
       Platform(Platform), RaftNode(Disk, Durable, Options.Raft, Timers, Seed),
+      Changer(Options.Membership, RaftNode, Timers),
       LatestStatus(Timers, Options.MaxReportAge), Waves(Options.Waves),
       Keepers(Options.EntryLeaseDuration + KeeperLossMargin) {
   if (Durable.Base.Index > 0)
@@ -201,6 +202,7 @@
 
 void ControlCore::onPlanTimer() {
   processRaftOutput();
+  changeMembership();
   if (!RaftNode.holdsLease()) {
     if (RaftNode.role() != RaftRole::Leader)
       LatestStatus.clear();
@@ -208,7 +210,6 @@
   }
   if (!LeaderSince)
     LeaderSince = Timers.now();
-  planMembership();
   if (!hasAppliedPlans())
     return;
   Expiring.clear();
@@ -221,15 +222,19 @@
 
 void ControlCore::handleJoinRequest(const Member &New) {
   const ControlVm *Vm = findConfiguredVm(New.Vm);
-  if (Vm == nullptr || New.Disk == NoDisk)
+  if (Vm == nullptr)
     return;
-  JoinRequests[New.Vm] = {New.Disk, New.Vm, Vm->Address};
+  Changer.handleJoinRequest({New.Disk, New.Vm, Vm->Address});
 }
 
 void ControlCore::requestJoin() {
   processRaftOutput();
   const Membership &Members = RaftNode.membership();
-  if (Members.isVoter(RaftNode.self()) || Members.isLearner(RaftNode.self()))
+  bool IsMember =
+      Members.isVoter(RaftNode.self()) || Members.isLearner(RaftNode.self());
+  // One that was removed while it was away is not told; without a leader it
+  // asks again. Requests of present members change nothing.
+  if (IsMember && RaftNode.leader() != NoDisk)
     return;
   for (const ControlVm &Other : ConfiguredVms)
     if (Other.Vm != Self.Vm)
@@ -237,31 +242,9 @@
                                 Other.Address);
 }
 
-void ControlCore::planMembership() {
-  const Membership Members = RaftNode.membership();
-  for (const Member &Learner : Members.Learners) {
-    if (!RaftNode.isCaughtUp(Learner.Disk))
-      continue;
-    // Remove the VM's earlier disk first. The learner has the log by then, so
-    // the group lacks one member only for the duration of two commits.
-    for (const Member &Voter : Members.Voters) {
-      if (Voter.Vm != Learner.Vm)
-        continue;
-      RaftNode.removeMember(Voter.Disk);
-      processRaftOutput();
-      return;
-    }
-    RaftNode.promoteLearner(Learner.Disk);
+void ControlCore::changeMembership() {
+  if (Changer.beginNextChange(RaftNode.holdsLease() && !StoreError))
     processRaftOutput();
-    return;
-  }
-  for (const auto &[Vm, NewMember] : JoinRequests) {
-    if (Members.isVoter(NewMember.Disk) || Members.isLearner(NewMember.Disk))
-      continue;
-    RaftNode.addLearner(NewMember);
-    processRaftOutput();
-    return;
-  }
 }
 
 void ControlCore::planWaves() {
--- a/Source/Core/ControlCore.h
+++ b/Source/Core/ControlCore.h
@@ -9,6 +9,7 @@
 #include "Core/FleetState.h"
 #include "Core/FleetStatus.h"
 #include "Core/KeeperPlanner.h"
+#include "Core/MembershipChanger.h"
 #include "Core/Raft.h"
 #include "Core/SlicePlanner.h"
 #include "Core/WavePlanner.h"
@@ -34,6 +35,7 @@
 /// Timing and policies of the control core.
 struct ControlOptions {
   RaftOptions Raft;
+  MembershipOptions Membership{.JoinRequestLifetime = milliseconds(1500)};
   /// How long an entry VM may use its configuration without renewal. A
   /// withdrawn key stops working everywhere within this time.
   Duration EntryLeaseDuration = seconds(3);
@@ -143,8 +145,8 @@
   void failPendingCommands();
   void compactLogIfNeeded();
   void onPlanTimer();
-  /// Adds, promotes or replaces at most one group member.
-  void planMembership();
+  /// Adds, promotes or removes at most one group member.
+  void changeMembership();
   void planWaves();
   /// Orders drains and reboots from the platform and records finished drains.
   void advanceDrains();
@@ -172,6 +174,7 @@
   PlatformPort &Platform;
 
   Raft RaftNode;
+  MembershipChanger Changer;
   FleetState State;
   FleetStatus LatestStatus;
   WavePlanner Waves;
@@ -186,7 +189,6 @@
   std::optional<Instant> LeaderSince;
   std::vector<WaveObstacle> Obstacles;
   std::map<std::pair<std::string, std::string>, uint32_t> SliceTargets;
-  std::map<std::string, Member> JoinRequests; // By VM.
   // Runs whose expiry or loss as a keeper is in flight. They get no lease
   // meanwhile, because what they hold may be granted to others as soon as the
   // command commits.
--- a/Tests/Core/AgreementTest.cpp
+++ b/Tests/Core/AgreementTest.cpp
@@ -183,6 +183,75 @@
   }
 }
 
+/// True if the leader lists the present disk of each control VM as a voter, and
+/// no other disk.
+bool hasNoLostMembers(VirtualFleet &Fleet, size_t Controls) {
+  auto Leader = Fleet.leader();
+  if (!Leader || !Fleet.disksAreMembers(*Leader))
+    return false;
+  const Membership &Members = Fleet.control(*Leader)->raft().membership();
+  return Members.Voters.size() == Controls && Members.Learners.empty();
+}
+
+// Guards against a disk that was lost before it got a vote and stays listed,
+// and is sent snapshots, for good.
+TEST(Agreement, ALearnerThatLosesItsDiskDoesNotStayListed) {
+  VirtualFleet Fleet({});
+  ASSERT_TRUE(Fleet.start());
+  size_t Leader = *Fleet.leader();
+  size_t Lost = (Leader + 1) % 3;
+  Fleet.crashControl(Lost, /*LoseDisk=*/true);
+  Fleet.restartControl(Lost);
+  auto IsLearnerListed = [&] {
+    return !Fleet.control(Leader)->raft().membership().Learners.empty();
+  };
+  ASSERT_TRUE(Fleet.runUntil(IsLearnerListed, seconds(10)));
+  Fleet.crashControl(Lost, /*LoseDisk=*/true);
+  Fleet.restartControl(Lost);
+  EXPECT_TRUE(
+      Fleet.runUntil([&] { return hasNoLostMembers(Fleet, 3); }, seconds(60)));
+}
+
+// Guards against a request to join that is answered long after its disk was
+// lost, by a leader that was cut off meanwhile.
+TEST(Agreement, ALeaderThatWasCutOffAddsNoDiskThatIsGone) {
+  constexpr size_t Count = 5;
+  constexpr size_t CutOff = 2; // Alone in its data centre.
+  FleetShape Shape;
+  Shape.Controls = Count;
+  VirtualFleet Fleet(Shape);
+  ASSERT_TRUE(Fleet.start());
+  size_t Lost = Fleet.leader() == 4 ? 3 : 4;
+  auto LoseDisk = [&] {
+    Fleet.crashControl(Lost, /*LoseDisk=*/true);
+    Fleet.restartControl(Lost);
+    auto IsReplaced = [&] {
+      auto Leader = Fleet.leader();
+      if (!Leader)
+        return false;
+      const Membership &Members = Fleet.control(*Leader)->raft().membership();
+      DiskId New = Fleet.control(Lost)->raft().self();
+      return Members.isVoter(New) || Members.isLearner(New);
+    };
+    return Fleet.runUntil(IsReplaced, seconds(20));
+  };
+  ASSERT_TRUE(LoseDisk());
+  Fleet.network().cut(CutOff, seconds(20));
+  ASSERT_TRUE(LoseDisk());
+  Fleet.run(seconds(22));
+  // Whoever leads is stopped until it is the one that was cut off.
+  for (int Attempt = 0; Attempt < 40 && Fleet.leader() != CutOff; ++Attempt) {
+    size_t Leader = Fleet.leader().value_or(Lost);
+    Fleet.crashControl(Leader, /*LoseDisk=*/false);
+    Fleet.run(seconds(2));
+    Fleet.restartControl(Leader);
+    Fleet.run(seconds(1));
+  }
+  ASSERT_EQ(Fleet.leader(), CutOff);
+  EXPECT_TRUE(Fleet.runUntil([&] { return hasNoLostMembers(Fleet, Count); },
+                             seconds(60)));
+}
+
 RC_GTEST_PROP(Agreement, AnIsolatedVoterDoesNotUnseatTheLeader, ()) {
   FleetShape Shape = arbitraryShape();
   VirtualFleet Fleet(Shape);
