Fleet: an old list of members does not hide the leader from an entry VM

Cause: LeaderLink took the list of members from any answer in place of the one it had. The returned VM names the members of its old disk, all gone. Class: what is gone still counts. Change: the leader's list replaces the known one; lists of others only add to it. Evidence: LeaderLink.AnOldMemberListDoesNotHideTheMembersOfTheLeader failed before (the leader is not asked again in 20 s) and passes.

--- a/Source/Fleet/LeaderLink.cpp
+++ b/Source/Fleet/LeaderLink.cpp
@@ -102,8 +102,7 @@
     }
     return selectNextCandidate();
   }
-  if (!Reply.MemberAddresses.empty())
-    MemberAddresses = Reply.MemberAddresses;
+  learnMembers(Reply);
   if (!Reply.IsLeader) {
     if (Leader == Address)
       Leader.clear();
@@ -117,6 +116,15 @@
   fetchConfiguration(Reply.Version);
 }
 
+void LeaderLink::learnMembers(const SyncReply &Reply) {
+  if (Reply.IsLeader)
+    MemberAddresses.clear();
+  for (const std::string &Member : Reply.MemberAddresses)
+    if (std::find(MemberAddresses.begin(), MemberAddresses.end(), Member) ==
+        MemberAddresses.end())
+      MemberAddresses.push_back(Member);
+}
+
 void LeaderLink::followLeaderHint(const SyncReply &Reply,
                                   const std::string &Address) {
   bool HasHint = !Reply.Leader.empty() && Reply.Leader != Address;
--- a/Source/Fleet/LeaderLink.h
+++ b/Source/Fleet/LeaderLink.h
@@ -47,6 +47,9 @@
   /// Sends a sync request to the candidate unless one is in flight.
   void sync();
   void handleSyncResult(const std::string &Address, const HttpResult &Result);
+  /// The leader's list of members replaces the known one. Lists of others may
+  /// be of an old disk, so they only add to it.
+  void learnMembers(const SyncReply &Reply);
   void followLeaderHint(const SyncReply &Reply, const std::string &Address);
   void fetchConfiguration(uint64_t LeaderVersion);
   void handleConfigurationResult(const HttpResult &Result);
--- a/Tests/Fleet/LeaderLinkTest.cpp
+++ b/Tests/Fleet/LeaderLinkTest.cpp
@@ -127,6 +127,31 @@
   EXPECT_LE(First.Syncs + Second.Syncs, 3 * (Ticks + 2));
 }
 
+// Guards against an entry VM that finds no leader any more after a control VM
+// with an old disk has named only members that are gone.
+TEST(LeaderLink, AnOldMemberListDoesNotHideTheMembersOfTheLeader) {
+  LinkHarness Harness;
+  FakeControlVm Present(Harness.Loop, milliseconds(1));
+  Present.Reply.IsLeader = true;
+  Present.Reply.Version = 7;
+  Present.Reply.MemberAddresses = {Present.Address.text()};
+  FakeControlVm Old(Harness.Loop, milliseconds(1));
+  Old.Reply.MemberAddresses = {Old.Address.text()};
+  LeaderLink Link(Harness.Loop, "entry", {Present.Address.text()},
+                  Harness.Reader, Harness.Events);
+  Harness.runUntil([&] { return Link.isUpToDate(); });
+  ASSERT_TRUE(Link.isUpToDate());
+  // For a moment nobody leads, and the settings name only the old one.
+  Link.setSeeds({Old.Address.text()});
+  Present.Reply.IsLeader = false;
+  Harness.runUntil([&] { return Old.Syncs >= 2; });
+  Present.Reply.IsLeader = true;
+  int Before = Present.Syncs;
+  Harness.runUntil([&] { return Present.Syncs > Before + 1; });
+  EXPECT_GT(Present.Syncs, Before + 1);
+  EXPECT_TRUE(Link.isUpToDate());
+}
+
 TEST(Compression, DecompressesOnlyCompressedText) {
   std::string Text(200000, 'a');
   CompressedText Compressed = compressText(Text);
