--- a/Tests/Core/AgreementTest.cpp
+++ b/Tests/Core/AgreementTest.cpp
@@ -236,6 +236,7 @@
     return Fleet.runUntil(IsReplaced, seconds(20));
   };
   ASSERT_TRUE(LoseDisk());
+  DiskId Gone = Fleet.control(Lost)->raft().self();
   Fleet.network().cut(CutOff, seconds(20));
   ASSERT_TRUE(LoseDisk());
   Fleet.run(seconds(22));
@@ -248,6 +249,10 @@
     Fleet.run(seconds(1));
   }
   ASSERT_EQ(Fleet.leader(), CutOff);
+  auto IsGoneListed = [&] {
+    return Fleet.control(CutOff)->raft().membership().isLearner(Gone);
+  };
+  EXPECT_FALSE(Fleet.runUntil(IsGoneListed, seconds(10)));
   EXPECT_TRUE(Fleet.runUntil([&] { return hasNoLostMembers(Fleet, Count); },
                              seconds(60)));
 }
--- a/Tests/Processes/ReplacedUnderLoad.sh
+++ b/Tests/Processes/ReplacedUnderLoad.sh
@@ -40,6 +40,17 @@
   for n in "${present[@]}"; do [ "$(upload "$n" "$1")" = 200 ] && return 0; done
   return 1
 }
+# True once a control VM has refused the configuration in file $1 as invalid; ends
+# the test if one accepts it.
+is_refused() {
+  local n status
+  for n in "${present[@]}"; do
+    status=$(upload "$n" "$1")
+    [ "$status" != 200 ] || fail "control VM $n accepted an invalid configuration"
+    [ "$status" = 400 ] && return 0
+  done
+  return 1
+}
 # Changes the configuration to version $1 with the jq arguments that follow.
 change_configuration() {
   await "version $1 can be made" store_current
@@ -114,7 +125,7 @@
   version=$((version + 1))
   change_configuration $version .
   jq '.version = 1000 | .routes[0].service = "unknown"' "$work/current.json" >"$work/invalid.json"
-  [ "$(upload "${present[0]}" "$work/invalid.json")" != 200 ] || fail "an invalid configuration was accepted"
+  await "an invalid configuration is refused" is_refused "$work/invalid.json"
   sleep 2
   write_settings $next
   sleep 1
