Fleet: the log tells when a control VM compacts its log

No logic changes.

Replica.* passed (10 tests), with EachCompactionIsReportedWithItsIndexAndSize, which was not run on the code before: the handler is new.

--- a/Source/Agreement/Replica.cpp
+++ b/Source/Agreement/Replica.cpp
@@ -147,7 +147,10 @@
       LastApplied < Log.firstIndex())
     return;
   BytesSinceSnapshot = 0;
-  StoreError = Store.compact(Log.compact(LastApplied, State.snapshot()));
+  Snapshot Base = Log.compact(LastApplied, State.snapshot());
+  StoreError = Store.compact(Base);
+  if (CompactionHandler && !StoreError)
+    CompactionHandler(Base.Index, Base.Data.size());
 }
 
 bool Replica::isLeader() const { return Log.holdsLease() && !StoreError; }
--- a/Source/Agreement/Replica.h
+++ b/Source/Agreement/Replica.h
@@ -111,6 +111,11 @@
       std::function<void(const PlannedMembershipChange &)> Handler) {
     MembershipChangeHandler = std::move(Handler);
   }
+  /// Sets the function that runs after the log was compacted, with the index of
+  /// the last entry that the snapshot covers and the snapshot's size in bytes.
+  void setCompactionHandler(std::function<void(LogIndex, size_t)> Handler) {
+    CompactionHandler = std::move(Handler);
+  }
 
 private:
   /// A command that is proposed at the end of this turn.
@@ -151,6 +156,7 @@
   bool IsPumping = false;
   std::function<void(RaftRole)> RoleChangeHandler;
   std::function<void(const PlannedMembershipChange &)> MembershipChangeHandler;
+  std::function<void(LogIndex, size_t)> CompactionHandler;
   TimerId JoinTimer = 0;
   TimerId MembershipPlanTimer = 0;
 };
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -133,6 +133,9 @@
                                           {"disk", diskOf(Planned.Change)},
                                           {"why", nameOf(Planned.Reason)}});
       });
+  Group->setCompactionHandler([this](LogIndex Index, size_t Bytes) {
+    Events.log("log_compacted", {{"index", Index}, {"bytes", Bytes}});
+  });
   refreshConfiguration();
   Events.log("started", {{"disk", Folder.disk()},
                          {"entries", Durable.Entries.size()},
--- a/Tests/Jobs/ReplicaTest.cpp
+++ b/Tests/Jobs/ReplicaTest.cpp
@@ -121,6 +121,29 @@
   EXPECT_EQ(NewVm.State.AppliedWords.size(), 60U);
 }
 
+// A pause for the whole state's snapshot could not be told from other pauses.
+TEST(Replica, EachCompactionIsReportedWithItsIndexAndSize) {
+  VirtualGroup Group(ThreeSeeds);
+  Group.addSeeds();
+  Group.run(seconds(3));
+  ASSERT_NE(Group.leader(), nullptr);
+  Replica &Leader = *Group.leader()->Node;
+  std::vector<std::pair<LogIndex, size_t>> Reported;
+  Leader.setCompactionHandler([&](LogIndex Index, size_t Bytes) {
+    Reported.emplace_back(Index, Bytes);
+  });
+  size_t WordBytes = 0;
+  for (int I = 0; I < 60; ++I) {
+    std::string Word = std::string(200, 'x') + std::to_string(I);
+    WordBytes += Word.size();
+    ASSERT_TRUE(Group.propose(Word));
+  }
+  ASSERT_GT(Reported.size(), 1U);
+  EXPECT_EQ(Reported.back().first + 1, Leader.log().firstIndex());
+  EXPECT_GT(Reported.back().second, Reported.front().second);
+  EXPECT_LE(Reported.back().second, WordBytes + 60);
+}
+
 TEST(Founding, AnExistingGroupTakesPrecedenceOverCollectedOffers) {
   Member A{10, "a:1", "a:1"};
   Member B{11, "b:1", "b:1"};
