--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -10,11 +10,13 @@
 start_at=$(($(now_ms) + 3600000))
 
 # The traffic: 16 submissions of one tenant, two a second; each is sent again,
-# up to four times, while it is not accepted.
+# up to four times, while it is not accepted. It ends after 40 s at the latest.
 (
+  last=$(($(now_ms) + 40000))
   for id in $(seq 10 25 | sed 's/^/00000000000000/'); do
     body='{"spec":"ms=200","steps":[{"count":1,"cpu":500,"mem-mb":256,"estimate-ms":200}],"repeat-count":'$occurrences',"start-at-ms":'$start_at',"interval-ms":60000}'
     for n in 1 2 3 4 5; do
+      [ "$(now_ms)" -lt $last ] || break 2
       answer=$(requester POST $id "$body")
       say "POST $id, repeat-count $occurrences: $answer" >/dev/null
       [[ $answer == 2* ]] && { echo key-of-tenant-1 $id >>"$accepted"; break; }
