Jobs: memory follows what is open, within a budget

Cause: JobStore and JobProgress laid out each task of each occurrence when the job was accepted, 26 MB on a leader for each of these jobs, and nothing compared what was accepted with the memory of the VM. Wide jobs without recurrence do the same.

Change: TaskRecords keeps the ranges of occurrences that have ended and the records of those with a result; the leader opens occurrences when they are due, 64 of a job at once at most.

WorkBudget prices each job before it is proposed: half of the setting memoryMb, by the organisations' weights. What has no room now is refused as not run with a time to come back, what never fits with 400 and the limit. Why it works: what is committed is bounded in bytes, and its largest part no longer depends on the recurrence.

--- a/Source/Codec/Cbor.cpp
+++ b/Source/Codec/Cbor.cpp
@@ -169,6 +169,12 @@
 
 void CborReader::skip() { skipNested(0); }
 
+std::string_view CborReader::encoded() {
+  std::string_view Before = Rest;
+  skip();
+  return Before.substr(0, Before.size() - Rest.size());
+}
+
 void CborReader::skipNested(int Depth) {
   // More than any message has; bounds the stack that a malformed one takes.
   constexpr int MaxDepth = 64;
--- a/Source/Codec/Cbor.h
+++ b/Source/Codec/Cbor.h
@@ -84,6 +84,8 @@
   size_t map();
   /// Skips one value with all that it contains.
   void skip();
+  /// Skips one value and returns its bytes.
+  std::string_view encoded();
   bool isAtEnd() const { return Rest.empty(); }
 
 private:
--- a/Source/Fleet/FleetSettings.cpp
+++ b/Source/Fleet/FleetSettings.cpp
@@ -103,6 +103,7 @@
                   "their weights")},
       {"localityWait", flagSchema("true to let tasks wait for capacity near "
                                   "their data while that pays")},
+      {"memoryMb", nonNegativeNumberSchema("memory that this daemon may use")},
       {"remoteFactor",
        {{"type", "number"},
         {"minimum", 1},
@@ -151,6 +152,8 @@
       In.value("organisationShares", Result.OrganisationShares);
   Result.LocalityWait = In.value("localityWait", Result.LocalityWait);
   Result.RemoteFactor = In.value("remoteFactor", Result.RemoteFactor);
+  Result.MemoryMb = static_cast<int64_t>(
+      In.value("memoryMb", static_cast<double>(Result.MemoryMb)));
   bool IsControl = Result.ControlListen.has_value();
   if (IsControl && Result.DataFolder.empty()) {
     Diagnostic = "key 'dataFolder': missing; expected: a folder on this control"
--- a/Source/Fleet/FleetSettings.h
+++ b/Source/Fleet/FleetSettings.h
@@ -63,6 +63,8 @@
   bool LocalityWait = false;
   /// How many times as long a task runs far from its data.
   double RemoteFactor = 1;
+  /// Memory that this daemon may use, in MB.
+  int64_t MemoryMb = 128;
 
   /// The seeds' internal addresses: their IP addresses with this VM's internal
   /// port, which is the same on each VM.
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -31,6 +31,8 @@
 constexpr size_t MaxLoggedPathBytes = 200;
 /// Jobs are refused as not run while more proposals than this await commitment.
 constexpr size_t MaxPendingProposals = 4000;
+/// The rest is for snapshots, connections, the log and what has ended.
+constexpr int64_t WorkPercentOfMemory = 50;
 /// Marks a request that another control VM has forwarded, so that it is not
 /// forwarded again.
 const char *const ForwardedHeader = "x-mimosashunt-passed-on";
@@ -416,6 +418,10 @@
       Options.JobOrderPolicy = SharedValue{};
     Options.WaitsForLocality = Settings.LocalityWait;
     Options.RemoteFactor = Settings.RemoteFactor;
+    constexpr int64_t BytesPerMb = 1 << 20;
+    constexpr int64_t Percent = 100;
+    Options.WorkBytes =
+        Settings.MemoryMb * BytesPerMb * WorkPercentOfMemory / Percent;
     MaintenanceOptions WaveOptions;
     WaveOptions.Takeover = {Settings.OrderGracePeriod + milliseconds(100),
                             Settings.PlatformChecksTokens};
@@ -750,6 +756,8 @@
   Command.AcceptedAt = wallNow();
   Command.Spec = Request.Spec;
   Command.RecordsPlacements = Settings.RecordPlacements;
+  if (!admitJob(Command, Respond))
+    return;
   Command.IsBeyondRate = !Scheduler->takeRateToken(Command);
   propose(Command, [this, Respond, Job = Request.Job,
                     Queue = Request.Queue](ProposalOutcome Outcome) {
@@ -760,12 +768,49 @@
       Result.Outcome = JobRequestOutcome::NotRun;
       Result.RetryAfterMs = LeaderChangeRetryMs;
     }
+    if (Outcome != ProposalOutcome::Committed && Scheduler)
+      Scheduler->onJobNotAccepted(Job);
     Events.log("job_submitted",
                {{"job", Job}, {"queue", Queue}, {"outcome", nameOf(Outcome)}});
     Respond(Result);
   });
 }
 
+bool SchedulerDaemon::admitJob(const AcceptJob &Job,
+                               const ResponseHandler &Respond) {
+  Admission Decision = Scheduler->admitJob(Job);
+  if (const auto *Refusal = std::get_if<TooLarge>(&Decision)) {
+    Events.log("job_too_large", {{"job", Job.Job},
+                                 {"organisation", Job.Organisation},
+                                 {"needed_bytes", Refusal->NeededBytes},
+                                 {"max_bytes", Refusal->MaxBytes}});
+    Respond({JobRequestOutcome::TooLarge,
+             JobState::Queued,
+             0,
+             {},
+             "the job takes " + std::to_string(Refusal->NeededBytes) +
+                 " bytes of memory, more than its organisation may use (" +
+                 std::to_string(Refusal->MaxBytes) +
+                 "); submit it as several jobs"});
+    return false;
+  }
+  if (const auto *Refusal = std::get_if<NoRoomNow>(&Decision)) {
+    Events.log("job_without_memory",
+               {{"job", Job.Job},
+                {"organisation", Job.Organisation},
+                {"needed_bytes", Refusal->NeededBytes},
+                {"free_bytes", Refusal->FreeBytes},
+                {"used_bytes", Scheduler->workBudget().usedBytes()}});
+    Respond({JobRequestOutcome::NotRun,
+             JobState::Queued,
+             toMillis(Scheduler->retryTime(Job.Job)),
+             {},
+             {}});
+    return false;
+  }
+  return true;
+}
+
 void SchedulerDaemon::cancelJob(const JobRequest &Request,
                                 const ResponseHandler &Respond) {
   const JobRecord *Record = State.findJob(Request.Job);
--- a/Source/Fleet/SchedulerDaemon.h
+++ b/Source/Fleet/SchedulerDaemon.h
@@ -111,6 +111,9 @@
   void handleJobRequest(const JobRequest &Request,
                         const ResponseHandler &Respond);
   void submitJob(const JobRequest &Request, const ResponseHandler &Respond);
+  /// Reserves memory for the job. Refuses it and returns false if there is not
+  /// enough.
+  bool admitJob(const AcceptJob &Job, const ResponseHandler &Respond);
   void cancelJob(const JobRequest &Request, const ResponseHandler &Respond);
   void propose(const JobCommand &Command, Replica::ProposalCallback Done);
   std::vector<std::string> memberAddresses() const;
@@ -127,6 +130,7 @@
   size_t countSilentVoters() const;
   void updateSchedulerMetrics();
   void updateShareMetrics();
+  void updateMemoryMetrics();
 
   const FleetSettings Settings;
   const std::string SettingsFile;
--- a/Source/Fleet/SchedulerMetrics.cpp
+++ b/Source/Fleet/SchedulerMetrics.cpp
@@ -86,6 +86,25 @@
   }
 }
 
+void SchedulerDaemon::updateMemoryMetrics() {
+  const WorkBudget &Budget = Scheduler->workBudget();
+  Registry
+      .gauge("mimosashunt_work_memory_limit_bytes",
+             "Memory for jobs that have not ended")
+      .Set(static_cast<double>(Budget.bytes()));
+  Registry
+      .gauge("mimosashunt_work_memory_used_bytes",
+             "Memory that jobs that have not ended take at most")
+      .Set(static_cast<double>(Budget.usedBytes()));
+  for (const auto &[Organisation, Bytes] : Budget.usedByOrganisation())
+    Registry
+        .gauge("mimosashunt_organisation_work_memory_bytes",
+               "Memory that the organisation's jobs that have not ended take "
+               "at most",
+               {{"organisation", Organisation}})
+        .Set(static_cast<double>(Bytes));
+}
+
 void SchedulerDaemon::updateSchedulerMetrics() {
   const DispatcherCounters &Counters = Scheduler->counters();
   auto SetGauge = [this](const char *Name, const char *Help, uint64_t Value) {
@@ -195,6 +214,7 @@
         .Set(static_cast<double>(Count));
   if (Scheduler->usesShares())
     updateShareMetrics();
+  updateMemoryMetrics();
   for (const QueueConfiguration &Queue : Configuration.Queues)
     Registry
         .gauge("mimosashunt_jobs_waiting", "Jobs that have not begun",
--- a/Source/Jobs/JobTypes.cpp
+++ b/Source/Jobs/JobTypes.cpp
@@ -47,6 +47,8 @@
     return "uncertain";
   case JobRequestOutcome::NotLeader:
     return "not_leader";
+  case JobRequestOutcome::TooLarge:
+    return "too_large";
   }
   return "unknown";
 }
--- a/Source/Jobs/JobTypes.h
+++ b/Source/Jobs/JobTypes.h
@@ -194,6 +194,7 @@
   Uncertain, // The job may have been accepted; submitting the same id again
              // tells.
   NotLeader, // The caller should ask the control VM named in the response.
+  TooLarge,  // Refused; the job would not fit at any other time either.
 };
 
 const char *nameOf(JobRequestKind Kind);
@@ -205,6 +206,7 @@
   /// Milliseconds after which a refused caller may retry.
   int64_t RetryAfterMs = 0;
   std::string Leader; // Address of the leader; empty if unknown.
+  std::string Detail = {}; // Why a job is too large.
   bool operator==(const JobResponse &) const = default;
 
   static void describe(auto &Self, auto Field) {
@@ -212,6 +214,7 @@
     Field("state", Self.State);
     Field("retry", Self.RetryAfterMs);
     Field("leader", Self.Leader);
+    Field.list("detail", Self.Detail);
   }
 };
 
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Duration TickPeriod = milliseconds(100);
+/// Between control VMs, each of which may be 5 s off.
+constexpr int64_t MaxClockSkewMs = 10000;
 
 } // namespace
 
@@ -21,7 +23,7 @@
                    Options.AttemptsPerLeadership),
       StartedAt(Timers.now()), Table(Options.Lease), Starts(Options.Starts),
       Retries(Options.Retries), Records(Store), Health(Options.Health),
-      AliveFlag(std::make_shared<bool>(true)) {
+      Budget(Options.WorkBytes), AliveFlag(std::make_shared<bool>(true)) {
   loadStore();
   TickTimer = Timers.scheduleEvery(TickPeriod, [this] { onTick(); });
 }
@@ -37,6 +39,7 @@
 
 void Dispatcher::loadStore() {
   loadShares();
+  Budget.setOrganisations(Configuration);
   for (const auto &[Key, Entry] : Store.workers()) {
     TrackedWorker &Worker = Table.add(Entry, Timers.now());
     Worker.IsCommitted = true;
@@ -54,8 +57,6 @@
 }
 
 Instant Dispatcher::earlierLeasesEnd(const TrackedWorker &Worker) const {
-  // Between control VMs, each of which may be 5 s off.
-  constexpr int64_t MaxClockSkewMs = 10000;
   constexpr int64_t MaxAgeMs = 60000; // No lease lasts longer.
   Instant End = StartedAt + Table.maxLeaseDuration();
   if (Worker.Entry.ReplacedAt <= 0)
@@ -81,6 +82,9 @@
   Job->IsInherited = IsInherited;
   if (IsInherited)
     Job->InheritedWorkers = Record.Placements;
+  // By its own clock an earlier leader may have started what is not due yet.
+  Job->openDueOccurrences(Record.Tasks,
+                          Hooks.WallNow() + (IsInherited ? MaxClockSkewMs : 0));
   Job->ShareIndex = Shares.indexOf(Record.Job.Organisation);
   double Work = static_cast<double>(Record.Job.Spec.totalCoreMs());
   constexpr double SmoothingFactor = 0.05;
@@ -89,15 +93,49 @@
           ? Work
           : MeanJobCoreMs + SmoothingFactor * (Work - MeanJobCoreMs);
   markPoolDirty(Job->Pool);
+  Budget.add(Record.Job.Job, Record.Job.Organisation,
+             estimateJobBytes(Record.Job));
   JobProgress &Added = *(Jobs[Record.Job.Job] = std::move(Job));
   if (!Record.Losses.empty())
     loadLosses(Added);
 }
 
+void Dispatcher::updateOccurrences(JobProgress &Job) {
+  const JobRecord *Record = Store.findJob(Job.id());
+  if (Job.spec().Recurrence.Count == 0 || Record == nullptr ||
+      Record->hasEnded())
+    return;
+  Job.closeEndedOccurrences(Record->Tasks);
+  Job.openDueOccurrences(Record->Tasks, Hooks.WallNow());
+}
+
+void Dispatcher::openOccurrence(const TaskId &Task) {
+  auto It = Jobs.find(Task.Job);
+  const JobRecord *Record = Store.findJob(Task.Job);
+  if (It != Jobs.end() && Record != nullptr && !Record->hasEnded())
+    It->second->openOccurrence(Record->Tasks, Task.Occurrence);
+}
+
 void Dispatcher::onJobAccepted(const JobId &Job) {
   const JobRecord *Record = Store.findJob(Job);
   if (Record != nullptr && !Record->hasEnded() && !Jobs.count(Job))
     addJob(*Record, /*IsInherited=*/false);
+  // It may have been cancelled before.
+  if (!Jobs.count(Job))
+    Budget.remove(Job);
+}
+
+Admission Dispatcher::admitJob(const AcceptJob &Job) {
+  int64_t Bytes = estimateJobBytes(Job);
+  Admission Decision = Budget.assess(Job.Organisation, Bytes);
+  if (std::holds_alternative<Admitted>(Decision))
+    Budget.add(Job.Job, Job.Organisation, Bytes);
+  return Decision;
+}
+
+void Dispatcher::onJobNotAccepted(const JobId &Job) {
+  if (!Jobs.count(Job))
+    Budget.remove(Job);
 }
 
 void Dispatcher::onJobCancelled(const JobId &Job) {
@@ -111,6 +149,7 @@
 
 void Dispatcher::onConfigurationChanged() {
   Shares.setConfiguration(Configuration);
+  Budget.setOrganisations(Configuration);
   for (auto &[Id, Job] : Jobs) {
     const QueueConfiguration *Queue = Configuration.findQueue(Job->job().Queue);
     Job->Pool = Queue == nullptr ? std::string() : Queue->Pool;
@@ -180,11 +219,11 @@
   const JobRecord *Record = Store.findJob(Job);
   if (Record == nullptr || !Record->hasEnded())
     return;
-  for (const OccurrenceProgress &Occurrence : It->second->Occurrences)
-    for (const StepProgress &Step : Occurrence.Steps)
-      if (!Step.RunsPerWorker.empty())
-        return;
+  for (const auto &[Number, Occurrence] : It->second->Occurrences)
+    if (Occurrence.hasRuns())
+      return;
   Jobs.erase(It);
+  Budget.remove(Job);
 }
 
 void Dispatcher::onTick() {
@@ -219,6 +258,7 @@
   for (const auto &[Id, Job] : Jobs) {
     if (Job->HasEnded)
       continue;
+    updateOccurrences(*Job);
     if (usesShares() && !Job->isLongRunning())
       countShareOfJob(*Job, WallNow);
     markPoolDirty(Job->Pool);
@@ -405,9 +445,9 @@
   for (auto &[Id, Job] : Jobs) {
     if (Job->HasEnded || Job->Pool != Pool || !Job->isLongRunning())
       continue;
-    for (uint32_t K = 0; K < Job->Occurrences.size(); ++K)
-      for (uint32_t S = 0; S < Job->Occurrences[K].Steps.size(); ++S) {
-        StepProgress &Step = Job->Occurrences[K].Steps[S];
+    for (auto &[K, Occurrence] : Job->Occurrences)
+      for (uint32_t S = 0; S < Occurrence.Steps.size(); ++S) {
+        StepProgress &Step = Occurrence.Steps[S];
         for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
           const std::vector<WorkerKey> &At = Step.Tasks[I].Workers;
           const TrackedWorker *Worker =
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -23,6 +23,7 @@
 #include "Scheduling/RetryTime.h"
 #include "Scheduling/RunTimes.h"
 #include "Scheduling/StartWindow.h"
+#include "Scheduling/WorkBudget.h"
 #include "Scheduling/WorkerHealth.h"
 #include "Workers/WorkerTable.h"
 
@@ -101,6 +102,8 @@
   double RemoteFactor = 1;
   /// Time between two proposals of what was learned of run times.
   Duration RunTimesInterval = seconds(5);
+  /// Memory for jobs that have not ended, in bytes.
+  int64_t WorkBytes = int64_t(64) << 20;
   /// Size of the range of attempt numbers that each leader uses for a task. The
   /// ranges ascend with the fencing token, so a new leader's attempts are
   /// higher than all earlier ones.
@@ -194,6 +197,12 @@
   /// Called before a job is proposed. Returns false if its organisation has
   /// sent more jobs than its rate.
   bool takeRateToken(const AcceptJob &Job);
+  /// Called before a job is proposed. If the job is admitted, its memory is
+  /// reserved until it has ended or onJobNotAccepted() is called.
+  Admission admitJob(const AcceptJob &Job);
+  /// Called if an admitted job was not committed.
+  void onJobNotAccepted(const JobId &Job);
+  const WorkBudget &workBudget() const { return Budget; }
   const OrganisationShares &shares() const { return Shares; }
   /// Returns true if the order of jobs depends on shares.
   bool usesShares() const {
@@ -298,6 +307,11 @@
   /// worker, to which this leader has sent none.
   Instant earlierLeasesEnd(const TrackedWorker &Worker) const;
   void addJob(const JobRecord &Record, bool IsInherited);
+  /// Opens the occurrences of a recurring job that have become due, and drops
+  /// those that have ended.
+  void updateOccurrences(JobProgress &Job);
+  /// Opens the task's occurrence, since a worker has told of a run of it.
+  void openOccurrence(const TaskId &Task);
 
   // Shares and rates of organisations.
   void loadShares();
@@ -641,6 +655,7 @@
   bool ProposalInFlight = false;
   TimerId FlushTimer = 0;
   TimerId TickTimer = 0;
+  WorkBudget Budget;
   OrganisationShares Shares;
   RateBuckets Rates;
   Instant UsageProposedAt;
--- a/Source/Scheduling/DispatcherLosses.cpp
+++ b/Source/Scheduling/DispatcherLosses.cpp
@@ -246,9 +246,9 @@
 
 void Dispatcher::loadLosses(JobProgress &Job) {
   std::vector<TaskId> Changed;
-  for (uint32_t K = 0; K < Job.Occurrences.size(); ++K)
-    for (uint32_t S = 0; S < Job.Occurrences[K].Steps.size(); ++S) {
-      StepProgress &Step = Job.Occurrences[K].Steps[S];
+  for (auto &[K, Occurrence] : Job.Occurrences)
+    for (uint32_t S = 0; S < Occurrence.Steps.size(); ++S) {
+      StepProgress &Step = Occurrence.Steps[S];
       if (!Step.HasLosses)
         continue;
       Step.SuspectedSince = Timers.now();
@@ -294,11 +294,12 @@
     TaskId Task = *LossesToPropose.begin();
     LossesToPropose.erase(LossesToPropose.begin());
     auto Job = Jobs.find(Task.Job);
-    if (Job == Jobs.end())
+    TaskProgress *TaskState =
+        Job == Jobs.end() ? nullptr : Job->second->findTask(Task);
+    if (TaskState == nullptr)
       continue;
-    TaskProgress &TaskState = *Job->second->findTask(Task);
-    TaskState.WereLossesProposed = true;
-    Command.Tasks.push_back({Task, TaskState.Losses});
+    TaskState->WereLossesProposed = true;
+    Command.Tasks.push_back({Task, TaskState->Losses});
   }
   if (Command.Tasks.empty())
     return;
@@ -313,17 +314,18 @@
   for (const TaskLosses &Proposed : Command.Tasks) {
     const TaskId &Task = Proposed.Task;
     auto Job = Jobs.find(Task.Job);
-    if (Job == Jobs.end())
+    TaskProgress *TaskState =
+        Job == Jobs.end() ? nullptr : Job->second->findTask(Task);
+    if (TaskState == nullptr)
       continue;
-    TaskProgress &TaskState = *Job->second->findTask(Task);
     if (!Committed) {
       LossesToPropose.insert(Task);
       continue;
     }
     // What has changed since then is proposed by itself.
-    TaskState.AreLossesCommitted = TaskState.Losses == Proposed.Losses;
-    if (TaskState.AreLossesCommitted)
-      TaskState.WereLossesProposed = !TaskState.Losses.empty();
+    TaskState->AreLossesCommitted = TaskState->Losses == Proposed.Losses;
+    if (TaskState->AreLossesCommitted)
+      TaskState->WereLossesProposed = !TaskState->Losses.empty();
     markPoolDirty(Job->second->Pool);
     removeJobIfFinished(Task.Job);
   }
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -130,7 +130,7 @@
 
 bool Dispatcher::isSchedulable(const JobProgress &Job, uint32_t Occurrence,
                                uint32_t Step, UnixMillis Now) const {
-  const StepProgress &Progress = Job.Occurrences[Occurrence].Steps[Step];
+  const StepProgress &Progress = Job.Occurrences.at(Occurrence).Steps[Step];
   bool MayCopy = Job.stepSpec(Step).Speculative && !Progress.isDone();
   return (!Progress.isFullyPlaced() || MayCopy) &&
          Job.spec().Recurrence.dueAt(Occurrence) <= Now &&
@@ -139,8 +139,8 @@
 
 bool Dispatcher::hasSchedulableStep(const JobProgress &Job,
                                     UnixMillis Now) const {
-  for (uint32_t K = 0; K < Job.Occurrences.size(); ++K)
-    for (uint32_t S = 0; S < Job.Occurrences[K].Steps.size(); ++S)
+  for (const auto &[K, Occurrence] : Job.Occurrences)
+    for (uint32_t S = 0; S < Occurrence.Steps.size(); ++S)
       if (isSchedulable(Job, K, S, Now))
         return true;
   return false;
@@ -150,8 +150,8 @@
   if (!mayBookStarts(Job))
     return;
   UnixMillis Now = Hooks.WallNow();
-  for (uint32_t K = 0; K < Job.Occurrences.size(); ++K)
-    for (uint32_t S = 0; S < Job.Occurrences[K].Steps.size(); ++S) {
+  for (const auto &[K, Occurrence] : Job.Occurrences)
+    for (uint32_t S = 0; S < Occurrence.Steps.size(); ++S) {
       if (!isSchedulable(Job, K, S, Now))
         continue;
       if (!Job.stepSpec(S).Speculative && mayHaveUnlocatedRuns(Job))
@@ -171,9 +171,9 @@
     if (Job->HasEnded || !mayHaveUnlocatedRuns(*Job))
       continue;
     Resources &Sum = Result[Job->job().Organisation];
-    for (uint32_t K = 0; K < Job->Occurrences.size(); ++K)
-      for (uint32_t S = 0; S < Job->Occurrences[K].Steps.size(); ++S) {
-        const StepProgress &Step = Job->Occurrences[K].Steps[S];
+    for (const auto &[K, Occurrence] : Job->Occurrences)
+      for (uint32_t S = 0; S < Occurrence.Steps.size(); ++S) {
+        const StepProgress &Step = Occurrence.Steps[S];
         if (Job->isReady(K, S))
           Sum += Job->stepSpec(S).TaskResources *
                  static_cast<int64_t>(Step.Tasks.size() - Step.DoneCount -
@@ -212,7 +212,7 @@
 void Dispatcher::scheduleStep(JobProgress &Job, uint32_t Occurrence,
                               uint32_t Step, PlacementPass &Pass) {
   const StepSpec &Spec = Job.stepSpec(Step);
-  StepProgress &Progress = Job.Occurrences[Occurrence].Steps[Step];
+  StepProgress &Progress = Job.Occurrences.at(Occurrence).Steps[Step];
   Candidate *PreviousChoice = nullptr;
   bool IsWaitRefused = false; // The next task would wait longer.
   StepCaution Caution =
@@ -276,7 +276,7 @@
 void Dispatcher::scheduleGang(JobProgress &Job, uint32_t Occurrence,
                               uint32_t Step, PlacementPass &Pass) {
   const StepSpec &Spec = Job.stepSpec(Step);
-  StepProgress &Progress = Job.Occurrences[Occurrence].Steps[Step];
+  StepProgress &Progress = Job.Occurrences.at(Occurrence).Steps[Step];
   // All tasks of a gang start together, once no run of an earlier attempt is
   // left.
   if (!Progress.RunsPerWorker.empty() || Progress.DoneCount > 0 ||
@@ -334,7 +334,7 @@
 void Dispatcher::requestAdvice(JobProgress &Job, uint32_t Occurrence,
                                uint32_t Step,
                                const std::vector<Candidate> &Candidates) {
-  StepProgress &Progress = Job.Occurrences[Occurrence].Steps[Step];
+  StepProgress &Progress = Job.Occurrences.at(Occurrence).Steps[Step];
   if (Progress.Advice.RequestInFlight)
     return;
   constexpr size_t MaxWorkersAsked = 12;
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -283,6 +283,7 @@
   Adopted.Gauge = Reported.Gauge;
   Adopted.Checkpoint = Reported.Checkpoint;
   Table.addRun(Worker, Reported.Task, std::move(Adopted));
+  openOccurrence(Reported.Task);
   auto Job = Jobs.find(Reported.Task.Job);
   TaskProgress *TaskState = IsValid && Job != Jobs.end()
                                 ? Job->second->findTask(Reported.Task)
@@ -413,6 +414,7 @@
     ++Counters.FailedRuns;
   else
     ++Counters.OtherEndedRuns;
+  openOccurrence(End.Task);
   auto It = Jobs.find(End.Task.Job);
   JobProgress *Job = It == Jobs.end() ? nullptr : It->second.get();
   TaskProgress *TaskState = Job == nullptr ? nullptr : Job->findTask(End.Task);
@@ -672,9 +674,9 @@
 }
 
 void Dispatcher::stopAllRuns(JobProgress &Job) {
-  for (uint32_t K = 0; K < Job.Occurrences.size(); ++K)
-    for (uint32_t S = 0; S < Job.Occurrences[K].Steps.size(); ++S) {
-      std::vector<TaskProgress> &Tasks = Job.Occurrences[K].Steps[S].Tasks;
+  for (auto &[K, Occurrence] : Job.Occurrences)
+    for (uint32_t S = 0; S < Occurrence.Steps.size(); ++S) {
+      std::vector<TaskProgress> &Tasks = Occurrence.Steps[S].Tasks;
       for (uint32_t I = 0; I < Tasks.size(); ++I)
         for (const WorkerKey &At : std::vector<WorkerKey>(Tasks[I].Workers))
           if (TrackedWorker *Worker = Table.find(At))
--- a/Source/Scheduling/DispatcherShares.cpp
+++ b/Source/Scheduling/DispatcherShares.cpp
@@ -37,9 +37,9 @@
 void Dispatcher::countShareOfJob(const JobProgress &Job, UnixMillis Now) {
   bool Waits = false;
   bool Runs = false;
-  for (uint32_t K = 0; K < Job.Occurrences.size(); ++K)
-    for (uint32_t S = 0; S < Job.Occurrences[K].Steps.size(); ++S) {
-      const StepProgress &Step = Job.Occurrences[K].Steps[S];
+  for (const auto &[K, Occurrence] : Job.Occurrences)
+    for (uint32_t S = 0; S < Occurrence.Steps.size(); ++S) {
+      const StepProgress &Step = Occurrence.Steps[S];
       Runs |= Step.PlacedCount > 0;
       Waits |= !Step.isFullyPlaced() && Job.spec().Recurrence.dueAt(K) <= Now &&
                Job.isReady(K, S);
--- a/Source/Scheduling/JobProgress.cpp
+++ b/Source/Scheduling/JobProgress.cpp
@@ -4,6 +4,12 @@
 
 namespace mimosashunt {
 
+bool OccurrenceProgress::hasRuns() const {
+  return std::any_of(Steps.begin(), Steps.end(), [](const StepProgress &Step) {
+    return !Step.RunsPerWorker.empty();
+  });
+}
+
 bool OccurrenceProgress::isDone() const {
   return std::all_of(Steps.begin(), Steps.end(),
                      [](const StepProgress &Step) { return Step.isDone(); });
@@ -21,31 +27,79 @@
       Queue.Stretch * static_cast<double>(Job.Spec.criticalPathMs()));
   Objective = AcceptedAt + milliseconds(StretchedMs + Queue.TargetMs);
   HasStarted = Record.State == JobState::Running;
-  for (const auto &Steps : Record.Tasks) {
-    OccurrenceProgress &Occurrence = Occurrences.emplace_back();
-    for (const auto &Tasks : Steps) {
-      StepProgress &Step = Occurrence.Steps.emplace_back();
-      for (const TaskRecord &Task : Tasks) {
-        TaskProgress &TaskState = Step.Tasks.emplace_back();
-        TaskState.Done = Task.Done;
-        Step.DoneCount += Task.Done ? 1 : 0;
-        TaskState.FailedAttempts.insert(Task.FailedAttempts.begin(),
-                                        Task.FailedAttempts.end());
-        for (uint32_t Attempt : Task.FailedAttempts)
-          TaskState.LastAttempt = std::max(TaskState.LastAttempt, Attempt);
-      }
-    }
-  }
+  NextOccurrence = Record.Tasks.firstUnfinished();
+  UnfinishedOccurrences = Record.Tasks.unfinishedOccurrences(Job.Spec);
   for (const TaskLosses &Known : Record.Losses) {
-    TaskProgress &TaskState = *findTask(Known.Task);
-    TaskState.Losses = Known.Losses;
-    TaskState.WereLossesProposed = true;
+    openOccurrence(Record.Tasks, Known.Task.Occurrence);
+    TaskProgress *TaskState = findTask(Known.Task);
+    if (TaskState == nullptr)
+      continue;
+    TaskState->Losses = Known.Losses;
+    TaskState->WereLossesProposed = true;
     findStep(Known.Task)->HasLosses = true;
   }
 }
 
+uint32_t maxOpenOccurrences(const JobSpec &Spec) {
+  // More are seldom due at once, and a leader that was away for long must not
+  // open all that it has missed.
+  constexpr uint64_t MaxOccurrences = 64;
+  constexpr uint64_t MaxTasks = 4000;
+  uint64_t TasksEach = std::max<uint64_t>(tasksPerOccurrence(Spec), 1);
+  uint64_t Most = std::clamp<uint64_t>(MaxTasks / TasksEach, 1, MaxOccurrences);
+  return static_cast<uint32_t>(
+      std::min<uint64_t>(Most, Spec.Recurrence.occurrences()));
+}
+
+OccurrenceProgress
+JobProgress::makeOccurrence(const OccurrenceTasks *Known) const {
+  OccurrenceProgress Occurrence;
+  Occurrence.Steps.resize(Job.Spec.Steps.size());
+  for (size_t S = 0; S < Occurrence.Steps.size(); ++S) {
+    StepProgress &Step = Occurrence.Steps[S];
+    Step.Tasks.resize(Job.Spec.Steps[S].Count);
+    if (Known == nullptr)
+      continue;
+    for (size_t I = 0; I < Step.Tasks.size(); ++I) {
+      const TaskRecord &Task = (*Known)[S][I];
+      TaskProgress &TaskState = Step.Tasks[I];
+      TaskState.Done = Task.Done;
+      Step.DoneCount += Task.Done ? 1 : 0;
+      TaskState.FailedAttempts.insert(Task.FailedAttempts.begin(),
+                                      Task.FailedAttempts.end());
+      for (uint32_t Attempt : Task.FailedAttempts)
+        TaskState.LastAttempt = std::max(TaskState.LastAttempt, Attempt);
+    }
+  }
+  return Occurrence;
+}
+
+void JobProgress::openOccurrence(const TaskRecords &Known,
+                                 uint32_t Occurrence) {
+  bool Exists = Occurrence < Job.Spec.Recurrence.occurrences();
+  if (!Exists || Known.hasEnded(Occurrence) || Occurrences.count(Occurrence))
+    return;
+  Occurrences.emplace(Occurrence, makeOccurrence(Known.find(Occurrence)));
+}
+
+void JobProgress::openDueOccurrences(const TaskRecords &Known,
+                                     UnixMillis Until) {
+  const RecurrenceSpec &Recurrence = Job.Spec.Recurrence;
+  const uint32_t Most = maxOpenOccurrences(Job.Spec);
+  while (NextOccurrence < Recurrence.occurrences() &&
+         Occurrences.size() < Most && Recurrence.dueAt(NextOccurrence) <= Until)
+    openOccurrence(Known, NextOccurrence++);
+}
+
+void JobProgress::closeEndedOccurrences(const TaskRecords &Known) {
+  std::erase_if(Occurrences, [&Known](const auto &NumberAndOccurrence) {
+    const auto &[Number, Occurrence] = NumberAndOccurrence;
+    return Known.hasEnded(Number) && !Occurrence.hasRuns();
+  });
+}
+
 bool JobProgress::isReady(uint32_t Occurrence, uint32_t Step) const {
-  const std::vector<StepProgress> &Steps = Occurrences[Occurrence].Steps;
+  const std::vector<StepProgress> &Steps = Occurrences.at(Occurrence).Steps;
   const std::vector<uint32_t> &After = Job.Spec.Steps[Step].DependsOn;
   return std::all_of(After.begin(), After.end(), [&](uint32_t Dependency) {
     return Steps[Dependency].isDone();
@@ -53,10 +107,10 @@
 }
 
 StepProgress *JobProgress::findStep(const TaskId &Task) {
-  if (Task.Occurrence >= Occurrences.size() ||
-      Task.Step >= Occurrences[Task.Occurrence].Steps.size())
+  auto It = Occurrences.find(Task.Occurrence);
+  if (It == Occurrences.end() || Task.Step >= It->second.Steps.size())
     return nullptr;
-  return &Occurrences[Task.Occurrence].Steps[Task.Step];
+  return &It->second.Steps[Task.Step];
 }
 
 TaskProgress *JobProgress::findTask(const TaskId &Task) {
@@ -68,10 +122,13 @@
 
 void JobProgress::recordSuccess(const TaskId &Task) {
   StepProgress &Step = *findStep(Task);
-  bool Gang = stepSpec(Task.Step).Gang;
-  for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
+  bool IsGang = stepSpec(Task.Step).Gang;
+  uint32_t First = IsGang ? 0 : Task.Index;
+  auto End = IsGang ? static_cast<uint32_t>(Step.Tasks.size()) : Task.Index + 1;
+  bool WasDone = Occurrences.at(Task.Occurrence).isDone();
+  for (uint32_t I = First; I < End; ++I) {
     TaskProgress &TaskState = Step.Tasks[I];
-    if (TaskState.Done || (!Gang && I != Task.Index))
+    if (TaskState.Done)
       continue;
     TaskState.Done = true;
     TaskState.Losses.clear();
@@ -79,11 +136,10 @@
     if (!TaskState.Workers.empty())
       --Step.PlacedCount;
   }
+  if (!WasDone && Occurrences.at(Task.Occurrence).isDone())
+    --UnfinishedOccurrences;
   // A failed job stays ended, even if more of its tasks succeed afterwards.
-  HasEnded |=
-      !LongRunning &&
-      std::all_of(Occurrences.begin(), Occurrences.end(),
-                  [](const OccurrenceProgress &O) { return O.isDone(); });
+  HasEnded |= !LongRunning && UnfinishedOccurrences == 0;
 }
 
 size_t JobProgress::recordFailure(const TaskId &Task, uint32_t Attempt) {
@@ -141,7 +197,7 @@
 }
 
 uint32_t JobProgress::nextAttempt(const TaskId &Task) const {
-  const StepProgress &Step = Occurrences[Task.Occurrence].Steps[Task.Step];
+  const StepProgress &Step = Occurrences.at(Task.Occurrence).Steps[Task.Step];
   uint32_t Last = stepSpec(Task.Step).Gang ? Step.GangAttempt
                                            : Step.Tasks[Task.Index].LastAttempt;
   return std::max(Last, FirstAttempt) + 1;
@@ -149,7 +205,7 @@
 
 size_t JobProgress::countWaitingTasks() const {
   size_t Count = 0;
-  for (const OccurrenceProgress &Occurrence : Occurrences)
+  for (const auto &[Number, Occurrence] : Occurrences)
     for (const StepProgress &Step : Occurrence.Steps)
       Count += Step.Tasks.size() - Step.DoneCount - Step.PlacedCount;
   return Count;
@@ -157,7 +213,7 @@
 
 double JobProgress::remainingCoreMs(double EstimateFactor) const {
   double Sum = 0;
-  for (const OccurrenceProgress &Occurrence : Occurrences)
+  for (const auto &[Number, Occurrence] : Occurrences)
     for (size_t I = 0; I < Occurrence.Steps.size(); ++I) {
       const StepSpec &Spec = Job.Spec.Steps[I];
       const StepProgress &Step = Occurrence.Steps[I];
@@ -169,7 +225,9 @@
 }
 
 double JobProgress::remainingCriticalPathMs(double EstimateFactor) const {
-  const OccurrenceProgress &Occurrence = Occurrences.front();
+  if (Occurrences.empty())
+    return 0;
+  const OccurrenceProgress &Occurrence = Occurrences.begin()->second;
   std::vector<double> EndsAt(Occurrence.Steps.size(), 0);
   double Longest = 0;
   for (size_t I = 0; I < EndsAt.size(); ++I) {
--- a/Source/Scheduling/JobProgress.h
+++ b/Source/Scheduling/JobProgress.h
@@ -79,9 +79,12 @@
 struct OccurrenceProgress {
   std::vector<StepProgress> Steps;
   bool isDone() const;
+  bool hasRuns() const;
 };
 
-/// The state of one job as the leader knows it.
+/// The state of one job as the leader knows it. It holds the occurrences that
+/// are due and have not ended, and of these no more than
+/// maxOpenOccurrences(), but for those that run already.
 class JobProgress {
 public:
   /// \p FirstAttempt is the number below this leader's range of attempt
@@ -98,8 +101,18 @@
   /// was accepted.
   bool mayHaveChangedPool() const { return ConfigurationVersion < PoolSince; }
 
-  /// Returns true if all steps that this one depends on are done.
+  /// Opens the occurrences that are due at \p Until and have not ended, in
+  /// order.
+  void openDueOccurrences(const TaskRecords &Known, UnixMillis Until);
+  /// Opens the occurrence of a run, unless it has ended or is none of the job.
+  void openOccurrence(const TaskRecords &Known, uint32_t Occurrence);
+  /// Drops the occurrences that have ended in the store and have no runs.
+  void closeEndedOccurrences(const TaskRecords &Known);
+
+  /// Returns true if all steps that this one depends on are done. The
+  /// occurrence is open.
   bool isReady(uint32_t Occurrence, uint32_t Step) const;
+  /// Return null if there is no such task or step in an open occurrence.
   TaskProgress *findTask(const TaskId &Task);
   StepProgress *findStep(const TaskId &Task);
 
@@ -123,10 +136,11 @@
   /// by \p EstimateFactor.
   double remainingCoreMs(double EstimateFactor) const;
   /// Returns the duration in milliseconds of the longest chain of steps that
-  /// are not done.
+  /// are not done in the first open occurrence.
   double remainingCriticalPathMs(double EstimateFactor) const;
 
-  std::vector<OccurrenceProgress> Occurrences;
+  /// The open occurrences by their numbers.
+  std::map<uint32_t, OccurrenceProgress> Occurrences;
   std::string Pool;
   /// The configuration version since which the queue has had this pool.
   uint64_t PoolSince = 0;
@@ -150,13 +164,22 @@
   bool HasEnded = false;
 
 private:
+  OccurrenceProgress makeOccurrence(const OccurrenceTasks *Known) const;
+
   // A copy, since the store may be replaced during the lifetime of this object.
   const AcceptJob Job;
   const uint64_t ConfigurationVersion; // When the job was accepted.
   uint32_t FirstAttempt;
   bool LongRunning;
+  /// Number below which each occurrence has been opened or had ended.
+  uint32_t NextOccurrence = 0;
+  uint32_t UnfinishedOccurrences = 0;
 };
 
+/// Returns how many occurrences of a job may be open at once because they are
+/// due. Later ones wait until one of these has ended.
+uint32_t maxOpenOccurrences(const JobSpec &Spec);
+
 } // namespace mimosashunt
 
 #endif
--- a/Tests/Jobs/JobStoreTest.cpp
+++ b/Tests/Jobs/JobStoreTest.cpp
@@ -213,6 +213,108 @@
   EXPECT_EQ(Copy.leaderships(), 1U);
 }
 
+/// Returns a job whose snapshot names its open occurrences alone.
+JobSpec makeLongRecurrence() {
+  JobSpec Spec = makeChainSpec(2, 3, 1, 1);
+  Spec.Recurrence = {5000, 1000, 1000};
+  return Spec;
+}
+
+RunResult success(const JobId &Job, uint32_t Occurrence, uint32_t Step,
+                  uint32_t Index) {
+  return {{Job, Occurrence, Step, Index}, 1, true};
+}
+
+/// Ends the occurrence.
+void succeed(JobStore &Store, const JobId &Job, uint32_t Occurrence) {
+  for (uint32_t Step = 0; Step < 2; ++Step)
+    for (uint32_t I = 0; I < 3; ++I)
+      Store.apply(RecordRunResults{{success(Job, Occurrence, Step, I)}});
+}
+
+TEST(JobStore, OccurrencesEndInAnyOrder) {
+  JobStore Store;
+  Store.apply(makeJob("a", makeLongRecurrence()));
+  for (uint32_t K : {4U, 0U, 2U, 3U, 1U})
+    succeed(Store, "a", K);
+  Store.apply(RecordRunResults{{success("a", 7, 0, 1)}});
+  const TaskRecords &Tasks = Store.findJob("a")->Tasks;
+  EXPECT_EQ(Tasks.firstUnfinished(), 5U);
+  EXPECT_EQ(Tasks.openOccurrences().size(), 1U);
+  EXPECT_EQ(Tasks.unfinishedTasks(), 5000U * 6 - 5 * 6 - 1);
+  // A late result does not open it again.
+  Store.apply(RecordRunResults{{{{"a", 2, 0, 0}, 9, false}}});
+  EXPECT_EQ(Tasks.openOccurrences().size(), 1U);
+  EXPECT_TRUE(Tasks.hasEnded(4));
+  EXPECT_FALSE(Tasks.hasEnded(5));
+}
+
+TEST(JobStore, SnapshotsRestoreTheOccurrencesOfLongRecurrences) {
+  JobStore Store;
+  Store.apply(makeJob("a", makeLongRecurrence()));
+  for (uint32_t K : {0U, 1U, 5U})
+    succeed(Store, "a", K);
+  Store.apply(
+      RecordRunResults{{success("a", 3, 0, 1), {{"a", 3, 0, 2}, 1, false}}});
+  Store.apply(RecordLosses{{{{"a", 9, 1, 1}, {makeLoss(1, false)}}}});
+  JobStore Copy;
+  ASSERT_TRUE(Copy.restore(Store.snapshot()));
+  EXPECT_EQ(Copy.jobs(), Store.jobs());
+  EXPECT_LT(Store.snapshot().size(), 2000U);
+}
+
+// Guards against states that differ between versions of one group: earlier ones
+// wrote each occurrence of a job, and their fields ordered by name.
+TEST(JobStore, SnapshotsOfEarlierVersionsGiveTheSameState) {
+  JobStore Store;
+  JobSpec Spec = makeLongRecurrence();
+  Store.apply(makeJob("a", Spec));
+  Store.apply(makeJob("b", makeChainSpec(2, 3, 1, 1)));
+  succeed(Store, "a", 0);
+  succeed(Store, "a", 4);
+  Store.apply(RecordRunResults{{success("a", 2, 1, 0)}});
+  Json Tree = Json::from_cbor(Store.snapshot());
+  Json &Stored = Tree["jobs"][0];
+  Stored.erase("opened");
+  Stored.erase("ended");
+  Json Open = {{"done", false}, {"failed", Json::array()}};
+  Json Done = {{"done", true}, {"failed", Json::array()}};
+  Stored["tasks"] = Json::array();
+  for (uint32_t K = 0; K < Spec.Recurrence.Count; ++K) {
+    const Json &Each = K == 0 || K == 4 ? Done : Open;
+    Stored["tasks"].push_back({{Each, Each, Each}, {Each, Each, Each}});
+  }
+  Stored["tasks"][2][1][0]["done"] = true;
+  std::vector<uint8_t> Bytes = Json::to_cbor(Tree);
+  JobStore Read;
+  ASSERT_TRUE(Read.restore({Bytes.begin(), Bytes.end()}));
+  EXPECT_EQ(Read.jobs(), Store.jobs());
+  Stored["tasks"].erase(4999);
+  Bytes = Json::to_cbor(Tree);
+  EXPECT_FALSE(Read.restore({Bytes.begin(), Bytes.end()}));
+}
+
+// Guards against a snapshot whose occurrences contradict each other.
+TEST(JobStore, OddOccurrencesAreRefused) {
+  JobStore Store;
+  Store.apply(makeJob("a", makeLongRecurrence()));
+  succeed(Store, "a", 0);
+  Store.apply(RecordRunResults{{success("a", 2, 1, 0)}});
+  std::vector<Json> Odd(7, Json::from_cbor(Store.snapshot()));
+  Odd[0]["jobs"][0]["ended"][0]["end"] = 5001;
+  Odd[1]["jobs"][0]["ended"][0]["end"] = 0;
+  Odd[2]["jobs"][0]["ended"][0]["end"] = 3;
+  Odd[3]["jobs"][0]["opened"][0]["k"] = 5000;
+  Odd[4]["jobs"][0]["opened"][0]["tasks"][0].erase(0);
+  Odd[5]["jobs"][0]["opened"].push_back(Odd[5]["jobs"][0]["opened"][0]);
+  Odd[6]["jobs"][0].erase("ended");
+  for (const Json &Tree : Odd) {
+    std::vector<uint8_t> Bytes = Json::to_cbor(Tree);
+    JobStore Read;
+    EXPECT_FALSE(Read.restore({Bytes.begin(), Bytes.end()}));
+  }
+}
+
 // Guards against a snapshot that ends the process by an exception, or leaves it
 // with a part of the state.
 TEST(JobStore, UnreadableSnapshotsAreRefusedAndChangeNothing) {
