Scheduling: failures are weighed by evidence of both sides

Cause: each early failure of a lasting task counted against its worker, also where the task had failed elsewhere; the probation after an ejection had no bound, so that the whole pool came to be on it; and a failing task, started again at once, took the one place of a worker on probation and prolonged it.

Change: FailureBlame decides, for timed and lasting tasks and for stalls alike: a task that failed on two workers, or a step that failed on three, without doing well in between, counts against no worker. A lasting task that has run for 3 s does well. Workers that are ejected or on probation are half of a pool at most. A suspect step leaves workers on probation to others. Lasting tasks that fail within 3 s again pause for 0.25 s, doubled up to 2 s. Why it works: a failing step can put at most two workers on the way out, half of the pool always takes work, and failing tasks no longer take the places that would clear the rest.

--- a/Source/Fleet/SchedulerMetrics.cpp
+++ b/Source/Fleet/SchedulerMetrics.cpp
@@ -215,6 +215,12 @@
   if (Scheduler->usesShares())
     updateShareMetrics();
   updateMemoryMetrics();
+  for (const auto &[Pool, Count] : Scheduler->distrustedWorkers())
+    Registry
+        .gauge("mimosashunt_workers_distrusted",
+               "Workers that are ejected or on probation after failures",
+               {{"pool", Pool}})
+        .Set(static_cast<double>(Count));
   for (const QueueConfiguration &Queue : Configuration.Queues)
     Registry
         .gauge("mimosashunt_jobs_waiting", "Jobs that have not begun",
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -10,6 +10,7 @@
 #include "Jobs/JobStore.h"
 #include "Jobs/ServiceConfiguration.h"
 #include "Scheduling/CrashSuspicion.h"
+#include "Scheduling/FailureBlame.h"
 #include "Scheduling/JobOrder.h"
 #include "Scheduling/JobProgress.h"
 #include "Scheduling/LocalityWait.h"
@@ -43,6 +44,7 @@
   HealthOptions Health;
   SuspicionOptions Suspicion;
   PacingOptions Pacing;
+  RestartOptions Restarts;
   OrderPolicy JobOrderPolicy = ValuePerWork{};
   /// How long a worker may hold a poll open, waiting for a run to end, while it
   /// runs something.
@@ -279,6 +281,10 @@
   /// Returns how many jobs waited at the last tick for workers on which an
   /// earlier leader may have started them.
   size_t unlocatedJobs() const { return UnlocatedJobs; }
+  /// Returns how many workers are ejected or on probation, by pool.
+  std::map<std::string, size_t> distrustedWorkers() const {
+    return Health.countDistrusted();
+  }
   const RunTimes &runTimes() const { return LearnedRunTimes; }
   /// Returns the number of steps and tasks that wait for capacity near their
   /// data.
@@ -494,6 +500,24 @@
   void eraseRun(TrackedWorker &Worker, const TaskId &Task);
   void stopAllRuns(JobProgress &Job);
   void stopStalledRuns(TrackedWorker &Worker);
+  // Whom failures are held against.
+  static FailureEvidence evidenceAgainst(const StepProgress &Step,
+                                         const TaskProgress &TaskState);
+  /// Records a failed or stalled run, and holds it against the worker unless
+  /// the step is suspect.
+  void recordRunFailure(const TrackedWorker &Worker, JobProgress &Job,
+                        const TaskId &Task);
+  /// Clears the step, the task and the worker of earlier failures.
+  void recordRunSuccess(const TrackedWorker &Worker, JobProgress &Job,
+                        const TaskId &Task);
+  /// Records that a long-running task has failed \p Age after its start, and
+  /// when it may be started again.
+  void recordLongRunningFailure(const TrackedWorker &Worker, JobProgress &Job,
+                                const TaskId &Task, Duration Age);
+  /// Records that a long-running task does well, once for each run.
+  void recordIfLasting(const TrackedWorker &Worker, const TaskId &Task,
+                       Run &CurrentRun);
+  void reportEjection(const TrackedWorker &Worker, const char *Reason);
   void adjustPaces(TrackedWorker &Worker);
 
   // Results and job completion.
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -237,14 +237,16 @@
     if (Caution.NeedsCanary && !hasCanarySlot(Job.Pool))
       return;
     uint32_t Remaining = Spec.Count - Progress.DoneCount - Progress.PlacedCount;
-    PlacementRequest Request{&Spec,
-                             &Progress,
-                             &TaskState,
-                             Job.NeedsAdvice,
-                             Timers.now(),
-                             std::max<uint32_t>(Remaining, 1),
-                             Caution.NeedsCanary,
-                             PreviousChoice};
+    PlacementRequest Request{
+        &Spec,
+        &Progress,
+        &TaskState,
+        Job.NeedsAdvice,
+        Timers.now(),
+        std::max<uint32_t>(Remaining, 1),
+        Caution.NeedsCanary,
+        isStepSuspect(evidenceAgainst(Progress, TaskState)),
+        PreviousChoice};
     bool MayWait =
         mayWaitForLocality(Job, Spec, TaskState, Caution.NeedsCanary);
     Candidate *Chosen = MayWait ? Pass.placeTaskNear(Request) : nullptr;
@@ -282,6 +284,12 @@
   if (!Progress.RunsPerWorker.empty() || Progress.DoneCount > 0 ||
       !isWithinQuota(Job, Spec.TaskResources * Spec.Count))
     return;
+  bool IsPausing = std::any_of(Progress.Tasks.begin(), Progress.Tasks.end(),
+                               [this](const TaskProgress &Member) {
+                                 return Member.NotBefore > Timers.now();
+                               });
+  if (IsPausing)
+    return;
   StepCaution Caution =
       assessStep(Spec, Progress, Options.Suspicion, Timers.now());
   if (Caution.IsHeld || !areLossesCommitted({Job.id(), Occurrence, Step, 0}))
@@ -291,6 +299,8 @@
   PlacementRequest Request{&Spec, &Progress, &Progress.Tasks.front(),
                            Job.NeedsAdvice, Timers.now()};
   Request.IsCanary = Caution.NeedsCanary;
+  Request.IsSuspect =
+      isStepSuspect(evidenceAgainst(Progress, Progress.Tasks.front()));
   bool MayWait =
       Spec.RackLocal && mayWaitForLocality(Job, Spec, Progress.Tasks.front(),
                                            Caution.NeedsCanary);
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -252,8 +252,10 @@
     CurrentRun.ProgressChangedAt = Timers.now();
   }
   CurrentRun.Gauge = Reported.Gauge;
-  if (CurrentRun.LongRunning)
+  if (CurrentRun.LongRunning) {
     checkSurvival(Worker, Reported.Task, CurrentRun);
+    recordIfLasting(Worker, Reported.Task, CurrentRun);
+  }
   if (Reported.Checkpoint.empty())
     return;
   CurrentRun.Checkpoint = Reported.Checkpoint;
@@ -425,7 +427,7 @@
   if (!End.Checkpoint.empty())
     TaskState->Checkpoint = End.Checkpoint;
   if (End.Kind == EndKind::Done && !Spec.LongRunning) {
-    Health.recordSuccess(Worker.key());
+    recordRunSuccess(Worker, *Job, End.Task);
     if (IsCurrentAttempt)
       learnRunTime(*Job, Spec, Worker, Ended);
     if (!TaskState->Done) {
@@ -446,12 +448,7 @@
     }
   } else if (End.Kind == EndKind::Failed && !Spec.LongRunning &&
              !Job->HasEnded) {
-    bool FailedElsewhere = !TaskState->AvoidedWorkers.empty() &&
-                           !TaskState->AvoidedWorkers.count(Worker.key().Id);
-    TaskState->AvoidedWorkers.insert(Worker.key().Id);
-    Health.recordFailure(Worker.key(), Worker.Entry.Pool, End.Task.Job,
-                         FailedElsewhere, poolSize(Worker.Entry.Pool),
-                         Timers.now());
+    recordRunFailure(Worker, *Job, End.Task);
     queueResult({End.Task, End.Attempt, false});
     if (Job->recordFailure(End.Task, End.Attempt) >= Job->MaxAttempts) {
       Hooks.LogEvent("job_failed", taskFields(End.Task, End.Attempt));
@@ -460,12 +457,11 @@
     }
   } else if (Spec.LongRunning) {
     TaskState->EndedAt = Timers.now();
-    if (End.Kind == EndKind::Failed &&
-        Timers.now() - OrderedAt < milliseconds(1500)) {
-      TaskState->AvoidedWorkers = {Worker.key().Id};
-      Health.recordFailure(Worker.key(), Worker.Entry.Pool, End.Task.Job, false,
-                           poolSize(Worker.Entry.Pool), Timers.now());
-    }
+    // How long a run of an earlier leader has lasted is not known.
+    bool IsOwnRun = IsCurrentAttempt && !Ended.IsAdopted;
+    if (IsOwnRun && End.Kind == EndKind::Failed)
+      recordLongRunningFailure(Worker, *Job, End.Task,
+                               Timers.now() - OrderedAt);
   }
   markPoolDirty(Job->Pool);
   removeJobIfFinished(End.Task.Job);
@@ -592,9 +588,10 @@
       TaskState->NotBefore = Timers.now() + seconds(1);
   }
   removeRun(*Worker, Task);
-  if (Response.Outcome == OrderOutcome::Unhealthy)
-    Health.recordRefusal(Key, Worker->Entry.Pool, poolSize(Worker->Entry.Pool),
-                         Timers.now());
+  if (Response.Outcome == OrderOutcome::Unhealthy &&
+      Health.recordRefusal(Key, Worker->Entry.Pool,
+                           poolSize(Worker->Entry.Pool), Timers.now()))
+    reportEjection(*Worker, "refused");
   if (Response.Outcome == OrderOutcome::NoCapacity ||
       Response.Outcome == OrderOutcome::LeaseExpired ||
       Response.Outcome == OrderOutcome::NotSent)
@@ -696,10 +693,8 @@
     Fields["worker"] = Worker.key().Id;
     Fields["percent"] = CurrentRun.ProgressPercent;
     Hooks.LogEvent("run_stands_still", Fields);
-    if (TaskProgress *TaskState = Job->second->findTask(Task))
-      TaskState->AvoidedWorkers.insert(Worker.key().Id);
-    Health.recordFailure(Worker.key(), Worker.Entry.Pool, Task.Job, false,
-                         poolSize(Worker.Entry.Pool), Timers.now());
+    if (Job->second->findTask(Task) != nullptr)
+      recordRunFailure(Worker, *Job->second, Task);
     stopRun(Worker, Task);
   }
 }
--- a/Source/Scheduling/JobProgress.h
+++ b/Source/Scheduling/JobProgress.h
@@ -27,8 +27,10 @@
   /// speculative.
   std::vector<WorkerKey> Workers;
   std::string Checkpoint;
-  /// Ids of workers where it failed or stalled.
+  /// Ids of workers where it failed or stalled since it last did well.
   std::set<std::string> AvoidedWorkers;
+  /// Failures in a row of a long-running task soon after its start.
+  uint32_t EarlyFailures = 0;
   Instant NotBefore;
   /// When the end of the last run was received, for a long-running task.
   std::optional<Instant> EndedAt;
@@ -64,6 +66,9 @@
   uint32_t PlacedCount = 0; // Tasks with at least one run.
   uint32_t GangAttempt = 0;
   StepAdvice Advice;
+  /// Ids of workers where a task of it failed or stalled since one last did
+  /// well.
+  std::set<std::string> FailedWorkers;
   std::map<WorkerKey, uint32_t> RunsPerWorker; // Runs on each worker.
   bool HasLosses = false; // Some task of it was lost with a worker.
   /// When the first of the losses came since a canary of the step survived.
--- a/Source/Scheduling/Placement.cpp
+++ b/Source/Scheduling/Placement.cpp
@@ -97,30 +97,39 @@
 }
 
 /// A sort key for candidates; smaller is better.
-using Preference = std::tuple<bool, bool, bool, uint32_t, int64_t>;
+using Preference = std::tuple<bool, bool, bool, bool, uint32_t, int64_t>;
 
 Preference preferenceOf(const PlacementRequest &Request,
                         const Candidate &Target,
                         const std::map<WorkerKey, uint32_t> &Extra) {
+  bool Spoils = Request.IsSuspect && Target.IsOnProbation;
   bool Failed = hasFailedThere(Request, Target);
   bool Far = isFarFromData(Request, Target);
   bool Awaited = Target.IsAwaited && (Far || Request.Spec->DataRack.empty());
   // A canary that crashes its worker harms what else is there. Gangs are packed
   // below.
   if (Request.IsCanary && !Request.Spec->Gang)
-    return {Failed, Far, Awaited, static_cast<uint32_t>(Target.Runs),
+    return {Spoils,
+            Failed,
+            Far,
+            Awaited,
+            static_cast<uint32_t>(Target.Runs),
             Target.Free.Cpu};
   // Long-running tasks are spread, so that a lost worker costs a step few of
   // its tasks, but over workers that already run long-running tasks: the other
   // workers stay free to move to other pools.
   if (Request.Spec->LongRunning)
-    return {Failed, Far, Awaited, countRunsOfStep(Request, Target, Extra),
+    return {Spoils,
+            Failed,
+            Far,
+            Awaited,
+            countRunsOfStep(Request, Target, Extra),
             -static_cast<int64_t>(Target.LongRunningCount)};
   // Short-running steps are packed onto few workers, preferably ones that they
   // fill, so that the next step fits whole into what is free elsewhere.
   uint32_t Outside =
       Request.Remaining - countTasksThatFit(Request, Target, Extra);
-  return {Failed, Far, Awaited, Outside, Target.Free.Cpu};
+  return {Spoils, Failed, Far, Awaited, Outside, Target.Free.Cpu};
 }
 
 Candidate *selectBest(std::vector<Candidate> &Candidates,
--- a/Source/Scheduling/Placement.h
+++ b/Source/Scheduling/Placement.h
@@ -59,6 +59,9 @@
   /// The worker must run nothing else, but for proven long-running tasks and
   /// members of the same gang.
   bool IsCanary = false;
+  /// The step is likely to fail wherever it runs, so it leaves workers on
+  /// probation to other steps if it can.
+  bool IsSuspect = false;
   /// The worker chosen for the step's previous task; it is chosen again while
   /// the task fits there.
   Candidate *PreviousChoice = nullptr;
--- a/Source/Scheduling/WorkerHealth.cpp
+++ b/Source/Scheduling/WorkerHealth.cpp
@@ -13,38 +13,40 @@
   It->second.NextEjectionDuration = Options.InitialEjectionDuration;
 }
 
-void WorkerHealth::recordFailure(const WorkerKey &Worker,
+bool WorkerHealth::recordFailure(const WorkerKey &Worker,
                                  const std::string &Pool, const JobId &Job,
-                                 bool JobIsSuspect, size_t PoolSize,
-                                 Instant Now) {
+                                 size_t PoolSize, Instant Now) {
   State &Tracked = Workers[Worker];
   Tracked.Pool = Pool;
-  if (JobIsSuspect)
-    return;
   Tracked.FailedJobs.insert(Job);
-  if (Tracked.IsOnProbation ||
-      Tracked.FailedJobs.size() >= Options.FailuresToEject)
-    ejectWorker(Tracked, PoolSize, Now);
+  return (Tracked.IsOnProbation ||
+          Tracked.FailedJobs.size() >= Options.FailuresToEject) &&
+         ejectWorker(Tracked, PoolSize, Now);
 }
 
-void WorkerHealth::recordRefusal(const WorkerKey &Worker,
+bool WorkerHealth::recordRefusal(const WorkerKey &Worker,
                                  const std::string &Pool, size_t PoolSize,
                                  Instant Now) {
   State &Tracked = Workers[Worker];
   Tracked.Pool = Pool;
-  ejectWorker(Tracked, PoolSize, Now);
+  return ejectWorker(Tracked, PoolSize, Now);
 }
 
-void WorkerHealth::ejectWorker(State &Worker, size_t PoolSize, Instant Now) {
+bool WorkerHealth::ejectWorker(State &Worker, size_t PoolSize, Instant Now) {
   if (Now < Worker.EjectedUntil)
-    return;
-  auto EjectedInPool = static_cast<size_t>(std::count_if(
-      Workers.begin(), Workers.end(), [&](const auto &KeyAndState) {
-        return KeyAndState.second.Pool == Worker.Pool &&
-               Now < KeyAndState.second.EjectedUntil;
-      }));
-  if ((EjectedInPool + 1) * 100 > PoolSize * Options.MaxEjectedPercent)
-    return;
+    return false;
+  size_t Ejected = 1;
+  size_t Distrusted = 1;
+  for (const auto &[Key, Other] : Workers) {
+    if (&Other == &Worker || Other.Pool != Worker.Pool)
+      continue;
+    Ejected += Now < Other.EjectedUntil ? 1 : 0;
+    Distrusted += Other.IsOnProbation ? 1 : 0;
+  }
+  constexpr size_t Percent = 100;
+  if (Ejected * Percent > PoolSize * Options.MaxEjectedPercent ||
+      Distrusted * Percent > PoolSize * Options.MaxDistrustedPercent)
+    return false;
   Duration EjectionDuration =
       std::max(Worker.NextEjectionDuration, Options.InitialEjectionDuration);
   Worker.EjectedUntil = Now + EjectionDuration;
@@ -52,6 +54,14 @@
       std::min(EjectionDuration * 2, Options.MaxEjectionDuration);
   Worker.FailedJobs.clear();
   Worker.IsOnProbation = true;
+  return true;
+}
+
+std::map<std::string, size_t> WorkerHealth::countDistrusted() const {
+  std::map<std::string, size_t> Result;
+  for (const auto &[Key, Tracked] : Workers)
+    Result[Tracked.Pool] += Tracked.IsOnProbation ? 1 : 0;
+  return Result;
 }
 
 void WorkerHealth::forgetWorker(const WorkerKey &Worker) {
--- a/Source/Scheduling/WorkerHealth.h
+++ b/Source/Scheduling/WorkerHealth.h
@@ -22,6 +22,8 @@
   Duration MaxEjectionDuration = seconds(8);
   /// Largest part of a pool that may be ejected at once, in percent.
   size_t MaxEjectedPercent = 34;
+  /// The same for workers that are ejected or on probation.
+  size_t MaxDistrustedPercent = 50;
 };
 
 class WorkerHealth {
@@ -30,14 +32,13 @@
 
   /// Records a successful run; ends probation and clears earlier failures.
   void recordSuccess(const WorkerKey &Worker);
-  /// Records a run that failed or stalled. \p JobIsSuspect is true if the task
-  /// also failed elsewhere, so that the worker may not be at fault; the failure
-  /// then does not count against it.
-  void recordFailure(const WorkerKey &Worker, const std::string &Pool,
-                     const JobId &Job, bool JobIsSuspect, size_t PoolSize,
-                     Instant Now);
-  /// Records that the worker refused an order as unhealthy, and ejects it.
-  void recordRefusal(const WorkerKey &Worker, const std::string &Pool,
+  /// Records a run that failed or stalled and is held against the worker.
+  /// Returns true if that ejects the worker.
+  bool recordFailure(const WorkerKey &Worker, const std::string &Pool,
+                     const JobId &Job, size_t PoolSize, Instant Now);
+  /// Records that the worker refused an order as unhealthy, and ejects it, if
+  /// the pool can do without it. Returns true if it was ejected.
+  bool recordRefusal(const WorkerKey &Worker, const std::string &Pool,
                      size_t PoolSize, Instant Now);
   void forgetWorker(const WorkerKey &Worker);
 
@@ -45,6 +46,8 @@
   /// Returns true after an ejection until a run has succeeded; the worker then
   /// gets one run at a time.
   bool isOnProbation(const WorkerKey &Worker, Instant Now) const;
+  /// Returns how many workers are ejected or on probation, by pool.
+  std::map<std::string, size_t> countDistrusted() const;
 
 private:
   struct State {
@@ -53,10 +56,10 @@
     std::set<JobId> FailedJobs;
     Duration NextEjectionDuration{};
     Instant EjectedUntil;
-    bool IsOnProbation = false;
+    bool IsOnProbation = false; // Also while it is ejected.
   };
 
-  void ejectWorker(State &Worker, size_t PoolSize, Instant Now);
+  bool ejectWorker(State &Worker, size_t PoolSize, Instant Now);
 
   const HealthOptions Options;
   std::map<WorkerKey, State> Workers;
--- a/Source/Workers/WorkerTable.h
+++ b/Source/Workers/WorkerTable.h
@@ -75,6 +75,8 @@
   Instant PaceChangedAt; // When PacePercent last changed.
   /// An earlier leader started it, at a time that is not known.
   bool IsAdopted = false;
+  /// It is long-running and has been found to do well.
+  bool HasLasted = false;
   /// The worker takes no other task meanwhile. Changed only by WorkerTable.
   bool IsCanary = false;
 };
