Scheduling: advice is asked for in turn and waited for by its policy

Cause: WorkerClient gave each call up after 3 s, and 12 workers were named, whatever the policy says; and each step sent its own call, though the service handles the calls of one VM in turn, so that each limit covered the calls before it.

Change: AdviceQueue holds the steps that need tickets. One call is under way at a time; its limit is what the policy states for the workers named, and 1 s, doubled after a call without an answer, up to four times. Next is the step of the highest priority, then of the fewest calls, then of the earliest objective; ended steps are taken out. How many workers are named follows from the step, the times of the policy and the part that the queue granted lately. A service that does not answer is asked again after 0.25 to 2 s. Tickets of a step that is done are dropped. Why it works: no limit of ours is shorter than the time that the policy states.

--- a/Source/Fleet/CarriedWorkerPort.cpp
+++ b/Source/Fleet/CarriedWorkerPort.cpp
@@ -240,8 +240,8 @@
 
 void CarriedWorkerPort::requestAdvice(const TaskId &Step,
                                       const std::vector<std::string> &Workers,
-                                      AdviceCallback Done) {
-  Direct.requestAdvice(Step, Workers, std::move(Done));
+                                      Duration Timeout, AdviceCallback Done) {
+  Direct.requestAdvice(Step, Workers, Timeout, std::move(Done));
 }
 
 } // namespace mimosashunt
--- a/Source/Fleet/SchedulerMetrics.cpp
+++ b/Source/Fleet/SchedulerMetrics.cpp
@@ -167,6 +167,17 @@
   SetGauge("mimosashunt_locality_waiting",
            "Tasks and gangs that wait for capacity near their data",
            Scheduler->localityWaitCount());
+  SetGauge("mimosashunt_advice_waiting",
+           "Steps that wait for a call to the advice service",
+           Scheduler->advice().waitingSteps());
+  SetGauge("mimosashunt_advice_calls", "Calls to the advice service",
+           Scheduler->advice().calls());
+  SetGauge("mimosashunt_advice_unanswered",
+           "Calls to the advice service without a usable answer",
+           Scheduler->advice().unansweredCalls());
+  SetGauge("mimosashunt_advice_useless",
+           "Answers of the advice service whose tickets run out before a start",
+           Counters.UselessTickets);
   SetGauge("mimosashunt_run_time_kinds",
            "Kinds of task whose run times are known",
            Scheduler->runTimes().kindCount());
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -23,7 +23,8 @@
                    Options.AttemptsPerLeadership),
       StartedAt(Timers.now()), Table(Options.Lease), Starts(Options.Starts),
       Retries(Options.Retries), Records(Store), Health(Options.Health),
-      Budget(Options.WorkBytes), AliveFlag(std::make_shared<bool>(true)) {
+      Advice(Options.Advice), Budget(Options.WorkBytes),
+      AliveFlag(std::make_shared<bool>(true)) {
   loadStore();
   TickTimer = Timers.scheduleEvery(TickPeriod, [this] { onTick(); });
 }
@@ -156,7 +157,7 @@
     if (Queue != nullptr) {
       Job->PoolSince = Queue->PoolSince;
       Job->Priority = Queue->Priority;
-      Job->NeedsAdvice = Queue->Advice.has_value();
+      Job->Advice = Queue->Advice;
     }
     markPoolDirty(Job->Pool);
   }
@@ -457,7 +458,7 @@
                           Worker->Runs.at(Task).State != RunState::Stopping;
           if (!IsPlaced)
             Pass.placeTask({&Job->stepSpec(S), &Step, &Step.Tasks[I],
-                            Job->NeedsAdvice, Timers.now()});
+                            Job->needsAdvice(), Timers.now()});
         }
       }
   }
@@ -493,10 +494,10 @@
       JobProgress &Job = *Jobs.at(Task.Job);
       StepProgress &Step = *Job.findStep(Task);
       PlacementRequest Request{&Job.stepSpec(Task.Step), &Step,
-                               &Step.Tasks[Task.Index], Job.NeedsAdvice,
+                               &Step.Tasks[Task.Index], Job.needsAdvice(),
                                Timers.now()};
       if (Pass.placeTask(Request) == nullptr) {
-        if (Job.NeedsAdvice)
+        if (Job.needsAdvice())
           requestAdvice(Job, Task.Occurrence, Task.Step, Pass.candidates());
         continue;
       }
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -9,6 +9,7 @@
 #include "Core/TimerService.h"
 #include "Jobs/JobStore.h"
 #include "Jobs/ServiceConfiguration.h"
+#include "Scheduling/AdviceQueue.h"
 #include "Scheduling/CrashSuspicion.h"
 #include "Scheduling/FailureBlame.h"
 #include "Scheduling/JobOrder.h"
@@ -45,6 +46,7 @@
   SuspicionOptions Suspicion;
   PacingOptions Pacing;
   RestartOptions Restarts;
+  AdviceOptions Advice;
   OrderPolicy JobOrderPolicy = ValuePerWork{};
   /// How long a worker may hold a poll open, waiting for a run to end, while it
   /// runs something.
@@ -177,6 +179,8 @@
   uint64_t LocalityWaits = 0;
   uint64_t LocalityWaitsPaidOff = 0;
   uint64_t LocalityWaitedMs = 0;
+  /// Answers of the advice service whose tickets run out before a start.
+  uint64_t UselessTickets = 0;
 };
 
 /// Schedules jobs onto workers while this VM is leader.
@@ -285,6 +289,7 @@
   std::map<std::string, size_t> distrustedWorkers() const {
     return Health.countDistrusted();
   }
+  const AdviceQueue &advice() const { return Advice; }
   const RunTimes &runTimes() const { return LearnedRunTimes; }
   /// Returns the number of steps and tasks that wait for capacity near their
   /// data.
@@ -294,6 +299,10 @@
   Duration oldestRenewalAge() const;
 
 private:
+  /// A ticket that is valid for less is of no use: the start has to be decided
+  /// and sent.
+  static constexpr Duration MinTicketValidity = milliseconds(50);
+
   struct Flush {
     std::map<WorkerKey, uint64_t> ProcessedEnds;
   };
@@ -611,8 +620,13 @@
                       const TrackedWorker &Worker, bool IsRemote);
   /// Returns the run time of a task near its data, unless the rack is slow.
   TimeEstimate localRunTime(const JobProgress &Job, const StepSpec &Spec) const;
+  // Tickets of the advice service.
+  /// Queues a call about the step, which has no place with the tickets that it
+  /// has.
   void requestAdvice(JobProgress &Job, uint32_t Occurrence, uint32_t Step,
                      const std::vector<Candidate> &Candidates);
+  void sendAdviceCall();
+  void onAdvice(const AdviceCall &Call, const AdviceResponse &Response);
   /// Returns the resources that each organisation may be using for inherited
   /// runs that have not been located yet.
   std::map<std::string, Resources> computeUnlocatedUsage() const;
@@ -650,6 +664,7 @@
   /// it, so that no pool is always served last.
   std::string LastCutShortPool;
   WorkerHealth Health;
+  AdviceQueue Advice;
   // Jobs that have not ended, and ended jobs some of whose runs may not have
   // ended.
   std::map<JobId, std::unique_ptr<JobProgress>> Jobs;
--- a/Source/Scheduling/DispatcherLocality.cpp
+++ b/Source/Scheduling/DispatcherLocality.cpp
@@ -187,7 +187,7 @@
   bool DependsOnRack = Spec.Gang ? Spec.RackLocal : !Spec.DataRack.empty();
   // A task that failed, or was lost, is late enough. Which workers take a task
   // with a ticket or a limit per worker is not forecast.
-  bool IsOrdinary = !Spec.LongRunning && !IsCanary && !Job.NeedsAdvice &&
+  bool IsOrdinary = !Spec.LongRunning && !IsCanary && !Job.needsAdvice() &&
                     Spec.MaxPerWorker == 0 && TaskState.Workers.empty() &&
                     TaskState.AvoidedWorkers.empty();
   bool HasWaited =
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -241,7 +241,7 @@
         &Spec,
         &Progress,
         &TaskState,
-        Job.NeedsAdvice,
+        Job.needsAdvice(),
         Timers.now(),
         std::max<uint32_t>(Remaining, 1),
         Caution.NeedsCanary,
@@ -266,7 +266,7 @@
     if (Chosen == nullptr) {
       if (Caution.NeedsCanary)
         reserveWorkerForCanary(Job.Pool, Request, Progress, Pass);
-      if (Job.NeedsAdvice)
+      if (Job.needsAdvice())
         requestAdvice(Job, Occurrence, Step, Pass.candidates());
       return;
     }
@@ -297,7 +297,7 @@
   if (Caution.NeedsCanary && !hasCanarySlot(Job.Pool))
     return;
   PlacementRequest Request{&Spec, &Progress, &Progress.Tasks.front(),
-                           Job.NeedsAdvice, Timers.now()};
+                           Job.needsAdvice(), Timers.now()};
   Request.IsCanary = Caution.NeedsCanary;
   Request.IsSuspect =
       isStepSuspect(evidenceAgainst(Progress, Progress.Tasks.front()));
@@ -320,7 +320,7 @@
   if (!Chosen) {
     if (Caution.NeedsCanary)
       reserveWorkerForCanary(Job.Pool, Request, Progress, Pass);
-    if (Job.NeedsAdvice)
+    if (Job.needsAdvice())
       requestAdvice(Job, Occurrence, Step, Pass.candidates());
     return;
   }
@@ -341,50 +341,4 @@
   }
 }
 
-void Dispatcher::requestAdvice(JobProgress &Job, uint32_t Occurrence,
-                               uint32_t Step,
-                               const std::vector<Candidate> &Candidates) {
-  StepProgress &Progress = Job.Occurrences.at(Occurrence).Steps[Step];
-  if (Progress.Advice.RequestInFlight)
-    return;
-  constexpr size_t MaxWorkersAsked = 12;
-  std::vector<std::string> Asked;
-  for (const Candidate &Target : Candidates) {
-    auto Ticket = Progress.Advice.TicketsByWorker.find(Target.Worker->key().Id);
-    bool Refused = Ticket != Progress.Advice.TicketsByWorker.end() &&
-                   Ticket->second.Text.empty();
-    bool Valid = Ticket != Progress.Advice.TicketsByWorker.end() && !Refused &&
-                 Timers.now() < Ticket->second.ValidUntil;
-    if (!Refused && !Valid && Asked.size() < MaxWorkersAsked)
-      Asked.push_back(Target.Worker->key().Id);
-  }
-  if (Asked.empty())
-    return;
-  Progress.Advice.RequestInFlight = true;
-  TaskId Name{Job.id(), Occurrence, Step, 0};
-  std::shared_ptr<bool> IsAlive = AliveFlag;
-  Port.requestAdvice(
-      Name, Asked,
-      [this, IsAlive, Name, Asked](const AdviceResponse &Response) {
-        if (!*IsAlive)
-          return;
-        auto It = Jobs.find(Name.Job);
-        StepProgress *Progress =
-            It == Jobs.end() ? nullptr : It->second->findStep(Name);
-        if (Progress == nullptr)
-          return;
-        Progress->Advice.RequestInFlight = false;
-        if (!Response.IsAvailable)
-          return;
-        Instant Until =
-            Timers.now() + milliseconds(Response.ValidityMs * 9 / 10);
-        for (const std::string &Worker : Asked) {
-          auto Ticket = Response.Tickets.find(Worker);
-          Progress->Advice.TicketsByWorker[Worker] = {
-              Ticket == Response.Tickets.end() ? "" : Ticket->second, Until};
-        }
-        markPoolDirty(It->second->Pool);
-      });
-}
-
 } // namespace mimosashunt
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -45,6 +45,7 @@
   renewAgingLeases();
   pollDueWorkers();
   scheduleDirtyPools();
+  sendAdviceCall();
   proposePlacements();
   proposeLosses();
 }
--- a/Source/Scheduling/JobProgress.cpp
+++ b/Source/Scheduling/JobProgress.cpp
@@ -19,9 +19,9 @@
                          const QueueConfiguration &Queue, uint32_t FirstAttempt,
                          Instant AcceptedAt)
     : Pool(Queue.Pool), PoolSince(Queue.PoolSince), Priority(Queue.Priority),
-      NeedsAdvice(Queue.Advice.has_value()),
-      MaxAttempts(Record.Job.MaxAttempts), AcceptedAt(AcceptedAt),
-      Job(Record.Job), ConfigurationVersion(Record.ConfigurationVersion),
+      Advice(Queue.Advice), MaxAttempts(Record.Job.MaxAttempts),
+      AcceptedAt(AcceptedAt), Job(Record.Job),
+      ConfigurationVersion(Record.ConfigurationVersion),
       FirstAttempt(FirstAttempt), LongRunning(Record.Job.Spec.isLongRunning()) {
   auto StretchedMs = static_cast<int64_t>(
       Queue.Stretch * static_cast<double>(Job.Spec.criticalPathMs()));
@@ -136,6 +136,9 @@
     if (!TaskState.Workers.empty())
       --Step.PlacedCount;
   }
+  // No more tasks of it start.
+  if (Step.isDone())
+    Step.Advice = {};
   if (!WasDone && Occurrences.at(Task.Occurrence).isDone())
     --UnfinishedOccurrences;
   // A failed job stays ended, even if more of its tasks succeed afterwards.
--- a/Source/Scheduling/JobProgress.h
+++ b/Source/Scheduling/JobProgress.h
@@ -56,7 +56,14 @@
     Instant ValidUntil;
   };
   std::map<std::string, Ticket> TicketsByWorker; // By worker id.
-  bool RequestInFlight = false;
+
+  /// Returns true if the worker may not run the step, or has a ticket that
+  /// is valid at \p Now.
+  bool isDecided(const std::string &Worker, Instant Now) const {
+    auto It = TicketsByWorker.find(Worker);
+    return It != TicketsByWorker.end() &&
+           (It->second.Text.empty() || Now < It->second.ValidUntil);
+  }
 };
 
 /// The state of one step in one occurrence of a job.
@@ -102,6 +109,7 @@
   const AcceptJob &job() const { return Job; }
   const StepSpec &stepSpec(uint32_t Step) const { return Job.Spec.Steps[Step]; }
   bool isLongRunning() const { return LongRunning; }
+  bool needsAdvice() const { return Advice.has_value(); }
   /// Returns true if the job's queue may have had another pool since the job
   /// was accepted.
   bool mayHaveChangedPool() const { return ConfigurationVersion < PoolSince; }
@@ -150,8 +158,9 @@
   /// The configuration version since which the queue has had this pool.
   uint64_t PoolSince = 0;
   int64_t Priority = 0;
-  /// Only workers with a ticket from the advice service may run its steps.
-  bool NeedsAdvice = false;
+  /// The policy of its queue, if only workers with a ticket from the advice
+  /// service may run its steps.
+  std::optional<AdvicePolicy> Advice;
   uint32_t MaxAttempts = 1;
   /// The time by which the job should end.
   Instant Objective;
--- a/Source/Workers/WorkerPort.h
+++ b/Source/Workers/WorkerPort.h
@@ -3,6 +3,7 @@
 #ifndef MIMOSASHUNT_WORKERS_WORKERPORT_H
 #define MIMOSASHUNT_WORKERS_WORKERPORT_H
 
+#include "Core/Time.h"
 #include "Jobs/JobCommands.h"
 
 #include <cstdint>
@@ -166,10 +167,11 @@
   virtual void renewLease(const WorkerEntry &To, const RenewOrder &Order,
                           OrderCallback Done) = 0;
   /// Asks the advice service which of \p Workers may run a step. \p Step names
-  /// any task of the step.
+  /// any task of the step. Without an answer within \p Timeout the response is
+  /// unavailable.
   virtual void requestAdvice(const TaskId &Step,
                              const std::vector<std::string> &Workers,
-                             AdviceCallback Done) = 0;
+                             Duration Timeout, AdviceCallback Done) = 0;
 };
 
 } // namespace mimosashunt
--- a/Tests/Fleet/CarrierTest.cpp
+++ b/Tests/Fleet/CarrierTest.cpp
@@ -47,7 +47,7 @@
     answer([Done, this] { Done({Response.Outcome, Response.ClockMs}); });
   }
   void requestAdvice(const TaskId &, const std::vector<std::string> &,
-                     AdviceCallback) override {}
+                     Duration, AdviceCallback) override {}
 
   PollResponse Response{OrderOutcome::Accepted, 1234, {}, {}};
   bool IsSilent = false;
--- a/Tests/Jobs/IncarnationsTest.cpp
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -256,8 +256,8 @@
     Workers.renewLease(To, Order, Done);
   }
   void requestAdvice(const TaskId &Step, const std::vector<std::string> &Ids,
-                     AdviceCallback Done) override {
-    Workers.requestAdvice(Step, Ids, Done);
+                     Duration Timeout, AdviceCallback Done) override {
+    Workers.requestAdvice(Step, Ids, Timeout, Done);
   }
 
   std::string FirstWorker; // The late start is for it.
--- a/Tests/Jobs/PlacementRecordsTest.cpp
+++ b/Tests/Jobs/PlacementRecordsTest.cpp
@@ -178,9 +178,9 @@
     Inner.renewLease(To, Order, std::move(Done));
   }
   void requestAdvice(const TaskId &Step,
-                     const std::vector<std::string> &Workers,
+                     const std::vector<std::string> &Workers, Duration Timeout,
                      AdviceCallback Done) override {
-    Inner.requestAdvice(Step, Workers, std::move(Done));
+    Inner.requestAdvice(Step, Workers, Timeout, std::move(Done));
   }
 
   std::vector<std::string> Unrecorded;
--- a/Tests/Support/BusyLeaderPort.h
+++ b/Tests/Support/BusyLeaderPort.h
@@ -46,9 +46,9 @@
     Inner.renewLease(To, Order, inTurn(std::move(Done)));
   }
   void requestAdvice(const TaskId &Step,
-                     const std::vector<std::string> &Workers,
+                     const std::vector<std::string> &Workers, Duration Timeout,
                      AdviceCallback Done) override {
-    Inner.requestAdvice(Step, Workers, inTurn(std::move(Done)));
+    Inner.requestAdvice(Step, Workers, Timeout, inTurn(std::move(Done)));
   }
 
   /// Returns how far the leader is behind: the time until a response that
--- a/Tests/Support/DelayedPort.h
+++ b/Tests/Support/DelayedPort.h
@@ -49,9 +49,9 @@
     });
   }
   void requestAdvice(const TaskId &Step,
-                     const std::vector<std::string> &Workers,
+                     const std::vector<std::string> &Workers, Duration Timeout,
                      AdviceCallback Done) override {
-    Inner.requestAdvice(Step, Workers, late(std::move(Done)));
+    Inner.requestAdvice(Step, Workers, Timeout, late(std::move(Done)));
   }
 
 private:
--- a/Tests/Support/VirtualWorkers.cpp
+++ b/Tests/Support/VirtualWorkers.cpp
@@ -489,7 +489,7 @@
 }
 
 void VirtualWorkers::requestAdvice(const TaskId &,
-                                   const std::vector<std::string> &,
+                                   const std::vector<std::string> &, Duration,
                                    AdviceCallback Done) {
   Timers.scheduleAt(Timers.now() + OneWayDelay, [Done] { Done({}); });
 }
--- a/Tests/Support/VirtualWorkers.h
+++ b/Tests/Support/VirtualWorkers.h
@@ -103,7 +103,7 @@
   void renewLease(const WorkerEntry &To, const RenewOrder &Order,
                   OrderCallback Done) override;
   void requestAdvice(const TaskId &Step,
-                     const std::vector<std::string> &Workers,
+                     const std::vector<std::string> &Workers, Duration Timeout,
                      AdviceCallback Done) override;
 
   /// Violated invariants, one line each; empty in a correct run.
