Jobs: tickets count in the memory of a job, responses are tested

A job of a queue with a policy is now priced with as many tickets a step as its pool has workers. Tests of the response to a job that never fits, and of the form of responses between versions.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -95,7 +95,7 @@
           : MeanJobCoreMs + SmoothingFactor * (Work - MeanJobCoreMs);
   markPoolDirty(Job->Pool);
   Budget.add(Record.Job.Job, Record.Job.Organisation,
-             estimateJobBytes(Record.Job));
+             estimateBytes(Record.Job));
   JobProgress &Added = *(Jobs[Record.Job.Job] = std::move(Job));
   if (!Record.Losses.empty())
     loadLosses(Added);
@@ -126,8 +126,14 @@
     Budget.remove(Job);
 }
 
+int64_t Dispatcher::estimateBytes(const AcceptJob &Job) const {
+  const QueueConfiguration *Queue = Configuration.findQueue(Job.Queue);
+  bool NeedsAdvice = Queue != nullptr && Queue->Advice.has_value();
+  return estimateJobBytes(Job, NeedsAdvice ? poolSize(Queue->Pool) : 0);
+}
+
 Admission Dispatcher::admitJob(const AcceptJob &Job) {
-  int64_t Bytes = estimateJobBytes(Job);
+  int64_t Bytes = estimateBytes(Job);
   Admission Decision = Budget.assess(Job.Organisation, Bytes);
   if (std::holds_alternative<Admitted>(Decision))
     Budget.add(Job.Job, Job.Organisation, Bytes);
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -322,6 +322,8 @@
   /// worker, to which this leader has sent none.
   Instant earlierLeasesEnd(const TrackedWorker &Worker) const;
   void addJob(const JobRecord &Record, bool IsInherited);
+  /// Returns how much memory the job counts for, in bytes.
+  int64_t estimateBytes(const AcceptJob &Job) const;
   /// Opens the occurrences of a recurring job that have become due, and drops
   /// those that have ended.
   void updateOccurrences(JobProgress &Job);
--- a/Source/Scheduling/WorkBudget.cpp
+++ b/Source/Scheduling/WorkBudget.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-int64_t estimateJobBytes(const AcceptJob &Job) {
+int64_t estimateJobBytes(const AcceptJob &Job, size_t AdvisedWorkers) {
   // The record, the leader's copy of it, and the entry of the log in memory and
   // on its way to the followers.
   constexpr int64_t TextCopies = 4;
@@ -35,7 +35,11 @@
   constexpr int64_t RunBytes = sizeof(Run) + 2 * sizeof(TaskId) + NodeBytes;
   constexpr int64_t TaskBytes =
       sizeof(TaskRecord) + sizeof(TaskProgress) + RunBytes;
-  constexpr int64_t StepBytes = sizeof(StepProgress) + NodeBytes;
+  // A ticket is a text of some tens of bytes.
+  constexpr int64_t TicketBytes = sizeof(StepAdvice::Ticket) + NodeBytes;
+  const int64_t StepBytes = static_cast<int64_t>(sizeof(StepProgress)) +
+                            NodeBytes +
+                            static_cast<int64_t>(AdvisedWorkers) * TicketBytes;
   constexpr int64_t OccurrenceBytes =
       sizeof(OccurrenceProgress) + sizeof(TaskRecords::Open) + 2 * NodeBytes;
   constexpr int64_t JobBytes =
--- a/Source/Scheduling/WorkBudget.h
+++ b/Source/Scheduling/WorkBudget.h
@@ -19,8 +19,9 @@
 namespace mimosashunt {
 
 /// Returns how many bytes the job takes at most on a leader, and so on any
-/// control VM.
-int64_t estimateJobBytes(const AcceptJob &Job);
+/// control VM. Each of its steps may keep what the advice service has decided
+/// about \p AdvisedWorkers workers.
+int64_t estimateJobBytes(const AcceptJob &Job, size_t AdvisedWorkers);
 
 struct Admitted {};
 /// There is no room now.
--- a/Tests/Jobs/WorkBudgetTest.cpp
+++ b/Tests/Jobs/WorkBudgetTest.cpp
@@ -135,6 +135,16 @@
   }
 }
 
+// Guards against tickets of the advice service, by worker of each step, that
+// nothing counts.
+TEST(WorkBudget, TicketsCountForEachWorkerThatAStepMayAskAbout) {
+  AcceptJob Job = makeJob("a", makeChainSpec(3, 1, 500, 200));
+  constexpr int64_t Workers = 85;
+  constexpr int64_t MinTicketBytes = 100;
+  EXPECT_GE(estimateJobBytes(Job, Workers) - estimateJobBytes(Job, 0),
+            3 * Workers * MinTicketBytes);
+}
+
 TEST(WorkBudget, AJobOfTheLargestSizeIsRefusedForGood) {
   SchedulerHarness Harness;
   Harness.addPool("p", 6, 32);
--- a/Tests/Platform/CallCodecTest.cpp
+++ b/Tests/Platform/CallCodecTest.cpp
@@ -168,12 +168,32 @@
                    {JobRequestOutcome::NotRun, JobState::Queued, 1200, {}});
   EXPECT_EQ(Later.Status, 503);
   EXPECT_EQ(headerValue(Later.Headers, "retry-after"), "2");
+  HttpResponse Never = Codec.answer(
+      JobRequestKind::Submit,
+      {JobRequestOutcome::TooLarge, JobState::Queued, 0, {}, "at most 5"});
+  EXPECT_EQ(Never.Status, 400);
+  EXPECT_EQ(headerValue(Never.Headers, "retry-after"), "");
+  EXPECT_NE(Never.Body.find("at most 5"), std::string::npos);
   HttpResponse State =
       Codec.answer(JobRequestKind::Status,
                    {JobRequestOutcome::Done, JobState::Completed, 0, {}});
   EXPECT_EQ(State.Body, R"({"state":"completed"})");
 }
 
+// Guards against an upgrade in which gateways and leaders of two versions
+// cannot read each other's responses.
+TEST(CallerCalls, ResponsesToJobRequestsKeepTheirEarlierForm) {
+  JobResponse Done{JobRequestOutcome::Done, JobState::Running, 0, "a:1"};
+  EXPECT_FALSE(readCbor(toCbor(Done)).contains("detail"));
+  JobResponse Refused{
+      JobRequestOutcome::TooLarge, JobState::Queued, 0, {}, "at most 5"};
+  for (const JobResponse &Sent : {Done, Refused}) {
+    JobResponse Read;
+    ASSERT_TRUE(fromCbor(toCbor(Sent), Read));
+    EXPECT_EQ(Read, Sent);
+  }
+}
+
 TEST(ControlCalls, ReadsWorkerReport) {
   ConfigurationCodec Reader;
   ControlRequest Read = ControlCalls(Reader).decode(makeRequest(
