Scheduling: the end of a run, one step a function

handleRunEnd had grown to some ninety lines. What it does for a task that is done, one that failed and a lasting one now stands by itself; a task that is done no longer walks its whole step to stop copies.

--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -390,6 +390,20 @@
   void removeVanishedRuns(TrackedWorker &Worker, const PollResponse &Response,
                           Instant SentAt);
   void handleRunEnd(TrackedWorker &Worker, const FinishedRun &End);
+  /// Removes the run that has ended from the table and returns it; nothing if
+  /// the end is that of another attempt or of an unknown run.
+  std::optional<Run> takeEndedRun(TrackedWorker &Worker,
+                                  const FinishedRun &End);
+  /// Logs and counts the end. \p Ended is the run, if it was known.
+  void reportRunEnd(const TrackedWorker &Worker, const FinishedRun &End,
+                    const std::optional<Run> &Ended);
+  void handleSuccess(const TrackedWorker &Worker, JobProgress &Job,
+                     const FinishedRun &End, const std::optional<Run> &Ended);
+  void handleFailure(const TrackedWorker &Worker, JobProgress &Job,
+                     const FinishedRun &End);
+  void handleLongRunningEnd(const TrackedWorker &Worker, JobProgress &Job,
+                            const FinishedRun &End,
+                            const std::optional<Run> &Ended);
   /// Logs each run on a worker that fell silent or is given up.
   void reportLostRuns(const TrackedWorker &Worker, const char *Why);
   void reportUnrenewedRun(const TrackedWorker &Worker, const FinishedRun &End);
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -389,85 +389,101 @@
   if (End.Number <= Worker.ProcessedEnds)
     return;
   Worker.ProcessedEnds = End.Number;
-  Instant OrderedAt = Timers.now();
-  auto CurrentRun = Worker.Runs.find(End.Task);
-  bool IsCurrentAttempt = CurrentRun != Worker.Runs.end() &&
-                          CurrentRun->second.Attempt == End.Attempt;
-  Run Ended;
-  if (IsCurrentAttempt) {
-    OrderedAt = CurrentRun->second.OrderedAt;
-    Ended.OrderedAt = OrderedAt;
-    Ended.IsAdopted = CurrentRun->second.IsAdopted;
-    Ended.IsRemote = CurrentRun->second.IsRemote;
-    // Its worker has outlived it.
-    if (CurrentRun->second.IsCanary && End.Kind == EndKind::Done)
-      passCanary(Worker, End.Task, CurrentRun->second);
-    removeRun(Worker, End.Task);
-  }
+  std::optional<Run> Ended = takeEndedRun(Worker, End);
   if (End.Kind == EndKind::LeaseExpired)
     reportUnrenewedRun(Worker, End);
-  Json Fields = taskFields(End.Task, End.Attempt);
-  Fields["worker"] = Worker.key().Id;
-  Fields["how"] = nameOf(End.Kind);
-  Fields["ms"] = toMillis(Timers.now() - OrderedAt);
-  Hooks.LogEvent("run_ended", std::move(Fields));
-  if (End.Kind == EndKind::Done)
-    ++Counters.CompletedRuns;
-  else if (End.Kind == EndKind::Failed)
-    ++Counters.FailedRuns;
-  else
-    ++Counters.OtherEndedRuns;
+  reportRunEnd(Worker, End, Ended);
   openOccurrence(End.Task);
   auto It = Jobs.find(End.Task.Job);
   JobProgress *Job = It == Jobs.end() ? nullptr : It->second.get();
   TaskProgress *TaskState = Job == nullptr ? nullptr : Job->findTask(End.Task);
   if (TaskState == nullptr)
     return;
-  const StepSpec &Spec = Job->stepSpec(End.Task.Step);
   TaskState->LastAttempt = std::max(TaskState->LastAttempt, End.Attempt);
   if (!End.Checkpoint.empty())
     TaskState->Checkpoint = End.Checkpoint;
-  if (End.Kind == EndKind::Done && !Spec.LongRunning) {
-    recordRunSuccess(Worker, *Job, End.Task);
-    if (IsCurrentAttempt)
-      learnRunTime(*Job, Spec, Worker, Ended);
-    if (!TaskState->Done) {
-      Job->recordSuccess(End.Task);
-      queueResult({End.Task, End.Attempt, true});
-      if (!TaskState->Workers.empty() || Spec.Gang)
-        for (uint32_t I = 0; I < Spec.Count; ++I) {
-          TaskId Member = End.Task;
-          Member.Index = I;
-          TaskProgress *Other = Job->findTask(Member);
-          if (!Other->Done)
-            continue;
-          for (const WorkerKey &At : std::vector<WorkerKey>(Other->Workers))
-            if (TrackedWorker *Holder = Table.find(At))
-              if (!Spec.Gang)
-                stopRun(*Holder, Member);
-        }
-    }
-  } else if (End.Kind == EndKind::Failed && !Spec.LongRunning &&
-             !Job->HasEnded) {
-    recordRunFailure(Worker, *Job, End.Task);
-    queueResult({End.Task, End.Attempt, false});
-    if (Job->recordFailure(End.Task, End.Attempt) >= Job->MaxAttempts) {
-      Hooks.LogEvent("job_failed", taskFields(End.Task, End.Attempt));
-      Job->HasEnded = true;
-      stopAllRuns(*Job);
-    }
-  } else if (Spec.LongRunning) {
-    TaskState->EndedAt = Timers.now();
-    // How long a run of an earlier leader has lasted is not known.
-    bool IsOwnRun = IsCurrentAttempt && !Ended.IsAdopted;
-    if (IsOwnRun && End.Kind == EndKind::Failed)
-      recordLongRunningFailure(Worker, *Job, End.Task,
-                               Timers.now() - OrderedAt);
-  }
+  if (Job->stepSpec(End.Task.Step).LongRunning)
+    handleLongRunningEnd(Worker, *Job, End, Ended);
+  else if (End.Kind == EndKind::Done)
+    handleSuccess(Worker, *Job, End, Ended);
+  else if (End.Kind == EndKind::Failed && !Job->HasEnded)
+    handleFailure(Worker, *Job, End);
   markPoolDirty(Job->Pool);
   removeJobIfFinished(End.Task.Job);
 }
 
+std::optional<Run> Dispatcher::takeEndedRun(TrackedWorker &Worker,
+                                            const FinishedRun &End) {
+  auto It = Worker.Runs.find(End.Task);
+  if (It == Worker.Runs.end() || It->second.Attempt != End.Attempt)
+    return std::nullopt;
+  // Its worker has outlived it.
+  if (It->second.IsCanary && End.Kind == EndKind::Done)
+    passCanary(Worker, End.Task, It->second);
+  Run Ended = It->second;
+  removeRun(Worker, End.Task);
+  return Ended;
+}
+
+void Dispatcher::reportRunEnd(const TrackedWorker &Worker,
+                              const FinishedRun &End,
+                              const std::optional<Run> &Ended) {
+  Instant Now = Timers.now();
+  Json Fields = taskFields(End.Task, End.Attempt);
+  Fields["worker"] = Worker.key().Id;
+  Fields["how"] = nameOf(End.Kind);
+  Fields["ms"] = toMillis(Ended ? Now - Ended->OrderedAt : Duration::zero());
+  Hooks.LogEvent("run_ended", std::move(Fields));
+  if (End.Kind == EndKind::Done)
+    ++Counters.CompletedRuns;
+  else if (End.Kind == EndKind::Failed)
+    ++Counters.FailedRuns;
+  else
+    ++Counters.OtherEndedRuns;
+}
+
+void Dispatcher::handleSuccess(const TrackedWorker &Worker, JobProgress &Job,
+                               const FinishedRun &End,
+                               const std::optional<Run> &Ended) {
+  const StepSpec &Spec = Job.stepSpec(End.Task.Step);
+  TaskProgress &TaskState = *Job.findTask(End.Task);
+  recordRunSuccess(Worker, Job, End.Task);
+  if (Ended)
+    learnRunTime(Job, Spec, Worker, *Ended);
+  if (TaskState.Done)
+    return;
+  Job.recordSuccess(End.Task);
+  queueResult({End.Task, End.Attempt, true});
+  // The other members of a gang end by themselves.
+  if (Spec.Gang)
+    return;
+  for (const WorkerKey &At : std::vector<WorkerKey>(TaskState.Workers))
+    if (TrackedWorker *Holder = Table.find(At))
+      stopRun(*Holder, End.Task);
+}
+
+void Dispatcher::handleFailure(const TrackedWorker &Worker, JobProgress &Job,
+                               const FinishedRun &End) {
+  recordRunFailure(Worker, Job, End.Task);
+  queueResult({End.Task, End.Attempt, false});
+  if (Job.recordFailure(End.Task, End.Attempt) < Job.MaxAttempts)
+    return;
+  Hooks.LogEvent("job_failed", taskFields(End.Task, End.Attempt));
+  Job.HasEnded = true;
+  stopAllRuns(Job);
+}
+
+void Dispatcher::handleLongRunningEnd(const TrackedWorker &Worker,
+                                      JobProgress &Job, const FinishedRun &End,
+                                      const std::optional<Run> &Ended) {
+  Job.findTask(End.Task)->EndedAt = Timers.now();
+  // How long a run of an earlier leader has lasted is not known.
+  bool HasKnownAge = Ended && !Ended->IsAdopted;
+  if (HasKnownAge && End.Kind == EndKind::Failed)
+    recordLongRunningFailure(Worker, Job, End.Task,
+                             Timers.now() - Ended->OrderedAt);
+}
+
 void Dispatcher::reportUnrenewedRun(const TrackedWorker &Worker,
                                     const FinishedRun &End) {
   if (!Worker.IsSynced)
