--- a/Source/Fleet/FleetSettings.cpp
+++ b/Source/Fleet/FleetSettings.cpp
@@ -57,6 +57,9 @@
 } // namespace
 
 Json FleetSettings::schema() {
+  // With less there is room for a few small jobs only.
+  constexpr int64_t MinMemoryMb = 16;
+  constexpr int64_t MaxMemoryMb = 1000000000;
   Json Properties = {
       {"vm", nameSchema("name of this VM")},
       {"dataCentre", nameSchema("name of its data centre")},
@@ -103,7 +106,11 @@
                   "their weights")},
       {"localityWait", flagSchema("true to let tasks wait for capacity near "
                                   "their data while that pays")},
-      {"memoryMb", nonNegativeNumberSchema("memory that this daemon may use")},
+      {"memoryMb",
+       {{"type", "number"},
+        {"minimum", MinMemoryMb},
+        {"maximum", MaxMemoryMb},
+        {"description", "memory that this daemon may use, in MB"}}},
       {"remoteFactor",
        {{"type", "number"},
         {"minimum", 1},
--- a/Source/Jobs/JobStore.cpp
+++ b/Source/Jobs/JobStore.cpp
@@ -4,6 +4,7 @@
 #include "Jobs/Limits.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace mimosashunt {
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -299,10 +299,6 @@
   Duration oldestRenewalAge() const;
 
 private:
-  /// A ticket that is valid for less is of no use: the start has to be decided
-  /// and sent.
-  static constexpr Duration MinTicketValidity = milliseconds(50);
-
   struct Flush {
     std::map<WorkerKey, uint64_t> ProcessedEnds;
   };
--- a/Source/Scheduling/DispatcherAdvice.cpp
+++ b/Source/Scheduling/DispatcherAdvice.cpp
@@ -9,6 +9,14 @@
 
 namespace mimosashunt {
 
+namespace {
+
+/// A ticket that is valid for less is of no use: the start has to be decided
+/// and sent.
+constexpr Duration MinTicketValidity = milliseconds(50);
+
+} // namespace
+
 void Dispatcher::requestAdvice(JobProgress &Job, uint32_t Occurrence,
                                uint32_t Step,
                                const std::vector<Candidate> &Candidates) {
--- a/Source/Scheduling/WorkBudget.cpp
+++ b/Source/Scheduling/WorkBudget.cpp
@@ -72,8 +72,8 @@
 int64_t WorkBudget::guaranteeOf(const std::string &Organisation) const {
   auto It = Weights.find(Organisation);
   double Weight = It == Weights.end() ? UnnamedWeight : It->second;
-  return static_cast<int64_t>(static_cast<double>(Bytes) / 2 * Weight /
-                              TotalWeight);
+  return static_cast<int64_t>(static_cast<double>(Bytes - lendableBytes()) *
+                              Weight / TotalWeight);
 }
 
 int64_t WorkBudget::usedBy(const std::string &Organisation) const {
@@ -86,14 +86,15 @@
   for (const auto &[Other, Held] : UsedBy)
     if (Other != Organisation)
       BorrowedByOthers += std::max<int64_t>(0, Held - guaranteeOf(Other));
-  int64_t Lendable = std::max<int64_t>(0, Bytes / 2 - BorrowedByOthers);
-  return guaranteeOf(Organisation) + Lendable / 2;
+  // What it borrows is at most as much as it leaves to the others.
+  int64_t Left = std::max<int64_t>(0, lendableBytes() - BorrowedByOthers);
+  return guaranteeOf(Organisation) + Left / 2;
 }
 
 Admission WorkBudget::assess(const std::string &Organisation,
                              int64_t JobBytes) const {
   const std::string Owner = ownerOf(Organisation);
-  int64_t MostEver = guaranteeOf(Owner) + Bytes / 4;
+  int64_t MostEver = guaranteeOf(Owner) + lendableBytes() / 2;
   if (JobBytes > MostEver)
     return TooLarge{JobBytes, MostEver};
   int64_t Free = std::min(limitOf(Owner) - usedBy(Owner), Bytes - Used);
--- a/Source/Scheduling/WorkBudget.h
+++ b/Source/Scheduling/WorkBudget.h
@@ -66,6 +66,8 @@
   /// Returns the name under which the organisation's jobs count; jobs without a
   /// named organisation count as those of one.
   std::string ownerOf(const std::string &Organisation) const;
+  /// Returns what is not guaranteed to anybody.
+  int64_t lendableBytes() const { return Bytes / 2; }
   int64_t guaranteeOf(const std::string &Organisation) const;
   int64_t usedBy(const std::string &Organisation) const;
   /// Returns what the organisation may use, if the others keep what they have.
