--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -229,8 +229,9 @@
   for (const auto &[Number, Occurrence] : It->second->Occurrences)
     if (Occurrence.hasRuns())
       return;
-  Jobs.erase(It);
+  // The caller's id may be the key.
   Budget.remove(Job);
+  Jobs.erase(It);
 }
 
 void Dispatcher::onTick() {
