--- a/Source/Jobs/JobSnapshot.cpp
+++ b/Source/Jobs/JobSnapshot.cpp
@@ -218,7 +218,7 @@
     In.read("ended", Ended);
   }
   TaskRecords Result;
-  require(Result.restore(Spec, std::move(Opened), Ended));
+  require(Result.restore(Spec, Opened, Ended));
   require(Result.unfinishedTasks() == readEncoded<uint64_t>(In.at("open")));
   return Result;
 }
--- a/Source/Jobs/JobTypes.h
+++ b/Source/Jobs/JobTypes.h
@@ -205,7 +205,7 @@
   JobState State = JobState::Queued;
   /// Milliseconds after which a refused caller may retry.
   int64_t RetryAfterMs = 0;
-  std::string Leader; // Address of the leader; empty if unknown.
+  std::string Leader;      // Address of the leader; empty if unknown.
   std::string Detail = {}; // Why a job is too large.
   bool operator==(const JobResponse &) const = default;
 
--- a/Source/Jobs/TaskRecords.cpp
+++ b/Source/Jobs/TaskRecords.cpp
@@ -115,7 +115,7 @@
 }
 
 bool TaskRecords::restore(const JobSpec &Spec,
-                          std::map<uint32_t, OccurrenceTasks> Stored,
+                          const std::map<uint32_t, OccurrenceTasks> &Stored,
                           const std::vector<OccurrenceRange> &StoredEnded) {
   *this = TaskRecords(Spec);
   const uint32_t Occurrences = Spec.Recurrence.occurrences();
@@ -130,12 +130,12 @@
     Unfinished -= TasksEach * (Range.End - Range.Begin);
     PreviousEnd = Range.End;
   }
-  for (auto &[Number, Tasks] : Stored) {
+  for (const auto &[Number, Tasks] : Stored) {
     std::optional<uint64_t> NotDone = countUnfinished(Spec, Tasks);
     if (Number >= Occurrences || hasEnded(Number) || !NotDone || *NotDone == 0)
       return false;
     Unfinished -= TasksEach - *NotDone;
-    Opened.emplace(Number, Open{std::move(Tasks), *NotDone});
+    Opened.emplace(Number, Open{Tasks, *NotDone});
   }
   return true;
 }
--- a/Source/Jobs/TaskRecords.h
+++ b/Source/Jobs/TaskRecords.h
@@ -78,7 +78,8 @@
   std::vector<OccurrenceRange> endedOccurrences() const;
   /// Replaces the state by stored state. Returns false, with an unspecified
   /// state, if that does not belong to \p Spec.
-  bool restore(const JobSpec &Spec, std::map<uint32_t, OccurrenceTasks> Stored,
+  bool restore(const JobSpec &Spec,
+               const std::map<uint32_t, OccurrenceTasks> &Stored,
                const std::vector<OccurrenceRange> &StoredEnded);
 
 private:
--- a/Source/Scheduling/AdviceQueue.cpp
+++ b/Source/Scheduling/AdviceQueue.cpp
@@ -61,7 +61,8 @@
   Call.Step = Next->first;
   Waiting.erase(Next);
   size_t Named = countToName(Need);
-  Call.Workers.assign(Need.Workers.begin(), Need.Workers.begin() + Named);
+  Need.Workers.resize(Named);
+  Call.Workers = std::move(Need.Workers);
   int64_t Patience =
       std::min(int64_t(1) << std::min(FailuresInARow, MaxDoublings),
                Options.MaxPatience);
--- a/Tests/Fleet/CarrierTest.cpp
+++ b/Tests/Fleet/CarrierTest.cpp
@@ -46,8 +46,8 @@
     Renewals.push_back(Order);
     answer([Done, this] { Done({Response.Outcome, Response.ClockMs}); });
   }
-  void requestAdvice(const TaskId &, const std::vector<std::string> &,
-                     Duration, AdviceCallback) override {}
+  void requestAdvice(const TaskId &, const std::vector<std::string> &, Duration,
+                     AdviceCallback) override {}
 
   PollResponse Response{OrderOutcome::Accepted, 1234, {}, {}};
   bool IsSilent = false;
