Scheduling: advice names the workers that the step's tasks would fill

A step of 40 small tasks named 60 of 60 workers, 12.1 s of a policy of 100 ms and 200 ms each, though one worker holds it; now as many as its tasks fill, by the room of the candidates. Advice.NoMoreWorkersAreNamedThanTheStepNeeds failed before.

--- a/Source/Scheduling/AdviceQueue.h
+++ b/Source/Scheduling/AdviceQueue.h
@@ -43,7 +43,7 @@
   /// Ids of the workers without a decision, the most useful ones first.
   std::vector<std::string> Workers;
   /// Workers that its waiting tasks would take.
-  size_t WorkersNeeded = 1;
+  size_t WorkersNeeded = 0;
   int64_t Priority = 0; // Zero is the highest priority.
   Instant Objective;
 };
--- a/Source/Scheduling/DispatcherAdvice.cpp
+++ b/Source/Scheduling/DispatcherAdvice.cpp
@@ -29,19 +29,22 @@
   Need.Priority = Job.Priority;
   Need.Objective = Job.Objective;
   std::vector<std::string> Full;
+  uint32_t Left = Spec.Count - Progress.DoneCount - Progress.PlacedCount;
+  uint32_t MaxEach = Spec.MaxPerWorker > 0 ? Spec.MaxPerWorker : Spec.Count;
   for (const Candidate &Target : Candidates) {
     const std::string &Id = Target.Worker->key().Id;
     if (!Target.Worker->Entry.satisfiesLabel(Spec.RequiredLabel) ||
         Progress.Advice.isDecided(Id, Timers.now()))
       continue;
     // A ticket is of use at once where there is room.
-    bool HasRoom = Target.Free.canFit(Spec.reservedResources());
-    (HasRoom ? Need.Workers : Full).push_back(Id);
+    uint32_t Fits = countTasksThatFit(Spec, Target.Free, MaxEach);
+    Need.WorkersNeeded += Fits > 0 && Left > 0 ? 1 : 0;
+    Left -= std::min(Left, Fits);
+    (Fits > 0 ? Need.Workers : Full).push_back(Id);
   }
   Need.Workers.insert(Need.Workers.end(), Full.begin(), Full.end());
-  uint32_t Waiting = Spec.Count - Progress.DoneCount - Progress.PlacedCount;
-  Need.WorkersNeeded =
-      std::min<size_t>(std::max<uint32_t>(Waiting, 1), Need.Workers.size());
+  // What fits nowhere now may need a worker each.
+  Need.WorkersNeeded = std::max<size_t>(Need.WorkersNeeded + Left, 1);
   Advice.add(Need);
 }
 
--- a/Source/Scheduling/Placement.cpp
+++ b/Source/Scheduling/Placement.cpp
@@ -84,16 +84,12 @@
                            const std::map<WorkerKey, uint32_t> &Extra) {
   if (Target.IsOnProbation)
     return 1;
-  const Resources Each = Request.Spec->reservedResources();
-  int64_t Most = Request.Remaining;
-  Most = countFitting(Target.Free.Cpu, Each.Cpu, Most);
-  Most = countFitting(Target.Free.MemoryMb, Each.MemoryMb, Most);
-  Most = countFitting(Target.Free.Accelerators, Each.Accelerators, Most);
+  uint32_t Most =
+      countTasksThatFit(*Request.Spec, Target.Free, Request.Remaining);
   uint32_t Limit = Request.Spec->MaxPerWorker;
   if (Limit > 0)
-    Most = std::min<int64_t>(Most,
-                             Limit - countRunsOfStep(Request, Target, Extra));
-  return static_cast<uint32_t>(Most);
+    Most = std::min(Most, Limit - countRunsOfStep(Request, Target, Extra));
+  return Most;
 }
 
 /// A sort key for candidates; smaller is better.
@@ -162,6 +158,16 @@
 
 } // namespace
 
+uint32_t countTasksThatFit(const StepSpec &Spec, const Resources &Room,
+                           uint32_t Most) {
+  const Resources Each = Spec.reservedResources();
+  int64_t Count = Most;
+  Count = countFitting(Room.Cpu, Each.Cpu, Count);
+  Count = countFitting(Room.MemoryMb, Each.MemoryMb, Count);
+  Count = countFitting(Room.Accelerators, Each.Accelerators, Count);
+  return static_cast<uint32_t>(std::max<int64_t>(Count, 0));
+}
+
 size_t countUnproven(const TrackedWorker &Worker) {
   constexpr Duration ProvingAge = seconds(3);
   if (Worker.LongRunningCount == 0)
--- a/Source/Scheduling/Placement.h
+++ b/Source/Scheduling/Placement.h
@@ -33,6 +33,10 @@
   bool IsAwaited = false;
 };
 
+/// Returns how many tasks of the step \p Room holds, at most \p Most.
+uint32_t countTasksThatFit(const StepSpec &Spec, const Resources &Room,
+                           uint32_t Most);
+
 /// Returns the number of runs on the worker that may bring it down.
 /// Long-running tasks that have survived on it for some seconds do not count.
 size_t countUnproven(const TrackedWorker &Worker);
--- a/Tests/Jobs/AdviceTest.cpp
+++ b/Tests/Jobs/AdviceTest.cpp
@@ -214,12 +214,23 @@
   EXPECT_LE(Pool.Port.Calls, 2);
 }
 
+// Guards against a time that grows with the tasks of a step that a few workers
+// could hold.
+TEST(Advice, NoMoreWorkersAreNamedThanTheStepNeeds) {
+  AdvisedPool Pool(60, {100, 200, 10000});
+  Pool.submit(1, 1, 40);
+  Pool.Harness.advanceTime(seconds(3));
+  EXPECT_EQ(Pool.completed(), 1U);
+  EXPECT_EQ(Pool.Port.Calls, 1);
+}
+
 AdviceNeed makeNeed(const JobId &Job, int64_t Priority, Instant Objective) {
   AdviceNeed Need;
   Need.Step = {Job, 0, 0, 0};
   Need.Queue = "q";
   Need.Policy = {100, 50, 1000};
   Need.Workers = {"a", "b", "c", "d", "e", "f", "g", "h"};
+  Need.WorkersNeeded = 1;
   Need.Priority = Priority;
   Need.Objective = Objective;
   return Need;
