Jobs: all occurrences of a lasting recurring job are open

Found when the diff was read again: with 64 occurrences of a job open at most, the later ones of a job whose steps last waited for ever, as its occurrences never end; 36 of 100 in RecurringJobs.AllOccurrencesOfALastingStepRun, which failed before.

--- a/Source/Scheduling/JobProgress.cpp
+++ b/Source/Scheduling/JobProgress.cpp
@@ -41,6 +41,9 @@
 }
 
 uint32_t maxOpenOccurrences(const JobSpec &Spec) {
+  // They do not end, so that later ones would wait for ever.
+  if (Spec.isLongRunning())
+    return Spec.Recurrence.occurrences();
   // More are seldom due at once, and a leader that was away for long must not
   // open all that it has missed.
   constexpr uint64_t MaxOccurrences = 64;
--- a/Tests/Jobs/RecurringJobsTest.cpp
+++ b/Tests/Jobs/RecurringJobsTest.cpp
@@ -80,6 +80,21 @@
     EXPECT_EQ(Starts, 1) << Task.Occurrence;
 }
 
+// Guards against occurrences that wait for lasting ones to end, which never do.
+TEST(RecurringJobs, AllOccurrencesOfALastingStepRun) {
+  SchedulerHarness Harness([](const TaskId &, const StepSpec &) -> int64_t {
+    return 60 * MinuteMs;
+  });
+  Harness.addPool("p", 4, 32);
+  Harness.beginLeadership();
+  constexpr uint32_t Count = 100;
+  JobSpec Spec = makeRecurring(Count, Harness.wallNow(), 10);
+  Spec.Steps[0].LongRunning = true;
+  Harness.submitJob("a", "p", Spec);
+  Harness.advanceTime(seconds(4));
+  EXPECT_EQ(Harness.Workers.StartCounts.size(), Count);
+}
+
 // Guards against occurrences that a new leader forgets or runs again.
 TEST(RecurringJobs, ANewLeaderGoesOnWithTheOccurrences) {
   SchedulerHarness Harness;
