--- a/Tests/Jobs/DrawnFaultsTest.cpp
+++ b/Tests/Jobs/DrawnFaultsTest.cpp
@@ -1,6 +1,6 @@
 // Plays drawn mixes of faults of workers and leaders and checks that no task
-// runs twice at once, or again after it was done. MIMOSASHUNT_TESTS_SEEDS sets
-// how many are played.
+// runs twice at once, or again after it was done, and that all work ends.
+// MIMOSASHUNT_TESTS_SEEDS sets how many are played.
 
 #include "Support/SchedulerHarness.h"
 
@@ -15,9 +15,18 @@
 
 constexpr size_t PoolSize = 8;
 
+/// What jobs of a day are.
+enum class Work { ShortJobs, AllShapes };
+
+bool failsAlways(const TaskId &Task) { return Task.Job.rfind("bad", 0) == 0; }
+
 class DrawnDay {
 public:
-  explicit DrawnDay(uint32_t Seed) : Random(Seed) {
+  explicit DrawnDay(uint32_t Seed, Work Kinds = Work::ShortJobs)
+      : Harness([](const TaskId &Task, const StepSpec &Spec) {
+          return failsAlways(Task) ? -Spec.EstimateMs : Spec.EstimateMs;
+        }),
+        Kinds(Kinds), Random(Seed) {
     Harness.addPool("p", PoolSize, 8);
     Harness.beginLeadership();
     Harness.advanceTime(milliseconds(500));
@@ -26,7 +35,10 @@
   void play() {
     constexpr int Rounds = 120;
     for (int Round = 0; Round < Rounds; ++Round) {
-      submitJob();
+      if (Kinds == Work::AllShapes)
+        drawJob();
+      else
+        submitJob();
       drawFault();
       Harness.advanceTime(milliseconds(draw(5, 250)));
     }
@@ -55,6 +67,39 @@
                                     draw(50, 1500)));
   }
 
+  void drawJob() {
+    switch (draw(0, 5)) {
+    case 0:
+      return submitRecurringJob();
+    case 1:
+      return submitFailingJob();
+    default:
+      return submitJob();
+    }
+  }
+
+  /// Submits a job whose occurrences are overdue, overlap or come one by one.
+  void submitRecurringJob() {
+    if (Harness.Scheduler == nullptr)
+      return;
+    JobSpec Spec =
+        makeChainSpec(static_cast<uint32_t>(draw(1, 2)),
+                      static_cast<uint32_t>(draw(1, 2)), 200, draw(50, 400));
+    Spec.Recurrence = {static_cast<uint32_t>(draw(1, 150)),
+                       Harness.wallNow() + draw(-20000, 3000), draw(1, 300)};
+    Harness.submitJob("recurring" + std::to_string(++Jobs), "p", Spec);
+  }
+
+  /// Submits a lasting job whose tasks fail wherever they run.
+  void submitFailingJob() {
+    if (Harness.Scheduler == nullptr)
+      return;
+    JobSpec Spec = makeChainSpec(1, static_cast<uint32_t>(draw(1, 5)), 500,
+                                 draw(50, 2000));
+    Spec.Steps[0].LongRunning = true;
+    Harness.submitJob("bad" + std::to_string(++Jobs), "p", Spec);
+  }
+
   /// Cuts the worker off; it may restart meanwhile, or as the cut ends.
   void cut(const std::string &Id) {
     Harness.Workers.at(Id).Faults.IsUnreachable = true;
@@ -111,6 +156,7 @@
     }
   }
 
+  const Work Kinds;
   std::mt19937 Random;
   int Jobs = 0;
 };
@@ -120,17 +166,39 @@
   return Violation.ends_with("was started before an earlier step ended");
 }
 
+uint32_t seedCount(uint32_t DefaultSeeds) {
+  const char *Wanted = std::getenv("MIMOSASHUNT_TESTS_SEEDS");
+  return Wanted == nullptr ? DefaultSeeds
+                           : static_cast<uint32_t>(std::atoi(Wanted));
+}
+
+void expectNoTaskRanTwice(const DrawnDay &Day, uint32_t Seed) {
+  for (const std::string &Violation : Day.Harness.Workers.Violations)
+    EXPECT_TRUE(isOfAnotherRule(Violation))
+        << "seed " << Seed << ": " << Violation;
+}
+
 TEST(DrawnFaults, NoTaskRunsTwice) {
   constexpr uint32_t DefaultSeeds = 40;
-  const char *Wanted = std::getenv("MIMOSASHUNT_TESTS_SEEDS");
-  uint32_t Seeds = Wanted == nullptr ? DefaultSeeds
-                                     : static_cast<uint32_t>(std::atoi(Wanted));
-  for (uint32_t Seed = 1; Seed <= Seeds; ++Seed) {
+  for (uint32_t Seed = 1; Seed <= seedCount(DefaultSeeds); ++Seed) {
     DrawnDay Day(Seed);
     Day.play();
-    for (const std::string &Violation : Day.Harness.Workers.Violations)
-      EXPECT_TRUE(isOfAnotherRule(Violation))
-          << "seed " << Seed << ": " << Violation;
+    expectNoTaskRanTwice(Day, Seed);
+  }
+}
+
+// Guards against occurrences that are lost or run twice as leaders change, and
+// against work that waits for ever behind tasks that fail wherever they run.
+TEST(DrawnFaults, WorkOfAllShapesEndsOnce) {
+  constexpr uint32_t DefaultSeeds = 12;
+  for (uint32_t Seed = 1; Seed <= seedCount(DefaultSeeds); ++Seed) {
+    DrawnDay Day(Seed, Work::AllShapes);
+    Day.play();
+    expectNoTaskRanTwice(Day, Seed);
+    // A lasting job ends only if its tasks seem to crash their workers.
+    for (const auto &[Id, Record] : Day.Harness.Store.jobs())
+      EXPECT_TRUE(Record.hasEnded() || Record.Job.Spec.isLongRunning())
+          << "seed " << Seed << ": " << Id;
   }
 }
 
