--- a/Source/Jobs/JobSnapshot.cpp
+++ b/Source/Jobs/JobSnapshot.cpp
@@ -296,6 +296,8 @@
   writeValues(Out, "evacuations", State.Evacuations);
   writePair(Out, "usage", State.Usage);
   writePair(Out, "runTimes", State.RunTimes);
+  // It is kept for long.
+  Bytes.shrink_to_fit();
   return Bytes;
 }
 
