--- a/Tests/Jobs/AdviceTest.cpp
+++ b/Tests/Jobs/AdviceTest.cpp
@@ -1,12 +1,11 @@
 // Tests of queues whose steps need tickets of the advice service: work runs
 // whatever times the queue's policy states, and while the service is away.
 
+#include "Support/ForwardingPort.h"
 #include "Support/SchedulerHarness.h"
 
 #include <gtest/gtest.h>
 
-#include <deque>
-
 using namespace mimosashunt;
 using namespace mimosashunt::test;
 
@@ -14,11 +13,10 @@
 
 /// An advice service that handles one call at a time, in turn, before the
 /// virtual workers, whose starts it checks for tickets.
-class AdvisedWorkers : public WorkerPort {
+class AdvisedWorkers : public ForwardingPort {
 public:
-  AdvisedWorkers(TimerService &Timers, VirtualWorkers &Inner,
-                 AdvicePolicy Actual)
-      : Actual(Actual), Timers(Timers), Inner(Inner) {}
+  AdvisedWorkers(TimerService &Timers, WorkerPort &Inner, AdvicePolicy Actual)
+      : ForwardingPort(Inner), Actual(Actual), Timers(Timers) {}
 
   void startRun(const WorkerEntry &To, const StartOrder &Order,
                 OrderCallback Done) override {
@@ -35,22 +33,6 @@
       Done(Response);
     });
   }
-  void stopRun(const WorkerEntry &To, const StopOrder &Order,
-               OrderCallback Done) override {
-    Inner.stopRun(To, Order, std::move(Done));
-  }
-  void setPace(const WorkerEntry &To, const PaceOrder &Order,
-               OrderCallback Done) override {
-    Inner.setPace(To, Order, std::move(Done));
-  }
-  void pollWorker(const WorkerEntry &To, const PollOrder &Order,
-                  PollCallback Done) override {
-    Inner.pollWorker(To, Order, std::move(Done));
-  }
-  void renewLease(const WorkerEntry &To, const RenewOrder &Order,
-                  OrderCallback Done) override {
-    Inner.renewLease(To, Order, std::move(Done));
-  }
   void requestAdvice(const TaskId &Step,
                      const std::vector<std::string> &Workers, Duration Timeout,
                      AdviceCallback Done) override {
@@ -89,7 +71,6 @@
   }
 
   TimerService &Timers;
-  VirtualWorkers &Inner;
   Instant BusyUntil;
   int LastTicket = 0;
   std::map<std::tuple<JobId, uint32_t, std::string>,
--- a/Tests/Jobs/IncarnationsTest.cpp
+++ b/Tests/Jobs/IncarnationsTest.cpp
@@ -1,6 +1,7 @@
 // Tests of orders that are meant for one process of a worker and reach the next
 // one, which has the same id and knows nothing of the first.
 
+#include "Support/ForwardingPort.h"
 #include "Support/SchedulerHarness.h"
 
 #include <gtest/gtest.h>
@@ -224,47 +225,26 @@
 }
 
 /// Passes orders on; the first start arrives late and is not answered.
-class LateStartPort : public WorkerPort {
+class LateStartPort : public ForwardingPort {
 public:
-  LateStartPort(TimerService &Timers, VirtualWorkers &Workers)
-      : Timers(Timers), Workers(Workers) {}
+  LateStartPort(TimerService &Timers, WorkerPort &Inner)
+      : ForwardingPort(Inner), Timers(Timers) {}
 
   void startRun(const WorkerEntry &To, const StartOrder &Order,
                 OrderCallback Done) override {
     if (!FirstWorker.empty())
-      return Workers.startRun(To, Order, Done);
+      return Inner.startRun(To, Order, Done);
     FirstWorker = To.Key.Id;
     Timers.scheduleAt(Timers.now() + milliseconds(1390), [this, To, Order] {
-      Workers.startRun(To, Order, [](const OrderResponse &) {});
+      Inner.startRun(To, Order, [](const OrderResponse &) {});
     });
     Timers.scheduleAt(Timers.now() + milliseconds(700), [Done] { Done({}); });
   }
-  void stopRun(const WorkerEntry &To, const StopOrder &Order,
-               OrderCallback Done) override {
-    Workers.stopRun(To, Order, Done);
-  }
-  void setPace(const WorkerEntry &To, const PaceOrder &Order,
-               OrderCallback Done) override {
-    Workers.setPace(To, Order, Done);
-  }
-  void pollWorker(const WorkerEntry &To, const PollOrder &Order,
-                  PollCallback Done) override {
-    Workers.pollWorker(To, Order, Done);
-  }
-  void renewLease(const WorkerEntry &To, const RenewOrder &Order,
-                  OrderCallback Done) override {
-    Workers.renewLease(To, Order, Done);
-  }
-  void requestAdvice(const TaskId &Step, const std::vector<std::string> &Ids,
-                     Duration Timeout, AdviceCallback Done) override {
-    Workers.requestAdvice(Step, Ids, Timeout, Done);
-  }
 
   std::string FirstWorker; // The late start is for it.
 
 private:
   TimerService &Timers;
-  VirtualWorkers &Workers;
 };
 
 TEST(Incarnations, AStopOfTheEndedProcessKeepsNoLateStartFromTheNext) {
--- a/Tests/Jobs/PlacementRecordsTest.cpp
+++ b/Tests/Jobs/PlacementRecordsTest.cpp
@@ -2,6 +2,7 @@
 // new leader waits only for the workers on that record.
 
 #include "Scheduling/PlacementRecords.h"
+#include "Support/ForwardingPort.h"
 #include "Support/SchedulerHarness.h"
 
 #include <gtest/gtest.h>
@@ -147,10 +148,10 @@
 
 /// Notes each start order whose worker is not on the job's committed record,
 /// and passes all orders on.
-class RecordCheckingPort : public WorkerPort {
+class RecordCheckingPort : public ForwardingPort {
 public:
   RecordCheckingPort(WorkerPort &Inner, const JobStore &Store)
-      : Inner(Inner), Store(Store) {}
+      : ForwardingPort(Inner), Store(Store) {}
 
   void startRun(const WorkerEntry &To, const StartOrder &Order,
                 OrderCallback Done) override {
@@ -161,33 +162,11 @@
     ++Orders[Order.Task.Job];
     Inner.startRun(To, Order, std::move(Done));
   }
-  void stopRun(const WorkerEntry &To, const StopOrder &Order,
-               OrderCallback Done) override {
-    Inner.stopRun(To, Order, std::move(Done));
-  }
-  void setPace(const WorkerEntry &To, const PaceOrder &Order,
-               OrderCallback Done) override {
-    Inner.setPace(To, Order, std::move(Done));
-  }
-  void pollWorker(const WorkerEntry &To, const PollOrder &Order,
-                  PollCallback Done) override {
-    Inner.pollWorker(To, Order, std::move(Done));
-  }
-  void renewLease(const WorkerEntry &To, const RenewOrder &Order,
-                  OrderCallback Done) override {
-    Inner.renewLease(To, Order, std::move(Done));
-  }
-  void requestAdvice(const TaskId &Step,
-                     const std::vector<std::string> &Workers, Duration Timeout,
-                     AdviceCallback Done) override {
-    Inner.requestAdvice(Step, Workers, Timeout, std::move(Done));
-  }
 
   std::vector<std::string> Unrecorded;
   std::map<JobId, int> Orders; // Start orders.
 
 private:
-  WorkerPort &Inner;
   const JobStore &Store;
 };
 
