--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -35,11 +35,7 @@
 
 /// Returns an incarnation number from the wall clock in milliseconds, so that
 /// it normally grows with each restart.
-uint64_t newIncarnation() {
-  auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<uint64_t>(
-      std::chrono::duration_cast<milliseconds>(SinceEpoch).count());
-}
+uint64_t newIncarnation() { return static_cast<uint64_t>(wallNow()); }
 
 HttpResponse textResponse(int Status, const std::string &Text) {
   return {Status, {{"content-type", "text/plain; charset=utf-8"}}, Text};
--- a/Source/Fleet/EventLog.cpp
+++ b/Source/Fleet/EventLog.cpp
@@ -1,5 +1,7 @@
 #include "Fleet/EventLog.h"
 
+#include "Links/SystemTime.h"
+
 #include <cerrno>
 #include <chrono>
 #include <fcntl.h>
@@ -21,12 +23,6 @@
 /// Rate limit of one event name; lines beyond it are counted and dropped.
 constexpr uint32_t MaxLinesPerSecond = 1000;
 
-int64_t wallMillis() {
-  auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(SinceEpoch)
-      .count();
-}
-
 } // namespace
 
 /// Buffers lines until the reader of the descriptor accepts them.
@@ -112,7 +108,7 @@
 
 bool EventLog::admitEvent(const char *EventName) {
   constexpr int64_t MillisPerSecond = 1000;
-  int64_t Second = wallMillis() / MillisPerSecond;
+  int64_t Second = wallNow() / MillisPerSecond;
   auto Found = RatesByEvent.find(std::string_view(EventName));
   if (Found == RatesByEvent.end())
     Found = RatesByEvent.try_emplace(EventName).first;
@@ -134,7 +130,7 @@
 void EventLog::log(const char *EventName, Json Fields) {
   if (!Logger->isInfoEnabled() || !admitEvent(EventName))
     return;
-  Fields["at"] = wallMillis();
+  Fields["at"] = wallNow();
   Fields["vm"] = Vm;
   Fields["role"] = Role;
   Fields["event"] = EventName;
--- a/Source/Fleet/FleetSettings.cpp
+++ b/Source/Fleet/FleetSettings.cpp
@@ -7,15 +7,19 @@
 
 namespace {
 
-Json nonNegativeNumberSchema(const std::string &Description) {
+Json numberSchema(int64_t Minimum, const std::string &Description) {
   // A duration of this many seconds fits into its type.
   constexpr int64_t Maximum = 1000000000;
   return {{"type", "number"},
-          {"minimum", 0},
+          {"minimum", Minimum},
           {"maximum", Maximum},
           {"description", Description}};
 }
 
+Json nonNegativeNumberSchema(const std::string &Description) {
+  return numberSchema(0, Description);
+}
+
 Json flagSchema(const std::string &Description) {
   return {{"type", "boolean"}, {"description", Description}};
 }
@@ -59,7 +63,6 @@
 Json FleetSettings::schema() {
   // With less there is room for a few small jobs only.
   constexpr int64_t MinMemoryMb = 16;
-  constexpr int64_t MaxMemoryMb = 1000000000;
   Json Properties = {
       {"vm", nameSchema("name of this VM")},
       {"dataCentre", nameSchema("name of its data centre")},
@@ -107,10 +110,7 @@
       {"localityWait", flagSchema("true to let tasks wait for capacity near "
                                   "their data while that pays")},
       {"memoryMb",
-       {{"type", "number"},
-        {"minimum", MinMemoryMb},
-        {"maximum", MaxMemoryMb},
-        {"description", "memory that this daemon may use, in MB"}}},
+       numberSchema(MinMemoryMb, "memory that this daemon may use, in MB")},
       {"remoteFactor",
        {{"type", "number"},
         {"minimum", 1},
--- a/Source/Links/SystemTime.cpp
+++ b/Source/Links/SystemTime.cpp
@@ -1,5 +1,7 @@
 #include "Links/SystemTime.h"
 
+#include <chrono>
+
 #include <ctime>
 
 namespace mimosashunt {
@@ -11,4 +13,9 @@
   return Instant(std::chrono::duration_cast<Duration>(SinceBoot));
 }
 
+int64_t wallNow() {
+  auto Since = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<milliseconds>(Since).count();
+}
+
 } // namespace mimosashunt
--- a/Source/Scheduling/AdviceQueue.cpp
+++ b/Source/Scheduling/AdviceQueue.cpp
@@ -1,5 +1,7 @@
 #include "Scheduling/AdviceQueue.h"
 
+#include "Core/BackOff.h"
+
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -13,16 +15,13 @@
   return {Task.Job, Task.Occurrence, Task.Step, 0};
 }
 
-constexpr uint32_t MaxDoublings = 16;
-
 } // namespace
 
 void AdviceQueue::add(const AdviceNeed &Need) {
   TaskId Step = stepOf(Need.Step);
   if (Need.Workers.empty() || (InFlight && InFlight->Step == Step))
     return;
-  auto Before = CallsByStep.find(Step);
-  Waiting[Step] = {Need, Before == CallsByStep.end() ? 0 : Before->second};
+  Waiting[Step] = Need;
 }
 
 size_t AdviceQueue::countToName(const AdviceNeed &Need) const {
@@ -47,28 +46,37 @@
   return std::min(Most, static_cast<size_t>(std::ceil(Wanted)));
 }
 
-AdviceCall AdviceQueue::takeNext() {
-  auto IsMoreUrgent = [](const auto &Left, const auto &Right) {
-    auto KeyOf = [](const WaitingNeed &Item) {
-      return std::tuple(Item.Need.Priority, Item.CallsBefore,
-                        Item.Need.Objective);
-    };
-    return KeyOf(Left.second) < KeyOf(Right.second);
+bool AdviceQueue::isMoreUrgent(const Waiter &Left, const Waiter &Right) const {
+  auto KeyOf = [this](const Waiter &Item) {
+    auto Calls = CallsByStep.find(Item.first);
+    return std::tuple(Item.second.Priority,
+                      Calls == CallsByStep.end() ? 0 : Calls->second,
+                      Item.second.Objective);
   };
-  auto Next = std::min_element(Waiting.begin(), Waiting.end(), IsMoreUrgent);
-  AdviceNeed Need = std::move(Next->second.Need);
+  return KeyOf(Left) < KeyOf(Right);
+}
+
+Duration AdviceQueue::timeLimit(const AdvicePolicy &Policy,
+                                size_t Named) const {
+  Duration Stated = milliseconds(Policy.DecisionMs +
+                                 Policy.EachMs * static_cast<int64_t>(Named));
+  Duration Limit = Stated + Options.AnswerMargin;
+  return doubledPause(Limit, Limit * Options.MaxPatience, FailuresInARow);
+}
+
+AdviceCall AdviceQueue::takeNext() {
+  auto Next = std::min_element(Waiting.begin(), Waiting.end(),
+                               [this](const Waiter &Left, const Waiter &Right) {
+                                 return isMoreUrgent(Left, Right);
+                               });
   AdviceCall Call;
   Call.Step = Next->first;
+  AdviceNeed Need = std::move(Next->second);
   Waiting.erase(Next);
   size_t Named = countToName(Need);
   Need.Workers.resize(Named);
   Call.Workers = std::move(Need.Workers);
-  int64_t Patience =
-      std::min(int64_t(1) << std::min(FailuresInARow, MaxDoublings),
-               Options.MaxPatience);
-  auto StatedMs =
-      Need.Policy.DecisionMs + Need.Policy.EachMs * static_cast<int64_t>(Named);
-  Call.Timeout = (milliseconds(StatedMs) + Options.AnswerMargin) * Patience;
+  Call.Timeout = timeLimit(Need.Policy, Named);
   InFlight = {Call.Step, Need.Queue, Named};
   ++CallsByStep[Call.Step];
   ++Calls;
@@ -79,13 +87,11 @@
   if (Granted) {
     recordGrants(*Granted);
     FailuresInARow = 0;
-    InFlight.reset();
-    return;
+  } else {
+    ++UnansweredCalls;
+    PausedUntil = Now + doubledPause(Options.FirstPause, Options.MaxPause,
+                                     FailuresInARow++);
   }
-  ++UnansweredCalls;
-  uint32_t Doublings = std::min(FailuresInARow++, MaxDoublings);
-  PausedUntil = Now + std::min(Options.FirstPause * (int64_t(1) << Doublings),
-                               Options.MaxPause);
   InFlight.reset();
 }
 
--- a/Source/Scheduling/AdviceQueue.h
+++ b/Source/Scheduling/AdviceQueue.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace mimosashunt {
@@ -92,23 +93,24 @@
     double Named = 0;
     double Granted = 0;
   };
-  struct WaitingNeed {
-    AdviceNeed Need;
-    /// How often it was asked about before, so that steps whose tickets run out
-    /// do not keep the service from the others.
-    uint32_t CallsBefore = 0;
-  };
   struct CallInFlight {
     TaskId Step;
     std::string Queue;
     size_t Named = 0;
   };
 
+  using Waiter = std::pair<const TaskId, AdviceNeed>;
+
+  /// Returns true if \p Left is asked about before \p Right.
+  bool isMoreUrgent(const Waiter &Left, const Waiter &Right) const;
   size_t countToName(const AdviceNeed &Need) const;
+  Duration timeLimit(const AdvicePolicy &Policy, size_t Named) const;
   void recordGrants(size_t Granted);
 
   const AdviceOptions Options;
-  std::map<TaskId, WaitingNeed> Waiting;
+  std::map<TaskId, AdviceNeed> Waiting;
+  /// How often a step was asked about, so that steps whose tickets run out do
+  /// not keep the service from the others.
   std::map<TaskId, uint32_t> CallsByStep;
   std::map<std::string, GrantRate> GrantRates; // By queue.
   std::optional<CallInFlight> InFlight;
--- a/Source/Scheduling/FailureBlame.h
+++ b/Source/Scheduling/FailureBlame.h
@@ -21,6 +21,12 @@
   bool operator==(const FailureEvidence &) const = default;
 };
 
+/// On so many workers a task has to fail until its step is suspect.
+inline constexpr size_t WorkersToSuspectTask = 2;
+/// The same for the tasks of a step together. More, since neighbours such as a
+/// rack may be at fault together.
+inline constexpr size_t WorkersToSuspectStep = 3;
+
 /// Returns true if the step is more likely at fault than the workers.
 bool isStepSuspect(const FailureEvidence &Evidence);
 
--- a/Source/Scheduling/Placement.cpp
+++ b/Source/Scheduling/Placement.cpp
@@ -98,14 +98,14 @@
 Preference preferenceOf(const PlacementRequest &Request,
                         const Candidate &Target,
                         const std::map<WorkerKey, uint32_t> &Extra) {
-  bool Spoils = Request.IsSuspect && Target.IsOnProbation;
+  bool ProlongsProbation = Request.IsSuspect && Target.IsOnProbation;
   bool Failed = hasFailedThere(Request, Target);
   bool Far = isFarFromData(Request, Target);
   bool Awaited = Target.IsAwaited && (Far || Request.Spec->DataRack.empty());
   // A canary that crashes its worker harms what else is there. Gangs are packed
   // below.
   if (Request.IsCanary && !Request.Spec->Gang)
-    return {Spoils,
+    return {ProlongsProbation,
             Failed,
             Far,
             Awaited,
@@ -115,7 +115,7 @@
   // its tasks, but over workers that already run long-running tasks: the other
   // workers stay free to move to other pools.
   if (Request.Spec->LongRunning)
-    return {Spoils,
+    return {ProlongsProbation,
             Failed,
             Far,
             Awaited,
@@ -125,7 +125,7 @@
   // fill, so that the next step fits whole into what is free elsewhere.
   uint32_t Outside =
       Request.Remaining - countTasksThatFit(Request, Target, Extra);
-  return {Spoils, Failed, Far, Awaited, Outside, Target.Free.Cpu};
+  return {ProlongsProbation, Failed, Far, Awaited, Outside, Target.Free.Cpu};
 }
 
 Candidate *selectBest(std::vector<Candidate> &Candidates,
