--- a/Tests/Jobs/FailingTasksTest.cpp
+++ b/Tests/Jobs/FailingTasksTest.cpp
@@ -118,6 +118,62 @@
     EXPECT_EQ(Starts, 6) << Task.Index;
 }
 
+size_t countEvents(const SchedulerHarness &Harness, const std::string &Kind) {
+  return static_cast<size_t>(
+      std::count_if(Harness.LoggedEvents.begin(), Harness.LoggedEvents.end(),
+                    [&](const auto &Event) { return Event.first == Kind; }));
+}
+
+// Guards against workers that are ejected again and again for steps that fail
+// wherever they run. Each step may count against two workers, and it takes two
+// steps to eject one.
+TEST(FailingTasks, StepsThatFailEverywhereEjectFewWorkersOnce) {
+  for (int64_t FailureMs : {50, 300, 700}) {
+    FailingPool Pool(FailureMs);
+    Pool.submitLasting("bad", 3, 5, 500);
+    Pool.Harness.advanceTime(seconds(40));
+    EXPECT_LE(countEvents(Pool.Harness, "worker_ejected"), 3U) << FailureMs;
+  }
+}
+
+// Guards against failures of ever more steps, each of which counts against two
+// workers, that put a whole pool on probation.
+TEST(WorkerHealth, AtMostHalfOfAPoolIsOutOrOnProbation) {
+  HealthOptions Options;
+  WorkerHealth Health(Options);
+  constexpr size_t PoolSize = 6;
+  Instant Now(seconds(1000));
+  for (int Round = 0; Round < 10; ++Round)
+    for (size_t I = 0; I < PoolSize; ++I) {
+      Now += Options.InitialEjectionDuration;
+      WorkerKey Worker{"w" + std::to_string(I), 1};
+      Health.recordFailure(Worker, "p", "a", PoolSize, Now);
+      Health.recordFailure(Worker, "p", "b", PoolSize, Now);
+      EXPECT_LE(Health.countDistrusted()["p"], PoolSize / 2);
+    }
+  EXPECT_EQ(Health.countDistrusted()["p"], PoolSize / 2);
+  // A run that does well makes room for the next one that fails.
+  Health.recordSuccess({"w0", 1});
+  EXPECT_EQ(Health.countDistrusted()["p"], PoolSize / 2 - 1);
+  EXPECT_TRUE(Health.recordFailure({"w5", 1}, "p", "c", PoolSize, Now));
+}
+
+TEST(FailureBlame, AStepIsSuspectOnceItHasFailedOnSeveralWorkers) {
+  EXPECT_FALSE(isStepSuspect({1, 1}));
+  EXPECT_FALSE(isStepSuspect({1, 2}));
+  EXPECT_TRUE(isStepSuspect({2, 2}));
+  EXPECT_TRUE(isStepSuspect({1, 3}));
+}
+
+TEST(FailureBlame, PausesDoubleAndStayBelowWhatALastingTaskMayBeAway) {
+  RestartOptions Options;
+  EXPECT_EQ(restartPause(1, Options), Duration::zero());
+  EXPECT_EQ(restartPause(2, Options), milliseconds(250));
+  EXPECT_EQ(restartPause(3, Options), milliseconds(500));
+  EXPECT_EQ(restartPause(5, Options), seconds(2));
+  EXPECT_EQ(restartPause(4000000000, Options), seconds(2));
+}
+
 // Guards against a rack whose workers fail everything and attract all work,
 // being idle, while steps are given the blame.
 TEST(FailingTasks, ARackThatFailsEverythingIsStillFound) {
--- /dev/null
+++ b/Tests/Mutants/restart-without-pause.sed
@@ -0,0 +1,4 @@
+# test: JobTests.FailingTasks.LastingTasksThatFailAtOnceAreStartedEverLessOften
+# file: Source/Scheduling/FailureBlame.cpp
+# Lasting tasks that fail are started again at once.
+s/^  return doubledPause(.*/  return Duration::zero();/
