Links: the kernel's buffers of accepted connections have fixed sizes

Seen: 60 clients that send GETs and read no answer made a gateway hold 26 MB and the kernel 114 MB more for its listener; on a leader's control listener 13 MB and 188 MB; endless chunks 252 MB and 137 MB.

Cause: the kernel adapts a connection's buffers up to megabytes, and h2o reads all that they hold at once into a buffer that doubles. So one connection takes as much as its client sends ahead.

Change: the listener's receive and send buffers have sizes of their own (16 and 32 KB), which its connections inherit.

--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -88,7 +88,11 @@
                      [this](const ExchangePtr &Exchange) {
                        handleInternalRequest(Exchange);
                      },
-                     {.MaxBodyBytes = 64 << 20, .ReadTimeout = seconds(30)}),
+                     // Snapshots cross between regions, where small buffers
+                     // would slow them down.
+                     {.MaxBodyBytes = 64 << 20,
+                      .ReadTimeout = seconds(30),
+                      .Buffers = {}}),
       MetricsServer(Loop, [this](const ExchangePtr &Exchange) {
         Exchange->respond(
             {Ok, {{"content-type", "text/plain"}}, metricsText()});
--- a/Source/Links/HttpServer.cpp
+++ b/Source/Links/HttpServer.cpp
@@ -65,6 +65,7 @@
   h2o_context_t Context{};
   h2o_accept_ctx_t AcceptContext{};
   h2o_socket_t *Listener = nullptr;
+  const SocketBuffers Buffers;
   bool IsShuttingDown = false;
   bool IsReleased = false; // The server is destroyed.
   std::set<Connection *> Connections;
@@ -166,7 +167,7 @@
 
 HttpServerState::HttpServerState(EventLoop &Loop, HttpServer::Handler Handle,
                                  const HttpServerOptions &Options)
-    : Loop(Loop), Handle(std::move(Handle)) {
+    : Loop(Loop), Handle(std::move(Handle)), Buffers(Options.Buffers) {
   h2o_config_init(&Config);
   Config.max_request_entity_size = Options.MaxBodyBytes;
   Config.http1.req_timeout =
@@ -199,7 +200,7 @@
 
 std::error_code HttpServerState::listen(const SocketAddress &Address) {
   int Descriptor = -1;
-  if (std::error_code Error = Address.listen(Descriptor))
+  if (std::error_code Error = Address.listen(Descriptor, Buffers))
     return Error;
   Listener = h2o_evloop_socket_create(Loop.native(), Descriptor,
                                       H2O_SOCKET_FLAG_DONT_READ);
--- a/Source/Links/HttpServer.h
+++ b/Source/Links/HttpServer.h
@@ -82,6 +82,8 @@
   /// Connections that are idle, or whose request takes longer than this to
   /// arrive, are closed.
   Duration ReadTimeout = seconds(5);
+  /// Sizes of the kernel's buffers of each connection.
+  SocketBuffers Buffers = {16 << 10, 32 << 10};
 };
 
 class HttpServer {
--- a/Source/Links/SocketAddress.cpp
+++ b/Source/Links/SocketAddress.cpp
@@ -36,12 +36,19 @@
   return {};
 }
 
-std::error_code SocketAddress::listen(int &Descriptor) const {
+std::error_code SocketAddress::listen(int &Descriptor,
+                                      SocketBuffers Buffers) const {
   int Socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (Socket < 0)
     return LinkError::CannotListen;
   int Reuse = 1;
   setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &Reuse, sizeof(Reuse));
+  if (Buffers.ReceiveBytes > 0)
+    setsockopt(Socket, SOL_SOCKET, SO_RCVBUF, &Buffers.ReceiveBytes,
+               sizeof(Buffers.ReceiveBytes));
+  if (Buffers.SendBytes > 0)
+    setsockopt(Socket, SOL_SOCKET, SO_SNDBUF, &Buffers.SendBytes,
+               sizeof(Buffers.SendBytes));
   const auto *Address = reinterpret_cast<const sockaddr *>(&Native);
   if (bind(Socket, Address, sizeof(Native)) != 0 ||
       ::listen(Socket, ListenBacklog) != 0) {
--- a/Source/Links/SocketAddress.h
+++ b/Source/Links/SocketAddress.h
@@ -11,6 +11,13 @@
 
 namespace mimosashunt {
 
+/// Sizes of the kernel's buffers of a socket, in bytes. The kernel takes twice
+/// as much for its own accounting. 0 for sizes that the kernel adapts.
+struct SocketBuffers {
+  int ReceiveBytes = 0;
+  int SendBytes = 0;
+};
+
 class SocketAddress {
 public:
   SocketAddress() = default;
@@ -26,8 +33,9 @@
   uint16_t port() const { return ntohs(Native.sin_port); }
 
   /// Opens a non-blocking listening socket on this address and stores it in
-  /// \p Descriptor. Fails with LinkError::CannotListen.
-  std::error_code listen(int &Descriptor) const;
+  /// \p Descriptor. Its connections have kernel buffers of these sizes. Fails
+  /// with LinkError::CannotListen.
+  std::error_code listen(int &Descriptor, SocketBuffers Buffers = {}) const;
 
   friend bool operator==(const SocketAddress &A, const SocketAddress &B) {
     return A.Text == B.Text;
