--- a/Source/Control/ControlDaemon.cpp
+++ b/Source/Control/ControlDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "Control/FleetView.h"
 #include "Control/ScreenPage.h"
+#include "Links/ConnectionPlan.h"
 
 #include <utility>
 
@@ -14,6 +15,25 @@
 constexpr Duration ShutdownTimeout = seconds(6);
 constexpr int Unauthorized = 401;
 
+/// What the process takes without connections, with a margin.
+constexpr int64_t RestMb = 20;
+/// The rest is for the agreed state, what the allocator keeps and what the
+/// kernel holds.
+constexpr int ConnectionPercent = 30;
+constexpr int64_t MinConnectionBytes = 8 << 20;
+/// The rest of the descriptors is for the group and for files.
+constexpr ConnectionPart AdminPart = {100, 50};
+
+HttpServerOptions adminOptions(const ControlSettings &Settings) {
+  HttpServerOptions Options;
+  Options.Budget =
+      limitsOf({connectionBytes(Settings.MemoryMb, RestMb, ConnectionPercent,
+                                MinConnectionBytes),
+                descriptorLimit()},
+               AdminPart);
+  return Options;
+}
+
 HttpResponse makeResponse(const std::string &Type, const std::string &Text) {
   return {200, {{"content-type", Type}}, Text};
 }
@@ -23,7 +43,10 @@
 ControlDaemon::ControlDaemon(ControlSettings InitialSettings)
     : Settings(std::move(InitialSettings)), Logger("control"),
       Tracer("control " + Settings.Self.Vm, Settings.TraceFile, 1),
-      Admin(Loop, [this](auto Exchange) { handleRequest(Exchange); }),
+      Admin(
+          Loop, [this](auto Exchange) { handleRequest(Exchange); },
+          adminOptions(Settings)),
+      Connections(ProcessMetrics),
       Platform(Loop, Settings.Platform, Tracer,
                [this](std::map<std::string, VmStatus> Vms) {
                  Task.post(
@@ -49,6 +72,7 @@
                                          "Latest accepted revision.")),
       VotersGauge(ProcessMetrics.gauge("mimosashunt_control_voters",
                                        "Voters of the group.")) {
+  Connections.add("operators", Admin);
   Loop.timers().scheduleEvery(StatusInterval, [this] { sampleStatus(); });
 }
 
@@ -99,6 +123,8 @@
   const std::string &Path = Exchange->request().Path;
   if (Path == "/healthz")
     return Exchange->respond(makeResponse("text/plain", "ok\n"));
+  if (Path == "/metrics")
+    Connections.update();
   if (Path == "/metrics")
     return Exchange->respond(makeResponse("text/plain", ProcessMetrics.text()));
   if (Path == "/" || Path == "/screen")
--- a/Source/Control/ControlDaemon.h
+++ b/Source/Control/ControlDaemon.h
@@ -8,6 +8,7 @@
 #include "Control/ControlSettings.h"
 #include "Control/ControlTask.h"
 #include "Control/PlatformClient.h"
+#include "Daemon/ConnectionMetrics.h"
 #include "Daemon/Logging.h"
 #include "Daemon/Metrics.h"
 #include "Daemon/Tracing.h"
@@ -68,6 +69,7 @@
   Metrics ProcessMetrics;
   Tracing Tracer;
   HttpServer Admin;
+  ConnectionMetrics Connections;
   PlatformClient Platform;
   ControlTask Task;
   std::vector<std::shared_ptr<HttpExchange>> ScreenStreams;
--- a/Source/Control/ControlSettings.cpp
+++ b/Source/Control/ControlSettings.cpp
@@ -49,6 +49,8 @@
       {"wavePolicy",
        choiceSchema("as-wide-as-budgets, fixed-batch or one-at-a-time",
                     {"as-wide-as-budgets", "fixed-batch", "one-at-a-time"})},
+      {"memoryMb",
+       numberSchema("memory that this daemon may use, in MB", 32, 1 << 20)},
       {"entriesPerSnapshot",
        numberSchema("log entries between snapshots", 10, 1000000)}};
   return objectSchema("settings of mimosashunt-control",
@@ -93,6 +95,7 @@
   Result.IsScreenPublic = SettingsJson.value("openScreen", false);
   Result.Waves = parseWavePolicy(
       SettingsJson.value("wavePolicy", std::string("as-wide-as-budgets")));
+  Result.MemoryMb = SettingsJson.value("memoryMb", Result.MemoryMb);
   Result.EntriesPerSnapshot =
       SettingsJson.value("entriesPerSnapshot", Result.EntriesPerSnapshot);
   return true;
--- a/Source/Control/ControlSettings.h
+++ b/Source/Control/ControlSettings.h
@@ -35,6 +35,8 @@
   /// admin address.
   bool IsScreenPublic = false;
   WavePolicy Waves = BudgetLimited{};
+  /// Memory that this daemon may use, in MB.
+  int64_t MemoryMb = 128;
   /// Number of log entries between snapshots.
   size_t EntriesPerSnapshot = 2000;
 
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "Entry/OutcomeCodec.h"
 #include "Entry/RequestHeaders.h"
+#include "Links/ConnectionPlan.h"
 #include "Links/SystemTime.h"
 
 #include <algorithm>
@@ -52,18 +53,37 @@
     To.Headers.push_back({Name, Value});
 }
 
-HttpServerOptions callerOptions(const EntrySettings &Settings) {
+/// What the process takes without connections, with a margin.
+constexpr int64_t RestMb = 20;
+/// The rest is for queued requests, records, what the allocator keeps and what
+/// the kernel holds.
+constexpr int ConnectionPercent = 30;
+constexpr int64_t MinConnectionBytes = 8 << 20;
+/// The rest of the descriptors is for links to other VMs and for files.
+constexpr ConnectionPart CallerPart = {60, 40};
+constexpr ConnectionPart PeerPart = {40, 20};
+
+HttpServerOptions serverOptions(const EntrySettings &Settings,
+                                ConnectionPart Part, size_t MaxBodyBytes) {
   HttpServerOptions Options;
-  Options.MaxBodyBytes = Settings.MaxBodyBytes;
+  Options.Limits.MaxBodyBytes = MaxBodyBytes;
+  Options.Budget =
+      limitsOf({connectionBytes(Settings.MemoryMb, RestMb, ConnectionPercent,
+                                MinConnectionBytes),
+                descriptorLimit()},
+               Part);
   return Options;
 }
 
+HttpServerOptions callerOptions(const EntrySettings &Settings) {
+  return serverOptions(Settings, CallerPart, Settings.MaxBodyBytes);
+}
+
 HttpServerOptions peerOptions(const EntrySettings &Settings) {
   // A page of records must fit even if the limit for callers' bodies is
   // smaller.
-  HttpServerOptions Options;
-  Options.MaxBodyBytes = std::max(Settings.MaxBodyBytes, MaxRecordPageBytes);
-  return Options;
+  return serverOptions(Settings, PeerPart,
+                       std::max(Settings.MaxBodyBytes, MaxRecordPageBytes));
 }
 
 } // namespace
@@ -78,8 +98,9 @@
       PeerServer(
           Loop, [this](auto Exchange) { handlePeerRequest(Exchange); },
           peerOptions(Settings)),
-      Client(Loop), Core(Settings.Self, Settings.EntryVms, newIncarnation(), {},
-                         Loop.timers(), *this),
+      Connections(Registry), Client(Loop),
+      Core(Settings.Self, Settings.EntryVms, newIncarnation(), {},
+           Loop.timers(), *this),
       Sync(Loop, Settings.ControlAddresses),
       RequestLatency(Registry.summary("mimosashunt_request_seconds",
                                       "Time from a request to its outcome.")),
@@ -96,6 +117,8 @@
       RetriesGauge(Registry.gauge("mimosashunt_retries", "Retries so far.")),
       ForwardsGauge(Registry.gauge("mimosashunt_forwards",
                                    "Requests sent on to entry VMs so far.")) {
+  Connections.add("callers", CallerServer);
+  Connections.add("peers", PeerServer);
   Loop.timers().scheduleEvery(Settings.SyncInterval, [this] { onSyncTimer(); });
   Loop.timers().scheduleEvery(GaugeInterval, [this] { updateGauges(); });
 }
@@ -176,6 +199,7 @@
   const std::string &Path = Exchange->request().Path;
   if (Path == "/metrics") {
     updateGauges();
+    Connections.update();
     Exchange->respond(textResponse(200, Registry.text()));
   } else if (Path == "/v1/backend-servers") {
     handleAnnouncement(Exchange);
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -7,6 +7,7 @@
 
 #include "Core/EntryCore.h"
 #include "Core/EntryPort.h"
+#include "Daemon/ConnectionMetrics.h"
 #include "Daemon/Logging.h"
 #include "Daemon/Metrics.h"
 #include "Daemon/Tracing.h"
@@ -98,6 +99,7 @@
   Tracing Tracer;
   HttpServer CallerServer;
   HttpServer PeerServer;
+  ConnectionMetrics Connections;
   HttpClient Client;
   EntryCore Core;
   SyncTask Sync;
--- a/Source/Entry/EntrySettings.cpp
+++ b/Source/Entry/EntrySettings.cpp
@@ -42,6 +42,8 @@
                     1000000)},
       {"maxBodyBytes",
        numberSchema("largest request body in bytes", 1, 16 << 20)},
+      {"memoryMb",
+       numberSchema("memory that this daemon may use, in MB", 32, 1 << 20)},
       {"stopGraceMillis",
        numberSchema("time from failing readiness to closing the listening "
                     "socket, in milliseconds",
@@ -90,6 +92,7 @@
   Result.TraceSamplingInterval =
       In.value("traceEvery", Result.TraceSamplingInterval);
   Result.MaxBodyBytes = In.value("maxBodyBytes", Result.MaxBodyBytes);
+  Result.MemoryMb = In.value("memoryMb", Result.MemoryMb);
   Result.SyncInterval =
       milliseconds(In.value("syncMillis", toMillis(Result.SyncInterval)));
   Result.StopGrace =
--- a/Source/Entry/EntrySettings.h
+++ b/Source/Entry/EntrySettings.h
@@ -31,6 +31,8 @@
   unsigned TraceSamplingInterval = 100;
   /// Largest request body that callers may send, in bytes.
   size_t MaxBodyBytes = 1 << 20;
+  /// Memory that this daemon may use, in MB.
+  int64_t MemoryMb = 128;
   /// Time between synchronisations with the leading control VM.
   Duration SyncInterval = milliseconds(250);
   /// Time during a graceful stop from failing the readiness check to closing
--- a/Source/Fleet/FleetSettings.cpp
+++ b/Source/Fleet/FleetSettings.cpp
@@ -3,6 +3,8 @@
 #include "Daemon/SchemaParts.h"
 #include "Daemon/Settings.h"
 
+#include <algorithm>
+
 namespace mimosashunt {
 
 namespace {
@@ -50,6 +52,17 @@
   return durationAt(In, Key, MicrosPerSecond, Default);
 }
 
+size_t bytesAt(const Json &In, const char *Key, size_t Default) {
+  return static_cast<size_t>(In.value(Key, static_cast<double>(Default)));
+}
+
+void readCallerLimits(const Json &In, ClientLimits &Result) {
+  Result.MaxHeadBytes = bytesAt(In, "maxHeaderBytes", Result.MaxHeadBytes);
+  Result.MaxBodyBytes = bytesAt(In, "maxBodyBytes", Result.MaxBodyBytes);
+  Result.HeadTimeout = millisAt(In, "headerTimeoutMs", Result.HeadTimeout);
+  Result.IdleTimeout = millisAt(In, "idleTimeoutMs", Result.IdleTimeout);
+}
+
 std::string portOf(const std::string &Address) {
   return Address.substr(Address.find(':') + 1);
 }
@@ -63,6 +76,9 @@
 Json FleetSettings::schema() {
   // With less there is room for a few small jobs only.
   constexpr int64_t MinMemoryMb = 16;
+  constexpr int64_t MinDescriptors = 64;
+  // Request line, host and key.
+  constexpr int64_t MinHeaderBytes = 512;
   Json Properties = {
       {"vm", nameSchema("name of this VM")},
       {"dataCentre", nameSchema("name of its data centre")},
@@ -111,6 +127,20 @@
                                   "their data while that pays")},
       {"memoryMb",
        numberSchema(MinMemoryMb, "memory that this daemon may use, in MB")},
+      {"maxDescriptors",
+       numberSchema(MinDescriptors, "descriptors that this daemon may have "
+                                    "open; the system's limit if that is "
+                                    "lower")},
+      {"maxHeaderBytes",
+       numberSchema(MinHeaderBytes, "largest head of a caller's request")},
+      {"maxBodyBytes",
+       numberSchema(1, "largest body of a caller's request in bytes")},
+      {"headerTimeoutMs",
+       numberSchema(1, "milliseconds from the first byte of a head to its "
+                       "end")},
+      {"idleTimeoutMs",
+       numberSchema(1, "milliseconds that a caller's connection may stand "
+                       "still")},
       {"remoteFactor",
        {{"type", "number"},
         {"minimum", 1},
@@ -161,6 +191,10 @@
   Result.RemoteFactor = In.value("remoteFactor", Result.RemoteFactor);
   Result.MemoryMb = static_cast<int64_t>(
       In.value("memoryMb", static_cast<double>(Result.MemoryMb)));
+  auto Descriptors = static_cast<size_t>(
+      In.value("maxDescriptors", static_cast<double>(Result.MaxDescriptors)));
+  Result.MaxDescriptors = std::min(Result.MaxDescriptors, Descriptors);
+  readCallerLimits(In, Result.CallerLimits);
   bool IsControl = Result.ControlListen.has_value();
   if (IsControl && Result.DataFolder.empty()) {
     Diagnostic = "key 'dataFolder': missing; expected: a folder on this control"
--- a/Source/Fleet/FleetSettings.h
+++ b/Source/Fleet/FleetSettings.h
@@ -6,6 +6,8 @@
 
 #include "Core/JsonFields.h"
 #include "Core/Time.h"
+#include "Links/ClientLimits.h"
+#include "Links/ConnectionPlan.h"
 #include "Links/SocketAddress.h"
 
 #include <optional>
@@ -65,6 +67,13 @@
   double RemoteFactor = 1;
   /// Memory that this daemon may use, in MB.
   int64_t MemoryMb = 128;
+  /// Descriptors that this daemon may have open.
+  size_t MaxDescriptors = descriptorLimit();
+  /// Of callers, where the configuration in force names no others.
+  ClientLimits CallerLimits = {.MaxHeadBytes = 16384,
+                               .MaxBodyBytes = 262144,
+                               .HeadTimeout = seconds(3),
+                               .IdleTimeout = seconds(15)};
 
   /// The seeds' internal addresses: their IP addresses with this VM's internal
   /// port, which is the same on each VM.
--- a/Source/Fleet/GatewayDaemon.cpp
+++ b/Source/Fleet/GatewayDaemon.cpp
@@ -20,6 +20,31 @@
 constexpr Duration BalancerDetectionTime = milliseconds(2300);
 /// Part of the grace period that is reserved for exiting the process.
 constexpr Duration StopMargin = milliseconds(700);
+constexpr Duration ReportInterval = seconds(1);
+/// What the process takes without connections, with a margin.
+constexpr int64_t RestMb = 12;
+/// The other half is for what the allocator keeps and the kernel holds.
+constexpr int ConnectionPercent = 50;
+/// A large request fits even with the least memory that the settings allow.
+constexpr int64_t MinConnectionBytes = 2 << 20;
+/// The rest of the descriptors is for the links to control VMs and for files.
+constexpr ConnectionPart CallerPart = {90, 60};
+constexpr ConnectionPart ProbePart = {5, 3};
+
+ConnectionResources connectionResources(const FleetSettings &Settings) {
+  return {connectionBytes(Settings.MemoryMb, RestMb, ConnectionPercent,
+                          MinConnectionBytes),
+          Settings.MaxDescriptors};
+}
+
+HttpServerOptions serverOptions(const FleetSettings &Settings,
+                                ConnectionPart Part,
+                                const ClientLimits &Limits) {
+  HttpServerOptions Options;
+  Options.Limits = Limits;
+  Options.Budget = limitsOf(connectionResources(Settings), Part);
+  return Options;
+}
 
 } // namespace
 
@@ -31,23 +56,39 @@
       SettingsFile(std::move(SettingsFile)), Loop(Loop), Codec(Codec),
       Events(Settings.Vm, "entry", Settings.LogLevel),
       Link(Loop, Settings.Vm, Settings.seedInternalAddresses(), Reader, Events),
-      CallerServer(Loop,
-                   [this](const ExchangePtr &Exchange) {
-                     handleCallerRequest(Exchange);
-                   },
-                   {.MaxBodyBytes = 1 << 20, .ReadTimeout = seconds(30)}),
-      ReadinessServer(Loop,
-                      [this](const ExchangePtr &Exchange) {
-                        handleReadinessProbe(Exchange);
-                      }),
-      MetricsServer(Loop,
-                    [this](const ExchangePtr &Exchange) {
-                      Exchange->respond({Ok,
-                                         {{"content-type", "text/plain"}},
-                                         Registry.text()});
-                    }),
+      CallerServer(
+          Loop,
+          [this](const ExchangePtr &Exchange) {
+            handleCallerRequest(Exchange);
+          },
+          serverOptions(Settings, CallerPart, Settings.CallerLimits)),
+      ReadinessServer(
+          Loop,
+          [this](const ExchangePtr &Exchange) {
+            handleReadinessProbe(Exchange);
+          },
+          serverOptions(Settings, ProbePart, {})),
+      MetricsServer(
+          Loop,
+          [this](const ExchangePtr &Exchange) {
+            Exchange->respond(
+                {Ok, {{"content-type", "text/plain"}}, metricsText()});
+          },
+          serverOptions(Settings, ProbePart, {})),
+      Connections(Registry),
       CallDurationSummary(Registry.summary("mimosashunt_call_seconds",
-                                           "Time of a call to the leader")) {}
+                                           "Time of a call to the leader")) {
+  Connections.add("callers", CallerServer);
+  Connections.add("readiness", ReadinessServer);
+  Connections.add("metrics", MetricsServer);
+  ReportTimer = Loop.timers().scheduleEvery(ReportInterval, [this] {
+    Connections.logNew([this](Json Fields) {
+      Events.log("connections_limited", std::move(Fields));
+    });
+  });
+}
+
+GatewayDaemon::~GatewayDaemon() { Loop.timers().cancel(ReportTimer); }
 
 std::error_code GatewayDaemon::open(std::string &Key) {
   Key = "callersListen";
@@ -71,6 +112,7 @@
         Events.log("settings_refused", {{"diagnostic", Diagnostic}});
       });
   Loop.onTurn([this] {
+    applyCallerLimits();
     Events.flush();
     return false;
   });
@@ -109,6 +151,29 @@
     Loop.stop();
 }
 
+void GatewayDaemon::applyCallerLimits() {
+  const ServiceConfiguration &Configuration = Link.configuration();
+  if (Configuration.Version == LimitsVersion)
+    return;
+  LimitsVersion = Configuration.Version;
+  const CallerLimits &Named = Configuration.Limits;
+  ClientLimits Limits = Settings.CallerLimits;
+  if (Named.MaxHeaderBytes > 0)
+    Limits.MaxHeadBytes = static_cast<size_t>(Named.MaxHeaderBytes);
+  if (Named.MaxBodyBytes > 0)
+    Limits.MaxBodyBytes = static_cast<size_t>(Named.MaxBodyBytes);
+  if (Named.HeaderTimeoutMs > 0)
+    Limits.HeadTimeout = milliseconds(Named.HeaderTimeoutMs);
+  if (Named.IdleTimeoutMs > 0)
+    Limits.IdleTimeout = milliseconds(Named.IdleTimeoutMs);
+  CallerServer.setLimits(Limits);
+}
+
+std::string GatewayDaemon::metricsText() {
+  Connections.update();
+  return Registry.text();
+}
+
 void GatewayDaemon::handleReadinessProbe(const ExchangePtr &Exchange) {
   bool IsReady = Link.isUpToDate() && !Stopping;
   bool IsProbe = Codec.isReadinessProbe(Exchange->request());
@@ -125,24 +190,28 @@
     if (!limitError(Job->Spec).empty())
       Request = CallRefusal{CallRefusal::ReasonCode::MalformedRequest,
                             "the job has too many tasks or too large amounts"};
-  if (const auto *Refusal = std::get_if<CallRefusal>(&Request)) {
-    Registry
-        .counter("mimosashunt_calls_refused_total",
-                 "Calls refused by this VM, by reason",
-                 {{"reason", nameOf(Refusal->Reason)}})
-        .Increment();
-    Events.log("call_refused", {{"path", Exchange->request().Path},
-                                {"why", nameOf(Refusal->Reason)},
-                                {"detail", Refusal->Detail},
-                                {"version", Link.configuration().Version}});
-    return Exchange->respond(Codec.answer(*Refusal));
-  }
+  if (const auto *Refusal = std::get_if<CallRefusal>(&Request))
+    return refuse(Exchange, *Refusal);
   if (const auto *Query = std::get_if<QueueQuery>(&Request))
     return Exchange->respond(
         Codec.pendingResponse(Link.pendingJobs(Query->Queue)));
   forwardToLeader(Exchange, std::get<JobRequest>(Request));
 }
 
+void GatewayDaemon::refuse(const ExchangePtr &Exchange,
+                           const CallRefusal &Refusal) {
+  Registry
+      .counter("mimosashunt_calls_refused_total",
+               "Calls refused by this VM, by reason",
+               {{"reason", nameOf(Refusal.Reason)}})
+      .Increment();
+  Events.log("call_refused", {{"path", Exchange->request().Path},
+                              {"why", nameOf(Refusal.Reason)},
+                              {"detail", Refusal.Detail},
+                              {"version", Link.configuration().Version}});
+  Exchange->respond(Codec.answer(Refusal));
+}
+
 void GatewayDaemon::forwardToLeader(const ExchangePtr &Exchange,
                                     const JobRequest &Request) {
   Duration Timeout = MaxCallTimeout;
--- a/Source/Fleet/GatewayDaemon.h
+++ b/Source/Fleet/GatewayDaemon.h
@@ -6,6 +6,7 @@
 #ifndef MIMOSASHUNT_FLEET_GATEWAYDAEMON_H
 #define MIMOSASHUNT_FLEET_GATEWAYDAEMON_H
 
+#include "Daemon/ConnectionMetrics.h"
 #include "Daemon/Metrics.h"
 #include "Fleet/Codecs.h"
 #include "Fleet/EventLog.h"
@@ -26,6 +27,7 @@
   GatewayDaemon(FleetSettings Settings, std::string SettingsFile,
                 EventLoop &Loop, const ConfigurationReader &Reader,
                 const CallerCodec &Codec);
+  ~GatewayDaemon();
 
   /// Opens the sockets. On failure \p Key is the settings key with the address
   /// that could not be opened.
@@ -41,8 +43,12 @@
   using ExchangePtr = std::shared_ptr<HttpExchange>;
 
   void handleCallerRequest(const ExchangePtr &Exchange);
+  void refuse(const ExchangePtr &Exchange, const CallRefusal &Refusal);
   void handleReadinessProbe(const ExchangePtr &Exchange);
   void forwardToLeader(const ExchangePtr &Exchange, const JobRequest &Request);
+  /// Applies the limits of callers that the configuration in force names.
+  void applyCallerLimits();
+  std::string metricsText();
   void beginStop();
   /// Closes the callers' server once the balancer sends no more, and ends the
   /// event loop once all calls are answered or the grace period is almost over.
@@ -58,6 +64,9 @@
   HttpServer CallerServer;
   HttpServer ReadinessServer;
   HttpServer MetricsServer;
+  ConnectionMetrics Connections;
+  uint64_t LimitsVersion = 0; // Of the configuration whose limits apply.
+  TimerId ReportTimer = 0;
   std::unique_ptr<SettingsWatcher> Watcher;
   bool Stopping = false;
   bool ShutdownBegun = false; // CallerServer accepts no more connections.
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -31,6 +31,45 @@
 constexpr size_t MaxLoggedPathBytes = 200;
 /// The rest is for snapshots, connections, the log and what has ended.
 constexpr int64_t WorkPercentOfMemory = 50;
+/// What the process takes without connections and work, with a margin.
+constexpr int64_t RestMb = 12;
+constexpr int ConnectionPercent = 12;
+/// A whole configuration fits even with the least memory that the settings
+/// allow.
+constexpr int64_t MinConnectionBytes = 6 << 20;
+constexpr int InternalPercent = 25;
+constexpr int64_t MinInternalBytes = 8 << 20;
+/// The rest of the descriptors is for the links to workers and for files.
+constexpr ConnectionPart ControlPart = {90, 25};
+constexpr ConnectionPart MetricsPart = {10, 3};
+constexpr ConnectionPart InternalPart = {100, 25};
+/// Largest message of another control VM, a snapshot.
+constexpr size_t MaxInternalBytes = 64 << 20;
+constexpr Duration InternalIdleTimeout = seconds(30);
+
+HttpServerOptions serverOptions(const FleetSettings &Settings,
+                                ConnectionPart Part) {
+  HttpServerOptions Options;
+  Options.Budget =
+      limitsOf({connectionBytes(Settings.MemoryMb, RestMb, ConnectionPercent,
+                                MinConnectionBytes),
+                Settings.MaxDescriptors},
+               Part);
+  return Options;
+}
+
+HttpServerOptions internalOptions(const FleetSettings &Settings) {
+  HttpServerOptions Options;
+  Options.Limits.MaxBodyBytes = MaxInternalBytes;
+  Options.Limits.IdleTimeout = InternalIdleTimeout;
+  Options.Budget = limitsOf(
+      {connectionBytes(Settings.MemoryMb, 0, InternalPercent, MinInternalBytes),
+       Settings.MaxDescriptors},
+      InternalPart);
+  // Snapshots cross between regions, where small buffers would slow them down.
+  Options.Buffers = {};
+  return Options;
+}
 /// Marks a request that another control VM has forwarded, so that it is not
 /// forwarded again.
 const char *const ForwardedHeader = "x-mimosashunt-passed-on";
@@ -80,23 +119,30 @@
                      [this](const char *Kind, Json Fields) {
                        Events.log(Kind, std::move(Fields));
                      }),
-      ControlServer(Loop,
-                    [this](const ExchangePtr &Exchange) {
-                      handleControlRequest(Exchange);
-                    }),
-      InternalServer(Loop,
-                     [this](const ExchangePtr &Exchange) {
-                       handleInternalRequest(Exchange);
-                     },
-                     // Snapshots cross between regions, where small buffers
-                     // would slow them down.
-                     {.MaxBodyBytes = 64 << 20,
-                      .ReadTimeout = seconds(30),
-                      .Buffers = {}}),
-      MetricsServer(Loop, [this](const ExchangePtr &Exchange) {
-        Exchange->respond(
-            {Ok, {{"content-type", "text/plain"}}, metricsText()});
-      }) {}
+      ControlServer(
+          Loop,
+          [this](const ExchangePtr &Exchange) {
+            handleControlRequest(Exchange);
+          },
+          serverOptions(Settings, ControlPart)),
+      InternalServer(
+          Loop,
+          [this](const ExchangePtr &Exchange) {
+            handleInternalRequest(Exchange);
+          },
+          internalOptions(Settings)),
+      MetricsServer(
+          Loop,
+          [this](const ExchangePtr &Exchange) {
+            Exchange->respond(
+                {Ok, {{"content-type", "text/plain"}}, metricsText()});
+          },
+          serverOptions(Settings, MetricsPart)),
+      Connections(Registry) {
+  Connections.add("control", ControlServer);
+  Connections.add("internal", InternalServer);
+  Connections.add("metrics", MetricsServer);
+}
 
 SchedulerDaemon::~SchedulerDaemon() {
   Loop.timers().cancel(BootstrapTimer);
@@ -157,6 +203,9 @@
   LoadTimer = Loop.timers().scheduleEvery(LoadInterval, [this] {
     reportLoopLoad();
     logRejectedInput();
+    Connections.logNew([this](Json Fields) {
+      Events.log("connections_limited", std::move(Fields));
+    });
   });
   Watcher = std::make_unique<SettingsWatcher>(
       Loop, SettingsFile,
--- a/Source/Fleet/SchedulerDaemon.h
+++ b/Source/Fleet/SchedulerDaemon.h
@@ -6,6 +6,7 @@
 #define MIMOSASHUNT_FLEET_SCHEDULERDAEMON_H
 
 #include "Agreement/Replica.h"
+#include "Daemon/ConnectionMetrics.h"
 #include "Daemon/Metrics.h"
 #include "Fleet/CarriedWorkerPort.h"
 #include "Fleet/Codecs.h"
@@ -145,6 +146,7 @@
   HttpServer ControlServer;
   HttpServer InternalServer;
   HttpServer MetricsServer;
+  ConnectionMetrics Connections;
 
   DataFolder Folder;
   std::unique_ptr<DiskLog> LogStore;
--- a/Source/Fleet/SchedulerMetrics.cpp
+++ b/Source/Fleet/SchedulerMetrics.cpp
@@ -19,6 +19,7 @@
 }
 
 std::string SchedulerDaemon::metricsText() {
+  Connections.update();
   Registry.gauge("mimosashunt_leads", "1 while this VM leads").Set(isLeader());
   Registry.gauge("mimosashunt_term", "Term of the log")
       .Set(static_cast<double>(Group->log().term()));
--- a/Source/Jobs/ServiceConfiguration.h
+++ b/Source/Jobs/ServiceConfiguration.h
@@ -63,13 +63,23 @@
   bool operator==(const OrganisationConfiguration &) const = default;
 };
 
+/// Limits of callers' connections; zero in a field if the configuration does
+/// not name it.
+struct CallerLimits {
+  int64_t MaxHeaderBytes = 0;
+  int64_t MaxBodyBytes = 0;
+  int64_t HeaderTimeoutMs = 0;
+  int64_t IdleTimeoutMs = 0;
+  bool operator==(const CallerLimits &) const = default;
+};
+
 struct ServiceConfiguration {
   uint64_t Version = 0;
   std::string Text;
   std::vector<QueueConfiguration> Queues;
   std::vector<PoolConfiguration> Pools;
   std::vector<OrganisationConfiguration> Organisations;
-  int64_t MaxBodyBytes = 0;
+  CallerLimits Limits;
 
   const QueueConfiguration *findQueue(std::string_view Name) const;
   const PoolConfiguration *findPool(std::string_view Name) const;
--- a/Source/Links/HttpServer.cpp
+++ b/Source/Links/HttpServer.cpp
@@ -1,9 +1,9 @@
 #include "Links/HttpServer.h"
 
-#include <algorithm>
 #include <cstdlib>
+#include <cstring>
 #include <new>
-#include <sys/socket.h>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -19,11 +19,33 @@
   std::shared_ptr<HttpExchange> Exchange;
 };
 
+constexpr int TooLarge = 413;
+constexpr int Unavailable = 503;
 constexpr size_t MaxAcceptsPerTurn = 64;
 // Most stream data that is buffered for a slow client.
 constexpr size_t MaxStreamBacklogBytes = 4 << 20;
 // Makes h2o match the host regardless of the port in the request.
 constexpr uint16_t AnyPort = 65535;
+// h2o would count its timeout from the first byte of a request; the limits of
+// ServerConnections end a connection earlier.
+constexpr uint64_t NoTimeoutMillis = uint64_t(20) * 24 * 3600 * 1000;
+// A body without an announced length may pass the limit by the bytes of one
+// read before its length is known.
+constexpr size_t BodyOverrunBytes = 1 << 20;
+
+/// Refuses a whole request that no handler has seen and ends its connection.
+int refuse(h2o_req_t *Native, int Status) {
+  Native->http1_is_persistent = 0;
+  Native->res.status = Status;
+  Native->res.reason = "-";
+  Native->res.content_length = 0;
+  if (Status == Unavailable)
+    h2o_add_header_by_str(&Native->pool, &Native->res.headers,
+                          H2O_STRLIT("retry-after"), 1, nullptr,
+                          RefusalRetryAfter, strlen(RefusalRetryAfter));
+  h2o_send_inline(Native, "", 0);
+  return 0;
+}
 
 } // namespace
 
@@ -48,16 +70,12 @@
     HttpServerState *Owner;
   };
 
-  /// A connection, and the means to find its server when it is closed.
-  struct Connection {
-    HttpServerState *Owner;
-    h2o_socket_t *Socket;
-  };
-
   static int onRequest(h2o_handler_t *Self, h2o_req_t *Native);
   static void onAccept(h2o_socket_t *Listener, const char *Error);
-  static void onClose(void *Closed);
   static void onRequestDisposed(void *Holder);
+  void acceptPending();
+  void setLimits(const ClientLimits &Limits);
+  void onLastClosed();
 
   EventLoop &Loop;
   HttpServer::Handler Handle;
@@ -65,10 +83,10 @@
   h2o_context_t Context{};
   h2o_accept_ctx_t AcceptContext{};
   h2o_socket_t *Listener = nullptr;
-  const SocketBuffers Buffers;
   bool IsShuttingDown = false;
   bool IsReleased = false; // The server is destroyed.
-  std::set<Connection *> Connections;
+  const SocketBuffers Buffers;
+  ServerConnections Connections;
   std::set<HttpExchange *> PendingExchanges;
 };
 
@@ -88,6 +106,14 @@
   Request.Body = toString(Native->entity);
 }
 
+h2o_socket_t *HttpExchange::socket() const {
+  return Native->conn->callbacks->get_socket(Native->conn);
+}
+
+bool HttpExchange::reserve(int64_t Bytes) {
+  return gone() || Server.Connections.reserve(socket(), Bytes);
+}
+
 void HttpExchange::setResponseHead(const HttpResponse &Response) {
   HasResponse = true;
   Native->res.status = Response.Status;
@@ -109,7 +135,12 @@
     return;
   setResponseHead(Response);
   Native->res.content_length = Response.Body.size();
+  h2o_socket_t *Socket = socket();
+  // The parser has a copy, and the socket what the kernel has not taken.
+  Server.Connections.beginSending(
+      Socket, 2 * static_cast<int64_t>(Response.Body.size()));
   h2o_send_inline(Native, Response.Body.data(), Response.Body.size());
+  Server.Connections.follow(Socket);
 }
 
 void HttpExchange::startStream(const HttpResponse &Head) {
@@ -121,6 +152,7 @@
   Generator.Super.stop = onStop;
   Generator.Owner = this;
   h2o_start_response(Native, &Generator.Super);
+  Server.Connections.beginSending(socket(), 0);
   flushStream();
 }
 
@@ -139,7 +171,6 @@
 }
 
 void HttpExchange::abandon() {
-  constexpr int Unavailable = 503;
   if (IsStream)
     endStream();
   else
@@ -154,7 +185,9 @@
   h2o_iovec_t Bytes =
       h2o_iovec_init(BytesInFlight.data(), BytesInFlight.size());
   auto State = IsEnding ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS;
+  h2o_socket_t *Socket = socket();
   h2o_send(Native, &Bytes, BytesInFlight.empty() ? 0 : 1, State);
+  Server.Connections.follow(Socket);
 }
 
 void HttpExchange::onProceed(h2o_generator_t *Self, h2o_req_t *) {
@@ -167,11 +200,12 @@
 
 HttpServerState::HttpServerState(EventLoop &Loop, HttpServer::Handler Handle,
                                  const HttpServerOptions &Options)
-    : Loop(Loop), Handle(std::move(Handle)), Buffers(Options.Buffers) {
+    : Loop(Loop), Handle(std::move(Handle)), Buffers(Options.Buffers),
+      Connections(Loop, Options.Budget, Options.Limits,
+                  [this] { onLastClosed(); }) {
   h2o_config_init(&Config);
-  Config.max_request_entity_size = Options.MaxBodyBytes;
-  Config.http1.req_timeout =
-      static_cast<uint64_t>(toMillis(Options.ReadTimeout));
+  setLimits(Options.Limits);
+  Config.http1.req_timeout = NoTimeoutMillis;
   Config.http1.upgrade_to_http2 = 0;
   h2o_hostconf_t *Host = h2o_config_register_host(
       &Config, h2o_iovec_init(H2O_STRLIT("default")), AnyPort);
@@ -231,40 +265,42 @@
     Exchange->DisconnectCallback = {};
     Exchange->abandon();
   }
-  if (Connections.empty()) {
+  if (Connections.size() == 0) {
     delete this;
     return;
   }
   // h2o closes an idle connection when the loop reads the end of the stream,
   // and the others after their response.
-  for (const Connection *Open : Connections)
-    shutdown(h2o_socket_get_fd(Open->Socket), SHUT_RD);
+  Connections.endInput();
 }
 
 void HttpServerState::onAccept(h2o_socket_t *Listener, const char *Error) {
-  if (Error != nullptr)
-    return;
-  auto *Self = static_cast<HttpServerState *>(Listener->data);
+  if (Error == nullptr)
+    static_cast<HttpServerState *>(Listener->data)->acceptPending();
+}
+
+void HttpServerState::acceptPending() {
+  Loop.refresh();
   for (size_t I = 0; I < MaxAcceptsPerTurn; ++I) {
     h2o_socket_t *Socket = h2o_evloop_socket_accept(Listener);
     if (Socket == nullptr)
       return;
-    auto *Accepted = new Connection{Self, Socket};
-    Self->Connections.insert(Accepted);
-    Socket->on_close.cb = onClose;
-    Socket->on_close.data = Accepted;
-    h2o_accept(&Self->AcceptContext, Socket);
+    if (!Connections.add(Socket))
+      continue;
+    h2o_accept(&AcceptContext, Socket);
+    Connections.follow(Socket);
   }
 }
 
-void HttpServerState::onClose(void *Closed) {
-  auto *Ended = static_cast<Connection *>(Closed);
-  HttpServerState *Self = Ended->Owner;
-  Self->Connections.erase(Ended);
-  delete Ended;
+void HttpServerState::setLimits(const ClientLimits &Limits) {
+  Connections.setLimits(Limits);
+  Config.max_request_entity_size = Limits.MaxBodyBytes + BodyOverrunBytes;
+}
+
+void HttpServerState::onLastClosed() {
   // Deferred, since h2o still removes the connection from the context's list.
-  if (Self->IsReleased && Self->Connections.empty())
-    Self->Loop.defer([Self] { delete Self; });
+  if (IsReleased)
+    Loop.defer([this] { delete this; });
 }
 
 void HttpServerState::onRequestDisposed(void *Holder) {
@@ -272,6 +308,7 @@
   std::shared_ptr<HttpExchange> Exchange = std::move(TypedHolder->Exchange);
   TypedHolder->~ExchangeHolder();
   Exchange->Server.PendingExchanges.erase(Exchange.get());
+  Exchange->Server.Connections.endRequest(Exchange->socket());
   Exchange->Native = nullptr;
   std::function<void()> OnDisconnect =
       std::exchange(Exchange->DisconnectCallback, {});
@@ -281,11 +318,17 @@
 
 int HttpServerState::onRequest(h2o_handler_t *Handler, h2o_req_t *Native) {
   HttpServerState *Self = reinterpret_cast<RequestHandler *>(Handler)->Owner;
-  if (Self->IsReleased) {
-    Native->http1_is_persistent = 0;
-    h2o_send_error_503(Native, "-", "", 0);
-    return 0;
-  }
+  if (Self->IsReleased)
+    return refuse(Native, Unavailable);
+  if (Native->entity.len > Self->Connections.limits().MaxBodyBytes)
+    return refuse(Native, TooLarge);
+  // The handler has a copy of the request.
+  auto CopyBytes = static_cast<int64_t>(
+      Native->entity.len + Native->path.len +
+      Native->headers.size * sizeof(HttpHeader) + sizeof(HttpExchange));
+  h2o_socket_t *Socket = Native->conn->callbacks->get_socket(Native->conn);
+  if (!Self->Connections.beginHandling(Socket, CopyBytes))
+    return refuse(Native, Unavailable);
   auto Exchange = std::make_shared<HttpExchange>(*Self, Native);
   void *Memory = h2o_mem_alloc_shared(&Native->pool, sizeof(ExchangeHolder),
                                       onRequestDisposed);
@@ -306,10 +349,18 @@
   return State->listen(Address);
 }
 
+void HttpServer::setLimits(const ClientLimits &Limits) {
+  State->setLimits(Limits);
+}
+
 void HttpServer::beginShutdown() { State->beginShutdown(); }
 
 size_t HttpServer::openConnections() const { return State->Connections.size(); }
 
+const ServerConnections &HttpServer::connections() const {
+  return State->Connections;
+}
+
 size_t HttpServer::pendingExchanges() const {
   return State->PendingExchanges.size();
 }
--- a/Source/Links/HttpServer.h
+++ b/Source/Links/HttpServer.h
@@ -6,11 +6,11 @@
 
 #include "Links/EventLoop.h"
 #include "Links/HttpTypes.h"
+#include "Links/ServerConnections.h"
 #include "Links/SocketAddress.h"
 
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
 #include <utility>
 
@@ -37,6 +37,10 @@
     DisconnectCallback = std::move(Callback);
   }
 
+  /// Counts memory that the handler takes for this request until it responds.
+  /// Returns false if there is no room; the handler must then refuse it.
+  bool reserve(int64_t Bytes);
+
   /// Sends the response; later calls are ignored.
   void respond(const HttpResponse &Response);
 
@@ -57,6 +61,7 @@
 
   static void onProceed(h2o_generator_t *Self, h2o_req_t *Native);
   static void onStop(h2o_generator_t *Self, h2o_req_t *Native);
+  h2o_socket_t *socket() const;
   void setResponseHead(const HttpResponse &Response);
   /// Ends the request for a server that is destroyed.
   void abandon();
@@ -77,11 +82,9 @@
 };
 
 struct HttpServerOptions {
-  /// Larger request bodies are refused.
-  size_t MaxBodyBytes = 1 << 20;
-  /// Connections that are idle, or whose request takes longer than this to
-  /// arrive, are closed.
-  Duration ReadTimeout = seconds(5);
+  ClientLimits Limits;
+  /// Of all connections together.
+  ConnectionLimits Budget = {64 << 20, 1024};
   /// Sizes of the kernel's buffers of each connection.
   SocketBuffers Buffers = {16 << 10, 32 << 10};
 };
@@ -101,6 +104,9 @@
   /// Starts to accept connections. Fails with LinkError::CannotListen.
   std::error_code listen(const SocketAddress &Address);
 
+  /// Applies to requests that arrive from now on.
+  void setLimits(const ClientLimits &Limits);
+
   /// Stops accepting connections and closes each open one after its next
   /// response. Pending requests are still answered.
   void beginShutdown();
@@ -109,6 +115,8 @@
   size_t openConnections() const;
   /// Requests that are not completely answered yet.
   size_t pendingExchanges() const;
+  /// Limits, what is held, and what was refused and closed.
+  const ServerConnections &connections() const;
 
 private:
   HttpServerState *State; // Frees itself after the last connection.
--- a/Tests/Links/HttpTest.cpp
+++ b/Tests/Links/HttpTest.cpp
@@ -9,11 +9,16 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <csignal>
+#include <cstdio>
+#include <fcntl.h>
+#include <memory>
 #include <optional>
 #include <poll.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 namespace mimosashunt::test {
 namespace {
@@ -222,7 +227,7 @@
   HttpFixture Env;
   SocketAddress Address = freeAddress();
   HttpServerOptions Options;
-  Options.MaxBodyBytes = 1000;
+  Options.Limits.MaxBodyBytes = 1000;
   bool IsHandlerCalled = false;
   startServer(
       Env, Address, [&](const auto &) { IsHandlerCalled = true; }, Options);
@@ -362,5 +367,296 @@
   EXPECT_EQ(Pending.use_count(), 1);
 }
 
+/// A client that sends bytes as they are and reads what comes back.
+class RawClient {
+public:
+  RawClient(EventLoop &Loop, const SocketAddress &Address) : Loop(Loop) {
+    Socket = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in Native = Address.native();
+    EXPECT_EQ(
+        connect(Socket, reinterpret_cast<sockaddr *>(&Native), sizeof(Native)),
+        0);
+    fcntl(Socket, F_SETFL, O_NONBLOCK);
+  }
+  ~RawClient() { close(Socket); }
+  RawClient(const RawClient &) = delete;
+  RawClient &operator=(const RawClient &) = delete;
+
+  /// Sends all bytes, or as many as the server takes.
+  void send(const std::string &Bytes) {
+    size_t Sent = 0;
+    while (Sent < Bytes.size() && !HasEnded) {
+      ssize_t Taken = ::send(Socket, Bytes.data() + Sent, Bytes.size() - Sent,
+                             MSG_NOSIGNAL);
+      if (Taken > 0)
+        Sent += static_cast<size_t>(Taken);
+      else if (errno != EAGAIN)
+        HasEnded = true;
+      turn();
+    }
+  }
+  /// Returns the status of the next response, or 0 if the connection ends
+  /// first.
+  int status() {
+    while (Received.find("\r\n\r\n") == std::string::npos && !HasEnded)
+      turn();
+    size_t End = Received.find("\r\n\r\n");
+    if (End == std::string::npos)
+      return 0;
+    LastHead = Received.substr(0, End);
+    Received.erase(0, End + 4);
+    return std::stoi(LastHead.substr(LastHead.find(' ')));
+  }
+  const std::string &lastHead() const { return LastHead; }
+  /// Waits until the server ends the connection.
+  void awaitEnd() {
+    while (!HasEnded)
+      turn();
+  }
+
+private:
+  void turn() {
+    Loop.runOnce();
+    char Buffer[4096];
+    ssize_t Count = recv(Socket, Buffer, sizeof(Buffer), 0);
+    if (Count > 0)
+      Received.append(Buffer, static_cast<size_t>(Count));
+    else if (Count == 0 || errno != EAGAIN)
+      HasEnded = true;
+  }
+
+  EventLoop &Loop;
+  int Socket = -1;
+  std::string Received;
+  std::string LastHead;
+  bool HasEnded = false;
+};
+
+/// A server that answers each request with 200 unless its path is /hold, and
+/// keeps the loop turning.
+struct LimitedServer {
+  explicit LimitedServer(HttpServerOptions Options)
+      : Server(startServer(
+            Env, Address,
+            [this](const auto &Exchange) {
+              LastBodyBytes = Exchange->request().Body.size();
+              if (Exchange->request().Path == "/hold")
+                return Held.push_back(Exchange);
+              Exchange->respond({200, {}, ""});
+            },
+            Options)) {
+    Env.Loop.timers().scheduleEvery(milliseconds(1), [] {});
+    // As in the daemons.
+    std::signal(SIGPIPE, SIG_IGN);
+  }
+
+  uint64_t losses(ConnectionLoss Reason) const {
+    return Server.connections().losses()[static_cast<size_t>(Reason)];
+  }
+  int statusOf(const std::string &Bytes) {
+    RawClient Client(Env.Loop, Address);
+    Client.send(Bytes);
+    return Client.status();
+  }
+
+  HttpFixture Env;
+  SocketAddress Address = freeAddress();
+  HttpServer &Server;
+  size_t LastBodyBytes = 0;
+  std::vector<std::shared_ptr<HttpExchange>> Held;
+};
+
+constexpr size_t HeadLimit = 16384;
+constexpr size_t BodyLimit = 262144;
+
+HttpServerOptions smallLimits() {
+  HttpServerOptions Options;
+  Options.Limits.MaxHeadBytes = HeadLimit;
+  Options.Limits.MaxBodyBytes = BodyLimit;
+  return Options;
+}
+
+/// Returns a whole head of this length, with these fields.
+std::string headOf(size_t Bytes, const std::string &Fields = "") {
+  std::string Head = "POST /x HTTP/1.1\r\nhost: a\r\n" + Fields + "x-fill: ";
+  return Head + std::string(Bytes - Head.size() - 4, 'f') + "\r\n\r\n";
+}
+
+std::string headWithLength(size_t Length) {
+  return "POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: " +
+         std::to_string(Length) + "\r\n\r\n";
+}
+
+std::string chunkOf(size_t Bytes) {
+  char Size[32];
+  snprintf(Size, sizeof(Size), "%zx\r\n", Bytes);
+  return Size + std::string(Bytes, 'b') + "\r\n";
+}
+
+const std::string ChunkedHead =
+    "POST /x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+
+TEST(HttpLimits, AHeadOfTheLimitIsServedAndOneByteMoreIsNot) {
+  LimitedServer Env(smallLimits());
+  EXPECT_EQ(Env.statusOf(headOf(HeadLimit, "content-length: 0\r\n")), 200);
+  EXPECT_EQ(Env.statusOf(headOf(HeadLimit + 1, "content-length: 0\r\n")), 431);
+  EXPECT_EQ(Env.losses(ConnectionLoss::HeadTooLarge), 1U);
+}
+
+TEST(HttpLimits, ABodyOfTheLimitIsServedAndOneByteMoreIsNot) {
+  LimitedServer Env(smallLimits());
+  EXPECT_EQ(
+      Env.statusOf(headWithLength(BodyLimit) + std::string(BodyLimit, 'b')),
+      200);
+  EXPECT_EQ(Env.LastBodyBytes, BodyLimit);
+  EXPECT_EQ(Env.statusOf(headWithLength(BodyLimit + 1)), 413);
+  EXPECT_EQ(Env.statusOf(headWithLength(BodyLimit + 1) +
+                         std::string(BodyLimit + 1, 'b')),
+            413);
+  EXPECT_EQ(Env.losses(ConnectionLoss::BodyTooLarge), 2U);
+}
+
+TEST(HttpLimits, AChunkedBodyOfTheLimitIsServedAndOneByteMoreIsNot) {
+  LimitedServer Env(smallLimits());
+  EXPECT_EQ(Env.statusOf(ChunkedHead + chunkOf(BodyLimit) + "0\r\n\r\n"), 200);
+  EXPECT_EQ(Env.LastBodyBytes, BodyLimit);
+  EXPECT_EQ(Env.statusOf(ChunkedHead + chunkOf(BodyLimit + 1) + "0\r\n\r\n"),
+            413);
+}
+
+TEST(HttpLimits, ABodyInChunksOfOneByteIsServed) {
+  LimitedServer Env(smallLimits());
+  std::string Chunks;
+  for (size_t I = 0; I < BodyLimit; ++I)
+    Chunks += "1\r\nb\r\n";
+  EXPECT_EQ(Env.statusOf(ChunkedHead + Chunks + "0\r\n\r\n"), 200);
+  EXPECT_EQ(Env.LastBodyBytes, BodyLimit);
+}
+
+// Guards against a body whose chunk heads outweigh its bytes and that is read
+// for ever.
+TEST(HttpLimits, EndlessChunkHeadsEnd) {
+  LimitedServer Env(smallLimits());
+  RawClient Client(Env.Env.Loop, Env.Address);
+  Client.send(ChunkedHead);
+  std::string Chunk = "1;" + std::string(HeadLimit, 'x') + "\r\nb\r\n";
+  for (size_t I = 0; I < 1000; ++I)
+    Client.send(Chunk);
+  EXPECT_EQ(Client.status(), 413);
+}
+
+// Guards against limits that hold for the first request of a connection alone,
+// and against a large buffer that an idle connection keeps.
+TEST(HttpLimits, HoldForEachRequestOfAConnection) {
+  LimitedServer Env(smallLimits());
+  RawClient Client(Env.Env.Loop, Env.Address);
+  std::string Whole = headWithLength(BodyLimit) + std::string(BodyLimit, 'b');
+  for (int I = 0; I < 3; ++I) {
+    Client.send(Whole);
+    EXPECT_EQ(Client.status(), 200);
+    while (Env.Server.connections().heldBytes() > 2 * ConnectionBaseBytes)
+      Env.Env.Loop.runOnce();
+  }
+  // Two requests at once, the second one too large.
+  Client.send(headWithLength(3) + "abc" + headWithLength(BodyLimit + 1));
+  EXPECT_EQ(Client.status(), 200);
+  EXPECT_EQ(Client.status(), 413);
+  Client.awaitEnd();
+}
+
+TEST(HttpLimits, ABodyAfterAnExpectedContinueIsServed) {
+  LimitedServer Env(smallLimits());
+  RawClient Client(Env.Env.Loop, Env.Address);
+  Client.send("POST /x HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\n"
+              "content-length: 262144\r\n\r\n");
+  EXPECT_EQ(Client.status(), 100);
+  Client.send(std::string(BodyLimit, 'b'));
+  EXPECT_EQ(Client.status(), 200);
+  Client.send(headWithLength(BodyLimit + 1));
+  EXPECT_EQ(Client.status(), 413);
+}
+
+TEST(HttpLimits, ChangeForRequestsThatArriveLater) {
+  LimitedServer Env(smallLimits());
+  ClientLimits Limits = smallLimits().Limits;
+  Limits.MaxBodyBytes = 10;
+  Env.Server.setLimits(Limits);
+  EXPECT_EQ(Env.statusOf(headWithLength(10) + "0123456789"), 200);
+  EXPECT_EQ(Env.statusOf(headWithLength(11)), 413);
+}
+
+// A body that could never be held is refused for good, not until later.
+TEST(HttpLimits, ABodyBeyondTheWholeBudgetIsTooLarge) {
+  HttpServerOptions Options = smallLimits();
+  Options.Limits.MaxBodyBytes = size_t(1) << 50;
+  LimitedServer Env(Options);
+  EXPECT_EQ(Env.statusOf(headWithLength(size_t(1) << 40)), 413);
+}
+
+// Guards against callers that wait for a response that cannot come.
+TEST(HttpLimits, UnderPressureALargeBodyIsRefusedAtItsHead) {
+  HttpServerOptions Options = smallLimits();
+  Options.Budget = {6 << 20, 100};
+  LimitedServer Env(Options);
+  std::vector<std::unique_ptr<RawClient>> Crowd;
+  while (Env.Held.size() < 3) {
+    Crowd.push_back(std::make_unique<RawClient>(Env.Env.Loop, Env.Address));
+    Crowd.back()->send("POST /hold HTTP/1.1\r\nhost: a\r\ncontent-length: " +
+                       std::to_string(BodyLimit) + "\r\n\r\n" +
+                       std::string(BodyLimit, 'b'));
+    while (Env.Held.size() < Crowd.size())
+      Env.Env.Loop.runOnce();
+  }
+  RawClient Late(Env.Env.Loop, Env.Address);
+  Late.send(headWithLength(BodyLimit));
+  EXPECT_EQ(Late.status(), 503);
+  EXPECT_NE(Late.lastHead().find("retry-after: "), std::string::npos);
+  Late.awaitEnd();
+  EXPECT_EQ(Env.losses(ConnectionLoss::NoRoomForBody), 1U);
+  EXPECT_EQ(Env.statusOf(headWithLength(3) + "abc"), 200);
+  // Those that are under way are answered.
+  for (const auto &Exchange : Env.Held)
+    Exchange->respond({200, {}, ""});
+  for (auto &Client : Crowd)
+    EXPECT_EQ(Client->status(), 200);
+}
+
+// Guards against whole requests whose copies outgrow the budget.
+TEST(HttpLimits, AWholeRequestWithoutRoomIsRefused) {
+  HttpServerOptions Options = smallLimits();
+  LimitedServer Env(Options);
+  RawClient Client(Env.Env.Loop, Env.Address);
+  Client.send("POST /hold HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n\r\nb");
+  while (Env.Held.empty())
+    Env.Env.Loop.runOnce();
+  EXPECT_TRUE(Env.Held.front()->reserve(1 << 20));
+  EXPECT_FALSE(Env.Held.front()->reserve(Options.Budget.Bytes));
+  EXPECT_EQ(Env.losses(ConnectionLoss::NoRoomForRequest), 1U);
+  Env.Held.front()->respond({503, {}, ""});
+  EXPECT_EQ(Client.status(), 503);
+}
+
+// Guards against a client whose unread responses stay in memory.
+TEST(HttpLimits, AClientThatReadsNoResponseIsClosed) {
+  HttpServerOptions Options = smallLimits();
+  Options.Limits.IdleTimeout = milliseconds(300);
+  LimitedServer Env(Options);
+  RawClient Client(Env.Env.Loop, Env.Address);
+  std::string Requests;
+  for (int I = 0; I < 1000; ++I)
+    Requests += "GET /x HTTP/1.1\r\nhost: a\r\n\r\n";
+  int Descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Native = Env.Address.native();
+  ASSERT_EQ(connect(Descriptor, reinterpret_cast<sockaddr *>(&Native),
+                    sizeof(Native)),
+            0);
+  while (Env.losses(ConnectionLoss::ResponseNotRead) == 0) {
+    ::send(Descriptor, Requests.data(), Requests.size(),
+           MSG_NOSIGNAL | MSG_DONTWAIT);
+    Env.Env.Loop.runOnce();
+  }
+  close(Descriptor);
+}
+
 } // namespace
 } // namespace mimosashunt::test
--- a/Tests/Platform/StandInWorkers.cpp
+++ b/Tests/Platform/StandInWorkers.cpp
@@ -43,7 +43,7 @@
       Incarnation(wallClockMs()),
       Server(Loop,
              [this](const ExchangePtr &Exchange) { handleRequest(Exchange); },
-             {.ReadTimeout = seconds(60)}) {}
+             {.Limits = {.IdleTimeout = seconds(60)}}) {}
 
 void StandInWorker::start() {
   Loop.timers().scheduleEvery(ReportInterval, [this] { sendReport(); });
