Links: accepting pauses while the process has no free descriptor

Cause: accept() fails, the listener stays readable, and the loop turns without end. The budget keeps callers from taking all descriptors; links to workers may still.

Change: after a failure for want of a descriptor or of memory the listener is not read for 100 ms; the metric mimosashunt_connections_limited{reason="no_descriptor"} counts it.

--- a/Source/Links/HttpServer.cpp
+++ b/Source/Links/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "Links/HttpServer.h"
 
+#include <cerrno>
 #include <cstdlib>
 #include <cstring>
 #include <new>
@@ -26,6 +27,8 @@
 constexpr size_t MaxStreamBacklogBytes = 4 << 20;
 // Makes h2o match the host regardless of the port in the request.
 constexpr uint16_t AnyPort = 65535;
+// Time without accepting once the process has no free descriptor.
+constexpr Duration AcceptPause = milliseconds(100);
 // h2o would count its timeout from the first byte of a request; the limits of
 // ServerConnections end a connection earlier.
 constexpr uint64_t NoTimeoutMillis = uint64_t(20) * 24 * 3600 * 1000;
@@ -47,6 +50,11 @@
   return 0;
 }
 
+bool hasNoDescriptor(int Error) {
+  return Error == EMFILE || Error == ENFILE || Error == ENOBUFS ||
+         Error == ENOMEM;
+}
+
 } // namespace
 
 /// What h2o refers to while a connection is open. It outlives its server until
@@ -74,6 +82,8 @@
   static void onAccept(h2o_socket_t *Listener, const char *Error);
   static void onRequestDisposed(void *Holder);
   void acceptPending();
+  /// A listener without a free descriptor would stay readable.
+  void pauseAccepting();
   void setLimits(const ClientLimits &Limits);
   void onLastClosed();
 
@@ -88,6 +98,7 @@
   const SocketBuffers Buffers;
   ServerConnections Connections;
   std::set<HttpExchange *> PendingExchanges;
+  TimerId AcceptTimer = 0; // While accepting is paused.
 };
 
 HttpExchange::HttpExchange(HttpServerState &Server, h2o_req_t *Native)
@@ -220,6 +231,7 @@
 }
 
 HttpServerState::~HttpServerState() {
+  Loop.timers().cancel(AcceptTimer);
   // Started by h2o_context_request_shutdown(); a context can be disposed of
   // only without running timers.
   h2o_timeout_unlink(&Context.http2._graceful_shutdown_timeout);
@@ -247,6 +259,7 @@
   if (IsShuttingDown)
     return;
   IsShuttingDown = true;
+  Loop.timers().cancel(std::exchange(AcceptTimer, 0));
   if (Listener != nullptr) {
     h2o_socket_read_stop(Listener);
     h2o_socket_close(Listener);
@@ -283,8 +296,11 @@
   Loop.refresh();
   for (size_t I = 0; I < MaxAcceptsPerTurn; ++I) {
     h2o_socket_t *Socket = h2o_evloop_socket_accept(Listener);
-    if (Socket == nullptr)
+    if (Socket == nullptr) {
+      if (hasNoDescriptor(errno))
+        pauseAccepting();
       return;
+    }
     if (!Connections.add(Socket))
       continue;
     h2o_accept(&AcceptContext, Socket);
@@ -292,6 +308,16 @@
   }
 }
 
+void HttpServerState::pauseAccepting() {
+  Connections.countUnaccepted();
+  h2o_socket_read_stop(Listener);
+  AcceptTimer =
+      Loop.timers().scheduleAt(Loop.timers().now() + AcceptPause, [this] {
+        AcceptTimer = 0;
+        h2o_socket_read_start(Listener, onAccept);
+      });
+}
+
 void HttpServerState::setLimits(const ClientLimits &Limits) {
   Connections.setLimits(Limits);
   Config.max_request_entity_size = Limits.MaxBodyBytes + BodyOverrunBytes;
--- a/Source/Links/ServerConnections.cpp
+++ b/Source/Links/ServerConnections.cpp
@@ -76,6 +76,8 @@
     return "idle_timed_out";
   case ConnectionLoss::ResponseNotRead:
     return "response_not_read";
+  case ConnectionLoss::NoDescriptor:
+    return "no_descriptor";
   }
   return "unknown";
 }
--- a/Source/Links/ServerConnections.h
+++ b/Source/Links/ServerConnections.h
@@ -35,8 +35,9 @@
   HeadTimedOut,
   IdleTimedOut,
   ResponseNotRead,
+  NoDescriptor, // Could not be accepted.
 };
-inline constexpr size_t ConnectionLossCount = 9;
+inline constexpr size_t ConnectionLossCount = 10;
 const char *nameOf(ConnectionLoss Reason);
 
 class ServerConnections {
@@ -73,6 +74,8 @@
   /// The response was sent or the connection is about to be closed.
   void endRequest(h2o_socket_t *Socket);
 
+  /// Counts a connection that could not be accepted.
+  void countUnaccepted() { count(ConnectionLoss::NoDescriptor); }
   /// Makes h2o find the end of the input of all connections.
   void endInput();
 
--- a/Tests/Links/HttpTest.cpp
+++ b/Tests/Links/HttpTest.cpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -658,5 +659,33 @@
   close(Descriptor);
 }
 
+// Guards against a listener that turns the loop without end when the process
+// has no free descriptor.
+TEST(HttpLimits, AcceptingPausesWithoutADescriptor) {
+  LimitedServer Env(smallLimits());
+  RawClient Client(Env.Env.Loop, Env.Address);
+  Client.send("GET /x HTTP/1.1\r\nhost: a\r\n\r\n");
+  EXPECT_EQ(Client.status(), 200);
+  rlimit Before{};
+  getrlimit(RLIMIT_NOFILE, &Before);
+  int Waiting = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Native = Env.Address.native();
+  ASSERT_EQ(
+      connect(Waiting, reinterpret_cast<sockaddr *>(&Native), sizeof(Native)),
+      0);
+  rlimit None = Before;
+  None.rlim_cur = 0;
+  setrlimit(RLIMIT_NOFILE, &None);
+  while (Env.losses(ConnectionLoss::NoDescriptor) == 0)
+    Env.Env.Loop.runOnce();
+  // An open connection is served meanwhile.
+  Client.send("GET /x HTTP/1.1\r\nhost: a\r\n\r\n");
+  EXPECT_EQ(Client.status(), 200);
+  setrlimit(RLIMIT_NOFILE, &Before);
+  while (Env.Server.openConnections() < 2)
+    Env.Env.Loop.runOnce();
+  close(Waiting);
+}
+
 } // namespace
 } // namespace mimosashunt::test
