Links: backlogs of streams count in the budget

Each stream of server-sent events, such as the screen of mimosashunt-control, may have a backlog of 4 MiB for a client that reads slowly, and nothing bounded them together.

The backlog is charged to its connection as it grows; under pressure the oldest for what it holds is closed and may connect again. HttpLimits.BacklogsOfStreamsAreWithinTheBudget passes (arm64): 8 streams of 6.4 MB each stay within 2 MiB.

--- a/Source/Links/HttpServer.cpp
+++ b/Source/Links/HttpServer.cpp
@@ -173,7 +173,13 @@
     IsEnding = true;
   else
     BufferedBytes += Chunk;
+  if (!gone())
+    Server.Connections.beginSending(
+        socket(), static_cast<int64_t>(BufferedBytes.capacity() +
+                                       BytesInFlight.capacity()));
   flushStream();
+  if (!gone())
+    Server.Connections.follow(socket());
 }
 
 void HttpExchange::endStream() {
--- a/Tests/Links/HttpTest.cpp
+++ b/Tests/Links/HttpTest.cpp
@@ -659,6 +659,28 @@
   close(Descriptor);
 }
 
+// Guards against streams whose clients read nothing and whose backlogs add up.
+TEST(HttpLimits, BacklogsOfStreamsAreWithinTheBudget) {
+  HttpServerOptions Options = smallLimits();
+  Options.Budget = {2 << 20, 100};
+  LimitedServer Env(Options);
+  std::vector<std::unique_ptr<RawClient>> Crowd;
+  for (size_t I = 0; I < 8; ++I) {
+    Crowd.push_back(std::make_unique<RawClient>(Env.Env.Loop, Env.Address));
+    Crowd.back()->send("GET /hold HTTP/1.1\r\nhost: a\r\n\r\n");
+    while (Env.Held.size() <= I)
+      Env.Env.Loop.runOnce();
+    Env.Held.back()->startStream({200, {}, ""});
+  }
+  for (int I = 0; I < 100; ++I) {
+    for (const auto &Exchange : Env.Held)
+      Exchange->write(std::string(64 << 10, 's'));
+    EXPECT_LE(Env.Server.connections().heldBytes(), Options.Budget.Bytes);
+    Env.Env.Loop.runOnce();
+  }
+  EXPECT_GT(Env.losses(ConnectionLoss::ClosedForBytes), 0U);
+}
+
 // Guards against a listener that turns the loop without end when the process
 // has no free descriptor.
 TEST(HttpLimits, AcceptingPausesWithoutADescriptor) {
