Fleet: jobs on their way to the leader count in the gateway's budget

Seen: 60 whole jobs of 262,144 bytes with 20,000 steps each make a gateway take 133 MB with memoryMb 48 (arm64, beside a build).

Cause: a job of small steps grows when it is encoded, and the request and the encoding live until the leader has answered; the budget saw the body alone.

Change: the gateway estimates a decoded job and reserves that for its connection; without room the job is refused as not run, with Retry-After.

--- a/Source/Fleet/Codecs.h
+++ b/Source/Fleet/Codecs.h
@@ -42,7 +42,8 @@
     InvalidKey,
     MalformedRequest,
     WrongMethod,
-    NotReady
+    NotReady,
+    NoMemory
   };
   ReasonCode Reason = ReasonCode::NotReady;
   std::string Detail;
@@ -61,6 +62,8 @@
     return "wrong_method";
   case CallRefusal::ReasonCode::NotReady:
     return "not_ready";
+  case CallRefusal::ReasonCode::NoMemory:
+    return "no_memory";
   }
   return "unknown";
 }
--- a/Source/Fleet/GatewayDaemon.cpp
+++ b/Source/Fleet/GatewayDaemon.cpp
@@ -37,6 +37,21 @@
           Settings.MaxDescriptors};
 }
 
+/// Returns what a decoded request takes at most until the leader has answered.
+int64_t estimateBytes(const JobRequest &Request) {
+  // The request, its encoding, and the encoding as the link sends it.
+  constexpr size_t TextCopies = 3;
+  constexpr size_t EncodedStepBytes = 200;
+  constexpr size_t EncodedStepCopies = 2;
+  size_t Bytes = TextCopies * Request.Spec.Payload.size();
+  for (const StepSpec &Step : Request.Spec.Steps)
+    Bytes += sizeof(StepSpec) + EncodedStepCopies * EncodedStepBytes +
+             TextCopies *
+                 (Step.RequiredLabel.size() + Step.DataRack.size() +
+                  Step.Image.size() + Step.DependsOn.size() * sizeof(uint32_t));
+  return static_cast<int64_t>(Bytes);
+}
+
 HttpServerOptions serverOptions(const FleetSettings &Settings,
                                 ConnectionPart Part,
                                 const ClientLimits &Limits) {
@@ -195,7 +210,11 @@
   if (const auto *Query = std::get_if<QueueQuery>(&Request))
     return Exchange->respond(
         Codec.pendingResponse(Link.pendingJobs(Query->Queue)));
-  forwardToLeader(Exchange, std::get<JobRequest>(Request));
+  const auto &Job = std::get<JobRequest>(Request);
+  if (!Exchange->reserve(estimateBytes(Job)))
+    return refuse(Exchange,
+                  {CallRefusal::ReasonCode::NoMemory, "no memory for the job"});
+  forwardToLeader(Exchange, Job);
 }
 
 void GatewayDaemon::refuse(const ExchangePtr &Exchange,
--- a/Tests/Processes/CrowdMain.cpp
+++ b/Tests/Processes/CrowdMain.cpp
@@ -20,8 +20,8 @@
 
 DEFINE_string(address, "", "IP:port of the listener under test");
 DEFINE_string(clients, "",
-              "stalled, chunked, pieces, whole, heads, chunk-heads, unread or "
-              "idle");
+              "stalled, chunked, pieces, whole, steps, heads, chunk-heads, "
+              "unread or idle");
 DEFINE_int32(connections, 10, "connections held at a time");
 DEFINE_string(method, "POST", "method of a request with a body");
 DEFINE_string(path, "/", "path of a request");
@@ -98,6 +98,17 @@
           "1;" + std::string(4096, 'x') + "\r\nx\r\n", 0, true};
 }
 
+/// A whole job of as many steps as the body has room for.
+Behaviour jobOfManySteps() {
+  const std::string Step = "{\"count\":1}";
+  std::string Body = "{\"spec\":\"x\",\"steps\":[" + Step;
+  while (Body.size() + Step.size() + 3 <= static_cast<size_t>(FLAGS_body_bytes))
+    Body += "," + Step;
+  Body += "]}";
+  return {requestHead("content-length: " + std::to_string(Body.size())) + Body,
+          "", 0, true};
+}
+
 Behaviour unreadAnswers() {
   return {"",
           "GET " + FLAGS_path + " HTTP/1.1\r\nhost: " + FLAGS_host + "\r\n\r\n",
@@ -112,6 +123,7 @@
      [] {
        return Behaviour{announcedHead() + bodyBytes(0), "", 0, true};
      }},
+    {"steps", jobOfManySteps},
     {"heads", endlessHead},
     {"chunk-heads", endlessChunkHeads},
     {"unread", unreadAnswers},
