Fleet: refusals are logged in short and at 20 lines a second

Change: path and detail are cut to 200 bytes on both sides; `call_refused` and `control_call_refused`, which anybody outside can cause, have at most 20 lines a second, and `lines_left_out` tells the rest.

--- a/Source/Fleet/EventLog.cpp
+++ b/Source/Fleet/EventLog.cpp
@@ -20,8 +20,6 @@
 
 /// More buffered bytes than this are not kept; further lines are dropped.
 constexpr size_t MaxPendingBytes = 1 << 20;
-/// Rate limit of one event name; lines beyond it are counted and dropped.
-constexpr uint32_t MaxLinesPerSecond = 1000;
 
 } // namespace
 
@@ -106,7 +104,7 @@
   Logger->removeAllAppenders();
 }
 
-bool EventLog::admitEvent(const char *EventName) {
+bool EventLog::admitEvent(const char *EventName, uint32_t MaxPerSecond) {
   constexpr int64_t MillisPerSecond = 1000;
   int64_t Second = wallNow() / MillisPerSecond;
   auto Found = RatesByEvent.find(std::string_view(EventName));
@@ -120,15 +118,15 @@
     if (SuppressedLines > 0)
       log("lines_left_out", {{"of", EventName}, {"count", SuppressedLines}});
   }
-  if (++Rate.Count <= MaxLinesPerSecond)
+  if (++Rate.Count <= MaxPerSecond)
     return true;
   ++Rate.SuppressedLines;
   ++DroppedLines;
   return false;
 }
 
-void EventLog::log(const char *EventName, Json Fields) {
-  if (!Logger->isInfoEnabled() || !admitEvent(EventName))
+void EventLog::log(const char *EventName, Json Fields, uint32_t MaxPerSecond) {
+  if (!Logger->isInfoEnabled() || !admitEvent(EventName, MaxPerSecond))
     return;
   Fields["at"] = wallNow();
   Fields["vm"] = Vm;
--- a/Source/Fleet/EventLog.h
+++ b/Source/Fleet/EventLog.h
@@ -19,6 +19,13 @@
 
 class LineBuffer;
 
+/// Rate limit of one event name; lines beyond it are counted and dropped.
+inline constexpr uint32_t MaxLinesPerSecond = 1000;
+/// Rate limit of an event that anybody outside can cause.
+inline constexpr uint32_t MaxRefusalLinesPerSecond = 20;
+/// Texts from outside are cut to this length.
+inline constexpr size_t MaxLoggedTextBytes = 200;
+
 /// Writes events as lines of JSON.
 class EventLog {
 public:
@@ -30,8 +37,10 @@
   EventLog(const EventLog &) = delete;
   EventLog &operator=(const EventLog &) = delete;
 
-  /// Logs one event. \p EventName is its constant name, which limits its rate.
-  void log(const char *EventName, Json Fields = Json::object());
+  /// Logs one event. \p EventName is its constant name, which limits its rate
+  /// to \p MaxPerSecond lines per second.
+  void log(const char *EventName, Json Fields = Json::object(),
+           uint32_t MaxPerSecond = MaxLinesPerSecond);
 
   /// Writes buffered lines as far as the descriptor accepts them. Called at the
   /// end of each event loop iteration.
@@ -43,7 +52,7 @@
 private:
   /// Counts a line of this event name. Returns false if it exceeds the rate
   /// limit of the current second.
-  bool admitEvent(const char *EventName);
+  bool admitEvent(const char *EventName, uint32_t MaxPerSecond);
 
   const std::string Vm;
   const std::string Role;
--- a/Source/Fleet/GatewayDaemon.cpp
+++ b/Source/Fleet/GatewayDaemon.cpp
@@ -224,10 +224,12 @@
                "Calls refused by this VM, by reason",
                {{"reason", nameOf(Refusal.Reason)}})
       .Increment();
-  Events.log("call_refused", {{"path", Exchange->request().Path},
-                              {"why", nameOf(Refusal.Reason)},
-                              {"detail", Refusal.Detail},
-                              {"version", Link.configuration().Version}});
+  Events.log("call_refused",
+             {{"path", Exchange->request().Path.substr(0, MaxLoggedTextBytes)},
+              {"why", nameOf(Refusal.Reason)},
+              {"detail", Refusal.Detail.substr(0, MaxLoggedTextBytes)},
+              {"version", Link.configuration().Version}},
+             MaxRefusalLinesPerSecond);
   Exchange->respond(Codec.answer(Refusal));
 }
 
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -28,7 +28,6 @@
 constexpr size_t MinWorkersForCarriers = 150;
 constexpr Duration ForwardTimeout = milliseconds(900);
 constexpr Duration StopTimeout = seconds(2);
-constexpr size_t MaxLoggedPathBytes = 200;
 /// The rest is for snapshots, connections, the log and what has ended.
 constexpr int64_t WorkPercentOfMemory = 50;
 /// What the process takes without connections and work, with a margin.
@@ -545,9 +544,11 @@
   ControlRequest Request = Ports.Control.decode(Exchange->request());
   if (const auto *Invalid = std::get_if<InvalidControlRequest>(&Request)) {
     const std::string Path =
-        Exchange->request().Path.substr(0, MaxLoggedPathBytes);
+        Exchange->request().Path.substr(0, MaxLoggedTextBytes);
     Events.log("control_call_refused",
-               {{"path", Path}, {"detail", Invalid->Detail}});
+               {{"path", Path},
+                {"detail", Invalid->Detail.substr(0, MaxLoggedTextBytes)}},
+               MaxRefusalLinesPerSecond);
     if (Invalid->Reason == InvalidControlRequest::ReasonCode::Malformed)
       Ports.Rejected.add(InputSource::ControlCall,
                          Path + ": " + Invalid->Detail);
