Links, Entry: refusals of the server carry its headers; input that waits is progress

Entry VMs promise an outcome with every response; the server's own refusals (413, 431, 408, 503), like those of h2o before, had none. They now have `this-sending-not-run`: an earlier sending of the same request may have run.

A process that was suspended reads what has arrived in several turns; a connection whose input still waits in the kernel is no longer closed as idle. Found by reading; no test shows it.

--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -67,6 +67,8 @@
                                 ConnectionPart Part, size_t MaxBodyBytes) {
   HttpServerOptions Options;
   Options.Limits.MaxBodyBytes = MaxBodyBytes;
+  // An earlier sending of the same request may have run.
+  Options.RefusalHeaders = {{headers::Outcome, "this-sending-not-run"}};
   Options.Budget =
       limitsOf({connectionBytes(Settings.MemoryMb, RestMb, ConnectionPercent,
                                 MinConnectionBytes),
--- a/Source/Links/HttpServer.cpp
+++ b/Source/Links/HttpServer.cpp
@@ -2,7 +2,6 @@
 
 #include <cerrno>
 #include <cstdlib>
-#include <cstring>
 #include <new>
 #include <set>
 #include <utility>
@@ -36,18 +35,15 @@
 // read before its length is known.
 constexpr size_t BodyOverrunBytes = 1 << 20;
 
-/// Refuses a whole request that no handler has seen and ends its connection.
-int refuse(h2o_req_t *Native, int Status) {
-  Native->http1_is_persistent = 0;
-  Native->res.status = Status;
-  Native->res.reason = "-";
-  Native->res.content_length = 0;
-  if (Status == Unavailable)
-    h2o_add_header_by_str(&Native->pool, &Native->res.headers,
-                          H2O_STRLIT("retry-after"), 1, nullptr,
-                          RefusalRetryAfter, strlen(RefusalRetryAfter));
-  h2o_send_inline(Native, "", 0);
-  return 0;
+void addHeaders(h2o_req_t *Native, const std::vector<HttpHeader> &Headers) {
+  for (const HttpHeader &Header : Headers)
+    h2o_add_header_by_str(
+        &Native->pool, &Native->res.headers,
+        h2o_strdup(&Native->pool, Header.Name.data(), Header.Name.size()).base,
+        Header.Name.size(), 1, nullptr,
+        h2o_strdup(&Native->pool, Header.Value.data(), Header.Value.size())
+            .base,
+        Header.Value.size());
 }
 
 bool hasNoDescriptor(int Error) {
@@ -81,6 +77,8 @@
   static int onRequest(h2o_handler_t *Self, h2o_req_t *Native);
   static void onAccept(h2o_socket_t *Listener, const char *Error);
   static void onRequestDisposed(void *Holder);
+  /// Refuses a whole request that no handler has seen and ends its connection.
+  int refuse(h2o_req_t *Native, int Status) const;
   void acceptPending();
   /// A listener without a free descriptor would stay readable.
   void pauseAccepting();
@@ -129,14 +127,7 @@
   HasResponse = true;
   Native->res.status = Response.Status;
   Native->res.reason = "-";
-  for (const HttpHeader &Header : Response.Headers)
-    h2o_add_header_by_str(
-        &Native->pool, &Native->res.headers,
-        h2o_strdup(&Native->pool, Header.Name.data(), Header.Name.size()).base,
-        Header.Name.size(), 1, nullptr,
-        h2o_strdup(&Native->pool, Header.Value.data(), Header.Value.size())
-            .base,
-        Header.Value.size());
+  addHeaders(Native, Response.Headers);
   if (Server.IsShuttingDown)
     Native->http1_is_persistent = 0;
 }
@@ -218,7 +209,7 @@
 HttpServerState::HttpServerState(EventLoop &Loop, HttpServer::Handler Handle,
                                  const HttpServerOptions &Options)
     : Loop(Loop), Handle(std::move(Handle)), Buffers(Options.Buffers),
-      Connections(Loop, Options.Budget, Options.Limits,
+      Connections(Loop, Options.Budget, Options.Limits, Options.RefusalHeaders,
                   [this] { onLastClosed(); }) {
   h2o_config_init(&Config);
   setLimits(Options.Limits);
@@ -348,19 +339,29 @@
     OnDisconnect();
 }
 
+int HttpServerState::refuse(h2o_req_t *Native, int Status) const {
+  Native->http1_is_persistent = 0;
+  Native->res.status = Status;
+  Native->res.reason = "-";
+  Native->res.content_length = 0;
+  addHeaders(Native, Connections.refusalHeaders(Status));
+  h2o_send_inline(Native, "", 0);
+  return 0;
+}
+
 int HttpServerState::onRequest(h2o_handler_t *Handler, h2o_req_t *Native) {
   HttpServerState *Self = reinterpret_cast<RequestHandler *>(Handler)->Owner;
   if (Self->IsReleased)
-    return refuse(Native, Unavailable);
+    return Self->refuse(Native, Unavailable);
   if (Native->entity.len > Self->Connections.limits().MaxBodyBytes)
-    return refuse(Native, TooLarge);
+    return Self->refuse(Native, TooLarge);
   // The handler has a copy of the request.
   auto CopyBytes = static_cast<int64_t>(
       Native->entity.len + Native->path.len +
       Native->headers.size * sizeof(HttpHeader) + sizeof(HttpExchange));
   h2o_socket_t *Socket = Native->conn->callbacks->get_socket(Native->conn);
   if (!Self->Connections.beginHandling(Socket, CopyBytes))
-    return refuse(Native, Unavailable);
+    return Self->refuse(Native, Unavailable);
   auto Exchange = std::make_shared<HttpExchange>(*Self, Native);
   void *Memory = h2o_mem_alloc_shared(&Native->pool, sizeof(ExchangeHolder),
                                       onRequestDisposed);
--- a/Source/Links/HttpServer.h
+++ b/Source/Links/HttpServer.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace mimosashunt {
 
@@ -85,6 +86,8 @@
   ClientLimits Limits;
   /// Of all connections together.
   ConnectionLimits Budget = {64 << 20, 1024};
+  /// Headers of the responses with which the server itself refuses requests.
+  std::vector<HttpHeader> RefusalHeaders;
   /// Sizes of the kernel's buffers of each connection.
   SocketBuffers Buffers = {16 << 10, 32 << 10};
 };
--- a/Source/Links/ServerConnections.cpp
+++ b/Source/Links/ServerConnections.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+constexpr int Unavailable = 503;
+/// Until a client that was refused for want of room may come again.
+constexpr const char *RetryAfterSeconds = "2";
 constexpr Duration SweepInterval = milliseconds(250);
 /// Announced bodies above are refused under pressure.
 constexpr uint64_t MaxSmallBodyBytes = 16 << 10;
@@ -24,7 +27,6 @@
   constexpr int TooLarge = 413;
   constexpr int HeadTooLarge = 431;
   constexpr int Timeout = 408;
-  constexpr int Unavailable = 503;
   switch (Reason) {
   case ConnectionLoss::HeadTooLarge:
     return HeadTooLarge;
@@ -38,12 +40,11 @@
   }
 }
 
-std::string refusalText(int Status) {
-  constexpr int Unavailable = 503;
+std::string refusalText(int Status, const std::vector<HttpHeader> &Headers) {
   std::string Text = "HTTP/1.1 " + std::to_string(Status) +
                      " -\r\nconnection: close\r\ncontent-length: 0\r\n";
-  if (Status == Unavailable)
-    Text += std::string("retry-after: ") + RefusalRetryAfter + "\r\n";
+  for (const HttpHeader &Header : Headers)
+    Text += Header.Name + ": " + Header.Value + "\r\n";
   return Text + "\r\n";
 }
 
@@ -103,9 +104,11 @@
 };
 
 ServerConnections::ServerConnections(EventLoop &Loop, ConnectionLimits Budget,
-                                     ClientLimits Limits,
+                                     const ClientLimits &Limits,
+                                     std::vector<HttpHeader> RefusalHeaders,
                                      std::function<void()> OnEmpty)
-    : Loop(Loop), Budget(Budget), OnEmpty(std::move(OnEmpty)), Refused(Loop) {
+    : Loop(Loop), Budget(Budget), RefusalHeaders(std::move(RefusalHeaders)),
+      OnEmpty(std::move(OnEmpty)), Refused(Loop) {
   setLimits(Limits);
 }
 
@@ -121,6 +124,13 @@
       std::min(Limits.MaxBodyBytes, Budget.largestBodyBytes());
 }
 
+std::vector<HttpHeader> ServerConnections::refusalHeaders(int Status) const {
+  std::vector<HttpHeader> Result = RefusalHeaders;
+  if (Status == Unavailable)
+    Result.push_back({"retry-after", RetryAfterSeconds});
+  return Result;
+}
+
 bool ServerConnections::add(h2o_socket_t *Socket) {
   Instant Now = Loop.timers().now();
   ConnectionId Id = ++LastId;
@@ -321,7 +331,8 @@
   if (Item.Timing.Phase == ConnectionPhase::Receiving) {
     // Nothing else is being sent: the parser reads the next request only after
     // the response to the one before.
-    std::string Text = refusalText(statusOf(Reason));
+    int Status = statusOf(Reason);
+    std::string Text = refusalText(Status, refusalHeaders(Status));
     int Descriptor = h2o_socket_get_fd(Item.Socket);
     ssize_t Sent =
         send(Descriptor, Text.data(), Text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
@@ -374,6 +385,11 @@
   }
   if (!isOverdue(Item.Timing, Limits, Now))
     return charge(Item);
+  // This process did not run, or not often enough; the client went on.
+  bool HasUnreadInput =
+      Phase != ConnectionPhase::Sending && queuedBytes(Descriptor, SIOCINQ) > 0;
+  if (HasUnreadInput)
+    return;
   if (Phase == ConnectionPhase::Sending)
     return refuse(Item, ConnectionLoss::ResponseNotRead);
   bool IsHead =
--- a/Source/Links/ServerConnections.h
+++ b/Source/Links/ServerConnections.h
@@ -9,6 +9,7 @@
 #include "Links/ClientLimits.h"
 #include "Links/ConnectionBudget.h"
 #include "Links/EventLoop.h"
+#include "Links/HttpTypes.h"
 #include "Links/LingeringSockets.h"
 #include "Links/RequestHead.h"
 
@@ -21,9 +22,6 @@
 
 namespace mimosashunt {
 
-/// Value of the Retry-After header of a refusal for want of room, in seconds.
-inline constexpr const char *RefusalRetryAfter = "2";
-
 /// Why a request was refused or a connection closed.
 enum class ConnectionLoss {
   HeadTooLarge,     // Refused with status 431.
@@ -45,8 +43,11 @@
   using LossCounts = std::array<uint64_t, ConnectionLossCount>;
 
   /// \p OnEmpty runs whenever the last connection has been closed.
+  /// Refusals have \p RefusalHeaders.
   ServerConnections(EventLoop &Loop, ConnectionLimits Budget,
-                    ClientLimits Limits, std::function<void()> OnEmpty);
+                    const ClientLimits &Limits,
+                    std::vector<HttpHeader> RefusalHeaders,
+                    std::function<void()> OnEmpty);
   ~ServerConnections();
   ServerConnections(const ServerConnections &) = delete;
   ServerConnections &operator=(const ServerConnections &) = delete;
@@ -79,6 +80,9 @@
   /// Makes h2o find the end of the input of all connections.
   void endInput();
 
+  /// Headers of a response that refuses a request with this status.
+  std::vector<HttpHeader> refusalHeaders(int Status) const;
+
   size_t size() const { return Connections.size(); }
   int64_t heldBytes() const { return Budget.usedBytes(); }
   const LossCounts &losses() const { return Losses; }
@@ -117,6 +121,7 @@
   EventLoop &Loop;
   ConnectionBudget Budget;
   ClientLimits Limits;
+  const std::vector<HttpHeader> RefusalHeaders;
   std::function<void()> OnEmpty;
   LingeringSockets Refused;
   std::map<ConnectionId, std::unique_ptr<Connection>> Connections;
--- a/Tests/Links/HttpTest.cpp
+++ b/Tests/Links/HttpTest.cpp
@@ -594,6 +594,21 @@
   EXPECT_EQ(Env.statusOf(headWithLength(size_t(1) << 40)), 413);
 }
 
+// Guards against callers that cannot tell what a refusal promises.
+TEST(HttpLimits, RefusalsCarryTheHeadersOfTheServer) {
+  HttpServerOptions Options = smallLimits();
+  Options.RefusalHeaders = {{"x-outcome", "not-run"}};
+  LimitedServer Env(Options);
+  for (const std::string &Bytes :
+       {headOf(HeadLimit + 1), headWithLength(BodyLimit + 1),
+        ChunkedHead + chunkOf(BodyLimit + 1) + "0\r\n\r\n"}) {
+    RawClient Client(Env.Env.Loop, Env.Address);
+    Client.send(Bytes);
+    EXPECT_GE(Client.status(), 400);
+    EXPECT_NE(Client.lastHead().find("x-outcome: not-run"), std::string::npos);
+  }
+}
+
 // Guards against callers that wait for a response that cannot come.
 TEST(HttpLimits, UnderPressureALargeBodyIsRefusedAtItsHead) {
   HttpServerOptions Options = smallLimits();
