Fleet: calls that a follower passes on count in its budget

Cause: the call's encoding lives until the leader answers, and calls beyond 64 connections wait.

Change: the follower reserves both encodings for the connection; without room it answers 503, as when there is no leader.

The crowd's script watches a crowd in one function.

--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -595,6 +595,11 @@
   if (Leader.empty() || WasForwarded || IsSelf ||
       SocketAddress::parse(Leader, Target))
     return Exchange->respond(Ports.Control.unavailableResponse());
+  // The call's encoding, and a second one while it waits for a connection.
+  constexpr int64_t Copies = 2;
+  if (!Exchange->reserve(Copies *
+                         static_cast<int64_t>(Exchange->request().Body.size())))
+    return Exchange->respond(Ports.Control.unavailableResponse());
   HttpRequest Request = Exchange->request();
   std::erase_if(Request.Headers, [](const HttpHeader &Header) {
     return Header.Name == "host" || Header.Name == "content-length" ||
--- a/Tests/Processes/Crowd.sh
+++ b/Tests/Processes/Crowd.sh
@@ -3,7 +3,7 @@
 # path's daemons. No process may end or exceed its memory or its descriptors, and
 # an ordinary job must be accepted beside the crowd and after it. An entry VM must
 # also stop beside its crowd. Arguments: build folder, third octet of the IP
-# addresses, listener (callers or control), whether to check memory, flags of the
+# addresses, listener (callers, control or follower), whether to check memory, flags of the
 # crowd.
 set -u
 bin=$1
@@ -20,7 +20,8 @@
 callers="127.0.$net.101:7300"
 configuration="$script_dir/../Platform/OneQueue.json"
 # The queue's path is where callers' requests go, a worker's where control's go.
-declare -A path=([callers]=/q/00000000000000ff [control]=/mimosashunt/instances/i-1/heartbeat)
+declare -A path=([callers]=/q/00000000000000ff [control]=/mimosashunt/instances/i-1/heartbeat
+  [follower]=/mimosashunt/config/replace)
 jobs=0
 
 # Sets $leader to the number of the control VM that leads, and $operators to its
@@ -66,13 +67,9 @@
 await "a job is accepted in calm" job_accepted
 expect_all_within_limits
 
-declare -A address=([callers]=$callers [control]=$operators)
-start_crowd "${address[$listener]}" --path="${path[$listener]}" "$@"
-await "the crowd has settled" crowd_settled
-for ((n = 0; n < 10; n++)); do
-  expect_all_within_limits
-  sleep 0.1
-done
+declare -A address=([callers]=$callers [control]=$operators [follower]="127.0.$net.$((leader % 3 + 1)):7400")
+start_crowd "${address[$listener]}" --path="${path[$listener]}" --body_file="$configuration" "$@"
+watch_crowd
 await "a job is accepted beside the crowd" job_accepted
 await "the configuration is read beside the crowd" configuration_read
 await "probes and metrics are answered beside the crowd" probes_answered
--- a/Tests/Processes/CrowdMain.cpp
+++ b/Tests/Processes/CrowdMain.cpp
@@ -8,9 +8,11 @@
 #include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <fstream>
 #include <functional>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <iterator>
 #include <map>
 #include <poll.h>
 #include <string>
@@ -19,14 +21,16 @@
 #include <vector>
 
 DEFINE_string(address, "", "IP:port of the listener under test");
-DEFINE_string(clients, "",
-              "stalled, chunked, pieces, whole, steps, heads, chunk-heads, "
-              "unread or idle");
+DEFINE_string(
+    clients, "",
+    "stalled, chunked, pieces, whole, file, steps, heads, chunk-heads, "
+    "unread or idle");
 DEFINE_int32(connections, 10, "connections held at a time");
 DEFINE_string(method, "POST", "method of a request with a body");
 DEFINE_string(path, "/", "path of a request");
 DEFINE_string(host, "q.example", "host of a request");
 DEFINE_int32(body_bytes, 1000, "announced length of a body");
+DEFINE_string(body_file, "", "file that a whole body begins with");
 DEFINE_int32(missing_bytes, 1, "bytes of the body that are never sent");
 DEFINE_int32(seconds, 100, "ends by itself after this time");
 
@@ -98,6 +102,14 @@
           "1;" + std::string(4096, 'x') + "\r\nx\r\n", 0, true};
 }
 
+/// The file of --body_file, with blanks up to the length of a body.
+Behaviour paddedFile() {
+  std::ifstream In(FLAGS_body_file);
+  std::string Body(std::istreambuf_iterator<char>(In), {});
+  Body.resize(static_cast<size_t>(FLAGS_body_bytes), ' ');
+  return {announcedHead() + Body, "", 0, true};
+}
+
 /// A whole job of as many steps as the body has room for.
 Behaviour jobOfManySteps() {
   const std::string Step = "{\"count\":1}";
@@ -124,6 +136,7 @@
        return Behaviour{announcedHead() + bodyBytes(0), "", 0, true};
      }},
     {"steps", jobOfManySteps},
+    {"file", paddedFile},
     {"heads", endlessHead},
     {"chunk-heads", endlessChunkHeads},
     {"unread", unreadAnswers},
--- a/Tests/Processes/FleetCrowd.sh
+++ b/Tests/Processes/FleetCrowd.sh
@@ -31,11 +31,7 @@
 await "a caller is answered in calm" caller_answered
 expect_all_within_limits
 start_crowd "${address[$listener]}" --path="${path[$listener]}" "${crowd_flags[@]}"
-await "the crowd has settled" crowd_settled
-for ((n = 0; n < 10; n++)); do
-  expect_all_within_limits
-  sleep 0.1
-done
+watch_crowd
 await "a caller is answered beside the crowd" caller_answered
 await "an operator is answered beside the crowd" operator_answered
 await "entry VMs and backend servers are answered beside the crowd" peers_answered
--- a/Tests/Processes/crowd-common.sh
+++ b/Tests/Processes/crowd-common.sh
@@ -1,6 +1,7 @@
 # Checks that the tests with crowds of clients share; sourced after $bin, $work
-# and $checks_memory are set and the functions fail and await are defined. The
-# checks hold on a machine of any speed: life, memory, descriptors, answers.
+# and $checks_memory are set and the functions fail, await and
+# expect_all_within_limits are defined. The checks hold on a machine of any speed:
+# life, memory, descriptors, answers.
 
 # Memory of each daemon and descriptors that it may have open, as its settings
 # and `ulimit -n` state them.
@@ -19,6 +20,15 @@
   pids+=($crowd)
 }
 crowd_settled() { grep -q settled "$work/crowd.out"; }
+# Waits until the crowd has settled and checks the limits while it holds on.
+watch_crowd() {
+  local n
+  await "the crowd has settled" crowd_settled
+  for ((n = 0; n < 10; n++)); do
+    expect_all_within_limits
+    sleep 0.1
+  done
+}
 end_crowd() {
   kill -0 $crowd 2>/dev/null || fail "the crowd ended before it was told to: $(cat "$work/crowd.err")"
   kill -KILL $crowd
