--- a/Source/Control/ControlDaemon.cpp
+++ b/Source/Control/ControlDaemon.cpp
@@ -2,7 +2,7 @@
 
 #include "Control/FleetView.h"
 #include "Control/ScreenPage.h"
-#include "Links/ConnectionPlan.h"
+#include "Daemon/ServerOptions.h"
 
 #include <utility>
 
@@ -15,25 +15,9 @@
 constexpr Duration ShutdownTimeout = seconds(6);
 constexpr int Unauthorized = 401;
 
-/// What the process takes without connections, with a margin.
-constexpr int64_t RestMb = 20;
-/// The rest is for the agreed state, what the allocator keeps and what the
-/// kernel holds.
-constexpr int ConnectionPercent = 30;
-constexpr int64_t MinConnectionBytes = 8 << 20;
 /// The rest of the descriptors is for the group and for files.
 constexpr ConnectionPart AdminPart = {100, 50};
 
-HttpServerOptions adminOptions(const ControlSettings &Settings) {
-  HttpServerOptions Options;
-  Options.Budget =
-      limitsOf({connectionBytes(Settings.MemoryMb, RestMb, ConnectionPercent,
-                                MinConnectionBytes),
-                descriptorLimit()},
-               AdminPart);
-  return Options;
-}
-
 HttpResponse makeResponse(const std::string &Type, const std::string &Text) {
   return {200, {{"content-type", Type}}, Text};
 }
@@ -45,7 +29,7 @@
       Tracer("control " + Settings.Self.Vm, Settings.TraceFile, 1),
       Admin(
           Loop, [this](auto Exchange) { handleRequest(Exchange); },
-          adminOptions(Settings)),
+          serverOptions(Settings.MemoryMb, AdminPart)),
       Connections(ProcessMetrics),
       Platform(Loop, Settings.Platform, Tracer,
                [this](std::map<std::string, VmStatus> Vms) {
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -1,8 +1,8 @@
 #include "Entry/EntryDaemon.h"
 
+#include "Daemon/ServerOptions.h"
 #include "Entry/OutcomeCodec.h"
 #include "Entry/RequestHeaders.h"
-#include "Links/ConnectionPlan.h"
 #include "Links/SystemTime.h"
 
 #include <algorithm>
@@ -53,39 +53,28 @@
     To.Headers.push_back({Name, Value});
 }
 
-/// What the process takes without connections, with a margin.
-constexpr int64_t RestMb = 20;
-/// The rest is for queued requests, records, what the allocator keeps and what
-/// the kernel holds.
-constexpr int ConnectionPercent = 30;
-constexpr int64_t MinConnectionBytes = 8 << 20;
 /// The rest of the descriptors is for links to other VMs and for files.
 constexpr ConnectionPart CallerPart = {60, 40};
 constexpr ConnectionPart PeerPart = {40, 20};
 
-HttpServerOptions serverOptions(const EntrySettings &Settings,
-                                ConnectionPart Part, size_t MaxBodyBytes) {
-  HttpServerOptions Options;
+HttpServerOptions limitedOptions(const EntrySettings &Settings,
+                                 ConnectionPart Part, size_t MaxBodyBytes) {
+  HttpServerOptions Options = serverOptions(Settings.MemoryMb, Part);
   Options.Limits.MaxBodyBytes = MaxBodyBytes;
   // An earlier sending of the same request may have run.
   Options.RefusalHeaders = {{headers::Outcome, "this-sending-not-run"}};
-  Options.Budget =
-      limitsOf({connectionBytes(Settings.MemoryMb, RestMb, ConnectionPercent,
-                                MinConnectionBytes),
-                descriptorLimit()},
-               Part);
   return Options;
 }
 
 HttpServerOptions callerOptions(const EntrySettings &Settings) {
-  return serverOptions(Settings, CallerPart, Settings.MaxBodyBytes);
+  return limitedOptions(Settings, CallerPart, Settings.MaxBodyBytes);
 }
 
 HttpServerOptions peerOptions(const EntrySettings &Settings) {
   // A page of records must fit even if the limit for callers' bodies is
   // smaller.
-  return serverOptions(Settings, PeerPart,
-                       std::max(Settings.MaxBodyBytes, MaxRecordPageBytes));
+  return limitedOptions(Settings, PeerPart,
+                        std::max(Settings.MaxBodyBytes, MaxRecordPageBytes));
 }
 
 } // namespace
