--- a/Tests/Platform/CallCodecTest.cpp
+++ b/Tests/Platform/CallCodecTest.cpp
@@ -70,6 +70,29 @@
   EXPECT_EQ(Read.Organisations[0].Maximum, (Resources{1000, 2000, 0}));
 }
 
+// Guards against limits that are stated and not used, and against a stored
+// configuration that a new version cannot read.
+TEST(ConfigurationCodec, ReadsTheLimitsOfCallers) {
+  auto LimitsOf = [](const std::string &Limits) {
+    ServiceConfiguration Read;
+    EXPECT_EQ(ConfigurationCodec().read(
+                  manifestWith("{\"max-body-bytes\":262144}", Limits), Read),
+              std::nullopt);
+    return Read.Limits;
+  };
+  EXPECT_EQ(LimitsOf(R"({"max-header-bytes":16384,"max-body-bytes":262144,
+                         "header-timeout-ms":3000,"idle-timeout-ms":15000})"),
+            (CallerLimits{16384, 262144, 3000, 15000}));
+  EXPECT_EQ(LimitsOf("{}"), CallerLimits());
+  EXPECT_EQ(LimitsOf(R"({"max-header-bytes":"many","header-timeout-ms":-1,
+                         "idle-timeout-ms":0.5})"),
+            CallerLimits());
+  CallerLimits Large = LimitsOf(R"({"max-header-bytes":18446744073709551615,
+                   "idle-timeout-ms":18446744073709551615})");
+  EXPECT_EQ(Large.MaxHeaderBytes, MaxExactInteger);
+  EXPECT_EQ(Large.IdleTimeoutMs, MaxSpanMs);
+}
+
 TEST(ConfigurationCodec, SelectsQueueByLongestPrefix) {
   ServiceConfiguration Read = configuration();
   EXPECT_EQ(Read.matchQueue("h.example", "/q/deep/1")->Name, "r-2");
