Links: a request that was sent ahead counts in full

Found by reading: h2o handles the next request of a connection while it disposes of the one before, and what the next one had reserved was reset afterwards. A client that sends requests ahead was charged for its input alone.

The account of a request now ends when h2o disposes of it. HttpLimits.ARequestThatWasSentAheadCountsInFull passes (arm64); it was not run on the code before.

--- a/Source/Links/ServerConnections.cpp
+++ b/Source/Links/ServerConnections.cpp
@@ -98,7 +98,6 @@
   int64_t KernelBytes = 0;   // In the kernel's buffers at the last sweep.
   int64_t UnsentBytes = 0;   // Of KernelBytes, to be sent.
   bool HasRequest = false;   // A whole one, until its response was sent.
-  bool HasEndedRequest = false;
 
   size_t inputBytes() const { return Socket->input->size; }
 };
@@ -243,13 +242,6 @@
     return;
   Connection &Item = *It->second;
   intercept(Item);
-  if (std::exchange(Item.HasEndedRequest, false)) {
-    Item.Head = {};
-    Item.ReservedBytes = 0;
-    Item.WireBytes = Item.inputBytes();
-    Item.Timing.HasWholeHead = false;
-    setPhase(Item, ConnectionPhase::Idle);
-  }
   bool IsWriting = h2o_socket_is_writing(Item.Socket) != 0;
   bool IsReading = h2o_socket_is_reading(Item.Socket) != 0;
   ConnectionPhase Phase = Item.Timing.Phase;
@@ -316,7 +308,11 @@
 void ServerConnections::endRequest(h2o_socket_t *Socket) {
   Connection &Item = of(Socket);
   Item.HasRequest = false;
-  Item.HasEndedRequest = true;
+  Item.Head = {};
+  Item.Timing.HasWholeHead = false;
+  Item.ReservedBytes = 0;
+  Item.WireBytes = 0;
+  setPhase(Item, ConnectionPhase::Idle);
 }
 
 void ServerConnections::closeAll(const std::vector<ConnectionId> &Ids,
--- a/Tests/Links/HttpTest.cpp
+++ b/Tests/Links/HttpTest.cpp
@@ -696,6 +696,24 @@
   EXPECT_GT(Env.losses(ConnectionLoss::ClosedForBytes), 0U);
 }
 
+// Guards against requests that were sent ahead and count for less than others.
+TEST(HttpLimits, ARequestThatWasSentAheadCountsInFull) {
+  LimitedServer Env(smallLimits());
+  RawClient Client(Env.Env.Loop, Env.Address);
+  constexpr size_t BodyBytes = 200000;
+  Client.send(
+      "GET /x HTTP/1.1\r\nhost: a\r\n\r\n"
+      "POST /hold HTTP/1.1\r\nhost: a\r\ncontent-length: 200000\r\n\r\n" +
+      std::string(BodyBytes, 'b'));
+  while (Env.Held.empty())
+    Env.Env.Loop.runOnce();
+  // The parser's bytes and the handler's.
+  EXPECT_GE(Env.Server.connections().heldBytes(), 2 * BodyBytes);
+  Env.Held.front()->respond({200, {}, ""});
+  EXPECT_EQ(Client.status(), 200);
+  EXPECT_EQ(Client.status(), 200);
+}
+
 // Guards against a listener that turns the loop without end when the process
 // has no free descriptor.
 TEST(HttpLimits, AcceptingPausesWithoutADescriptor) {
