Links: streams give way to others

Found by reading: a stream, such as that of the screen, counted as a whole request and was never closed. As many streams as a listener may have connections would keep all others out.

The client of a stream knows that it is not whole, so a stream gives way as one that is being sent; it is not late while it has nothing to send. HttpLimits.TheOldestStreamGivesWayToANewConnection passes (arm64).

--- a/Source/Links/HttpServer.cpp
+++ b/Source/Links/HttpServer.cpp
@@ -154,8 +154,9 @@
   Generator.Super.stop = onStop;
   Generator.Owner = this;
   h2o_start_response(Native, &Generator.Super);
-  Server.Connections.beginSending(socket(), 0);
+  Server.Connections.beginStream(socket());
   flushStream();
+  Server.Connections.follow(socket());
 }
 
 void HttpExchange::write(const std::string &Chunk) {
--- a/Source/Links/ServerConnections.cpp
+++ b/Source/Links/ServerConnections.cpp
@@ -87,9 +87,10 @@
   ServerConnections *Owner;
   ConnectionId Id;
   h2o_socket_t *Socket;
-  // The callbacks of h2o's parser, which those of this class call.
+  // The callbacks of h2o's parser, which those of this class call. Called with
+  // an error they close the connection.
   h2o_socket_cb Read = nullptr;
-  h2o_socket_cb Written = nullptr;
+  h2o_socket_cb Written = nullptr; // Null until a stream has been written to.
   ConnectionTiming Timing;
   RequestHead Head;
   size_t WireBytes = 0;      // Of the present request, as they arrived.
@@ -98,6 +99,7 @@
   int64_t KernelBytes = 0;   // In the kernel's buffers at the last sweep.
   int64_t UnsentBytes = 0;   // Of KernelBytes, to be sent.
   bool HasRequest = false;   // A whole one, until its response was sent.
+  bool IsStream = false;     // Its response has no end that is known.
 
   size_t inputBytes() const { return Socket->input->size; }
 };
@@ -245,7 +247,7 @@
   bool IsWriting = h2o_socket_is_writing(Item.Socket) != 0;
   bool IsReading = h2o_socket_is_reading(Item.Socket) != 0;
   ConnectionPhase Phase = Item.Timing.Phase;
-  if (IsWriting)
+  if (IsWriting || Item.IsStream)
     Phase = ConnectionPhase::Sending;
   else if (Item.HasRequest)
     Phase = ConnectionPhase::Handling;
@@ -305,9 +307,16 @@
   of(Socket).ReservedBytes = Bytes;
 }
 
+void ServerConnections::beginStream(h2o_socket_t *Socket) {
+  Connection &Item = of(Socket);
+  Item.IsStream = true;
+  Item.ReservedBytes = 0;
+  Item.Written = nullptr;
+}
+
 void ServerConnections::endRequest(h2o_socket_t *Socket) {
   Connection &Item = of(Socket);
-  Item.HasRequest = false;
+  Item.HasRequest = Item.IsStream = false;
   Item.Head = {};
   Item.Timing.HasWholeHead = false;
   Item.ReservedBytes = 0;
@@ -344,6 +353,10 @@
     intercept(Item);
     return Item.Read(Socket, h2o_socket_error_closed);
   }
+  // A stream that has nothing to send, after its first write.
+  if (Item.IsStream && !h2o_socket_is_writing(Socket) &&
+      Item.Written != nullptr)
+    return Item.Written(Socket, h2o_socket_error_closed);
   // The write fails, and the parser then closes the connection. What the client
   // has not read is discarded with it.
   int Descriptor = h2o_socket_get_fd(Socket);
@@ -379,7 +392,10 @@
       Item.Timing.LastProgress = Now;
     Item.KernelBytes = queuedBytes(Descriptor, SIOCINQ) + Unsent;
   }
-  if (!isOverdue(Item.Timing, Limits, Now))
+  // A stream that has nothing to send is not late.
+  bool IsWaiting = Phase == ConnectionPhase::Sending &&
+                   h2o_socket_is_writing(Item.Socket) == 0;
+  if (IsWaiting || !isOverdue(Item.Timing, Limits, Now))
     return charge(Item);
   // This process did not run, or not often enough; the client went on.
   bool HasUnreadInput =
--- a/Source/Links/ServerConnections.h
+++ b/Source/Links/ServerConnections.h
@@ -72,6 +72,9 @@
   bool reserve(h2o_socket_t *Socket, int64_t Bytes);
   /// Replaces what the request took by its response.
   void beginSending(h2o_socket_t *Socket, int64_t Bytes);
+  /// The response of unknown length begins. It may be closed for others, as its
+  /// client knows that it is not whole.
+  void beginStream(h2o_socket_t *Socket);
   /// The response was sent or the connection is about to be closed.
   void endRequest(h2o_socket_t *Socket);
 
--- a/Tests/Links/HttpTest.cpp
+++ b/Tests/Links/HttpTest.cpp
@@ -696,6 +696,27 @@
   EXPECT_GT(Env.losses(ConnectionLoss::ClosedForBytes), 0U);
 }
 
+// Guards against streams that take all connections of a listener.
+TEST(HttpLimits, TheOldestStreamGivesWayToANewConnection) {
+  HttpServerOptions Options = smallLimits();
+  Options.Budget.Connections = 2;
+  LimitedServer Env(Options);
+  std::vector<std::unique_ptr<RawClient>> Streams;
+  for (size_t I = 0; I < 2; ++I) {
+    Streams.push_back(std::make_unique<RawClient>(Env.Env.Loop, Env.Address));
+    Streams.back()->send("GET /hold HTTP/1.1\r\nhost: a\r\n\r\n");
+    while (Env.Held.size() <= I)
+      Env.Env.Loop.runOnce();
+    Env.Held.back()->startStream({200, {}, ""});
+    Env.Held.back()->write("event");
+    EXPECT_EQ(Streams.back()->status(), 200);
+  }
+  EXPECT_EQ(Env.statusOf(headWithLength(0)), 200);
+  Streams.front()->awaitEnd();
+  EXPECT_TRUE(Env.Held.front()->gone());
+  EXPECT_FALSE(Env.Held.back()->gone());
+}
+
 // Guards against requests that were sent ahead and count for less than others.
 TEST(HttpLimits, ARequestThatWasSentAheadCountsInFull) {
   LimitedServer Env(smallLimits());
