Links: the budget for connections keeps sums instead of walking all connections

Each request walked all connections to learn what may not be closed, and each event charged its connection anew although nothing had changed. On a control VM with hundreds of workers' connections that is most of what the budget costs.

--- a/Source/Links/ConnectionBudget.cpp
+++ b/Source/Links/ConnectionBudget.cpp
@@ -15,17 +15,25 @@
 
 bool ConnectionBudget::Charge::isLarge() const { return Bytes > MaxSmallBytes; }
 
-void ConnectionBudget::setBytes(Charge &Item, int64_t Bytes) {
+void ConnectionBudget::count(const Charge &Item, int Sign) {
+  int64_t Bytes = Sign * Item.Bytes;
+  Used += Bytes;
   if (Item.isLarge())
-    UsedByLarge -= Item.Bytes;
-  Used += Bytes - Item.Bytes;
+    UsedByLarge += Bytes;
+  if (!Item.isClosable())
+    UsedByWhole += Bytes;
+}
+
+void ConnectionBudget::setCharge(Charge &Item, ConnectionPhase Phase,
+                                 int64_t Bytes) {
+  count(Item, -1);
+  Item.Phase = Phase;
   Item.Bytes = Bytes;
-  if (Item.isLarge())
-    UsedByLarge += Item.Bytes;
+  count(Item, 1);
 }
 
 void ConnectionBudget::remove(ChargeMap::iterator Item) {
-  setBytes(Item->second, 0);
+  count(Item->second, -1);
   Charges.erase(Item);
 }
 
@@ -45,7 +53,7 @@
   }
   Charge &Added = Charges[Id];
   Added.Since = Now;
-  Used += Added.Bytes;
+  count(Added, 1);
   makeRoom(Closed, Now);
   return Closed;
 }
@@ -55,7 +63,7 @@
   auto It = Charges.find(Id);
   if (It == Charges.end() || It->second.Phase == Phase)
     return;
-  It->second.Phase = Phase;
+  setCharge(It->second, Phase, It->second.Bytes);
   It->second.Since = Now;
 }
 
@@ -63,7 +71,7 @@
 ConnectionBudget::setHeldBytes(ConnectionId Id, int64_t Bytes, Instant Now) {
   std::vector<ConnectionId> Closed;
   if (auto It = Charges.find(Id); It != Charges.end()) {
-    setBytes(It->second, ConnectionBaseBytes + Bytes);
+    setCharge(It->second, It->second.Phase, ConnectionBaseBytes + Bytes);
     makeRoom(Closed, Now);
   }
   return Closed;
@@ -86,16 +94,13 @@
   auto It = Charges.find(Id);
   if (It == Charges.end())
     return Closed;
-  int64_t Before = It->second.Bytes;
-  int64_t Unclosable = Before + Bytes;
-  for (const auto &[Other, Item] : Charges)
-    if (Other != Id && !Item.isClosable())
-      Unclosable += Item.Bytes;
-  if (Unclosable > Limits.Bytes)
+  Charge &Item = It->second;
+  int64_t Needed = Item.Bytes + Bytes;
+  int64_t Others = UsedByWhole - (Item.isClosable() ? 0 : Item.Bytes);
+  if (Others + Needed > Limits.Bytes)
     return std::nullopt;
-  It->second.Phase = ConnectionPhase::Handling;
-  It->second.Since = Now;
-  setBytes(It->second, Before + Bytes);
+  setCharge(Item, ConnectionPhase::Handling, Needed);
+  Item.Since = Now;
   makeRoom(Closed, Now);
   return Closed;
 }
--- a/Source/Links/ConnectionBudget.h
+++ b/Source/Links/ConnectionBudget.h
@@ -90,7 +90,9 @@
   int64_t maxLargeBytes() const { return Limits.Bytes * 3 / 4; }
   bool isOver() const { return Used > Limits.Bytes; }
   bool isOverWithLarge() const { return UsedByLarge > maxLargeBytes(); }
-  void setBytes(Charge &Item, int64_t Bytes);
+  /// Adds the charge to the sums, or takes it away if \p Sign is -1.
+  void count(const Charge &Item, int Sign);
+  void setCharge(Charge &Item, ConnectionPhase Phase, int64_t Bytes);
   void remove(ChargeMap::iterator Item);
   /// Returns the connection to close first for its bytes.
   ChargeMap::iterator costliest(bool OnlyLarge, Instant Now);
@@ -104,6 +106,7 @@
   ChargeMap Charges;
   int64_t Used = 0;
   int64_t UsedByLarge = 0; // Of Used.
+  int64_t UsedByWhole = 0; // Of Used, by requests that are handled.
 };
 
 } // namespace mimosashunt
--- a/Source/Links/ServerConnections.cpp
+++ b/Source/Links/ServerConnections.cpp
@@ -96,6 +96,7 @@
   size_t WireBytes = 0;      // Of the present request, as they arrived.
   size_t ParsedBytes = 0;    // Of the input that the parser has seen.
   int64_t ReservedBytes = 0; // For the request or its response.
+  int64_t ChargedBytes = 0;  // What the budget counts, without the base.
   int64_t KernelBytes = 0;   // In the kernel's buffers at the last sweep.
   int64_t UnsentBytes = 0;   // Of KernelBytes, to be sent.
   bool HasRequest = false;   // A whole one, until its response was sent.
@@ -278,7 +279,10 @@
 }
 
 void ServerConnections::charge(Connection &Item) {
-  closeAll(Budget.setHeldBytes(Item.Id, heldBytesOf(Item), Loop.timers().now()),
+  int64_t Held = heldBytesOf(Item);
+  if (std::exchange(Item.ChargedBytes, Held) == Held)
+    return;
+  closeAll(Budget.setHeldBytes(Item.Id, Held, Loop.timers().now()),
            ConnectionLoss::ClosedForBytes);
 }
 
@@ -299,6 +303,7 @@
     return false;
   }
   Item.ReservedBytes += Bytes;
+  Item.ChargedBytes += Bytes;
   closeAll(*Displaced, ConnectionLoss::ClosedForBytes);
   return true;
 }
