--- a/Source/Links/HttpServer.cpp
+++ b/Source/Links/HttpServer.cpp
@@ -374,7 +374,7 @@
 }
 
 HttpServer::HttpServer(EventLoop &Loop, Handler Handle,
-                       HttpServerOptions Options)
+                       const HttpServerOptions &Options)
     : State(new HttpServerState(Loop, std::move(Handle), Options)) {}
 
 HttpServer::~HttpServer() { State->release(); }
--- a/Source/Links/HttpServer.h
+++ b/Source/Links/HttpServer.h
@@ -87,7 +87,7 @@
   /// Of all connections together.
   ConnectionLimits Budget = {64 << 20, 1024};
   /// Headers of the responses with which the server itself refuses requests.
-  std::vector<HttpHeader> RefusalHeaders;
+  std::vector<HttpHeader> RefusalHeaders = {};
   /// Sizes of the kernel's buffers of each connection.
   SocketBuffers Buffers = {16 << 10, 32 << 10};
 };
@@ -96,7 +96,8 @@
 public:
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
-  HttpServer(EventLoop &Loop, Handler Handle, HttpServerOptions Options = {});
+  HttpServer(EventLoop &Loop, Handler Handle,
+             const HttpServerOptions &Options = {});
   /// Stops listening and ends all connections. Pending requests are answered
   /// with status 503, and their callbacks are not called any more. The loop
   /// frees what h2o refers to once all connections are closed.
--- a/Tests/Links/HttpTest.cpp
+++ b/Tests/Links/HttpTest.cpp
@@ -49,7 +49,7 @@
 
 HttpServer &startServer(HttpFixture &Env, const SocketAddress &Address,
                         HttpServer::Handler Handle,
-                        HttpServerOptions Options = {}) {
+                        const HttpServerOptions &Options = {}) {
   auto *Server = new HttpServer(Env.Loop, std::move(Handle), Options);
   EXPECT_FALSE(Server->listen(Address));
   return *Server;
@@ -436,7 +436,7 @@
 /// A server that answers each request with 200 unless its path is /hold, and
 /// keeps the loop turning.
 struct LimitedServer {
-  explicit LimitedServer(HttpServerOptions Options)
+  explicit LimitedServer(const HttpServerOptions &Options)
       : Server(startServer(
             Env, Address,
             [this](const auto &Exchange) {
--- a/Tests/Platform/StandInWorkers.cpp
+++ b/Tests/Platform/StandInWorkers.cpp
@@ -10,6 +10,12 @@
 
 namespace {
 
+HttpServerOptions serverOptions() {
+  HttpServerOptions Options;
+  Options.Limits.IdleTimeout = seconds(60);
+  return Options;
+}
+
 constexpr int Ok = 200;
 constexpr int Conflict = 409;
 constexpr int NotFound = 404;
@@ -41,9 +47,10 @@
     : Loop(Loop), Client(Client), History(History),
       Config(std::move(InitialConfig)), StartedAt(Loop.timers().now()),
       Incarnation(wallClockMs()),
-      Server(Loop,
-             [this](const ExchangePtr &Exchange) { handleRequest(Exchange); },
-             {.Limits = {.IdleTimeout = seconds(60)}}) {}
+      Server(
+          Loop,
+          [this](const ExchangePtr &Exchange) { handleRequest(Exchange); },
+          serverOptions()) {}
 
 void StandInWorker::start() {
   Loop.timers().scheduleEvery(ReportInterval, [this] { sendReport(); });
