--- a/review/common-3.sh
+++ b/review/common-3.sh
@@ -31,9 +31,24 @@
   last=$!
 }
 
+# The same, and starts the process again half a second after it has ended; its
+# id stands in a file.
+start_kept_machine() { # NAME PROGRAM
+  (
+    while [ ! -e "$work/over" ]; do
+      "target/Source/Fleet/$2" --settings="$work/$1.json" >>"$work/$1.log" 2>&1 &
+      echo $! >"$work/pids/$1"
+      wait $!
+      sleep 0.5
+    done
+  ) &
+  last=$!
+}
+
 end_all() {
   local pid
-  for pid in "${pids[@]}"; do
+  touch "$work/over"
+  for pid in "${pids[@]}" $(cat "$work"/pids/* 2>/dev/null); do
     kill -CONT "$pid" 2>/dev/null
     kill -KILL "$pid" 2>/dev/null
   done
@@ -41,7 +56,8 @@
   [ -n "${KEEP:-}" ] && echo "kept: $work" || rm -rf "$work"
 }
 
-# Runs scenario $1 with $2 entry machines (2); exits with its status.
+# Runs scenario $1 with $2 entry machines (2); exits with its status. With $3 =
+# kept, control machines start their process again when it has ended.
 run_scenario() {
   local folder control="" entries="" control_pids="" entry_pids="" n status
   folder=$(cd "$(dirname "$0")" && pwd)
@@ -51,12 +67,17 @@
     [ -x "$n" ] || { echo "$n is not built"; exit 2; }
   done
   work=$(mktemp -d)
+  mkdir "$work/pids"
   trap end_all EXIT
   net="$((1 + $$ / 250 % 250)).$((1 + $$ % 250))"
   seeds="\"127.$net.1:8345\", \"127.$net.2:8345\", \"127.$net.3:8345\""
   for n in 1 2 3; do
     write_settings "control-$n" $n control $n
-    start_machine "control-$n" mimosashunt-scheduler
+    if [ "${3:-}" = kept ]; then
+      start_kept_machine "control-$n" mimosashunt-scheduler
+    else
+      start_machine "control-$n" mimosashunt-scheduler
+    fi
     control+="${control:+,}127.$net.$n:8345" control_pids+="${control_pids:+,}$last"
   done
   for ((n = 1; n <= ${2:-2}; n++)); do
@@ -66,7 +87,7 @@
   done
   target/review-3/standin-3 scenario="$1" control="$control" \
     entries="$entries" control_pids="$control_pids" entry_pids="$entry_pids" \
-    net="$net" trouble="${TROUBLE:-1}" record="$folder/record.txt" &
+    net="$net" pid_folder="$work/pids" trouble="${TROUBLE:-1}" record="$folder/record.txt" &
   last=$!
   pids+=($last)
   wait "$last"
--- a/review/standin-3.cpp
+++ b/review/standin-3.cpp
@@ -289,7 +289,8 @@
 struct Fleet {
   std::vector<std::string> Control, Entries;
   std::vector<pid_t> ControlPids, EntryPids;
-  std::string Net; // 127.NET.N.
+  std::string Net;       // 127.NET.N.
+  std::string PidFolder; // Holds the id of each control machine's process.
   bool Trouble = true;
 } Setup;
 
@@ -381,6 +382,7 @@
 
   const Options &options() const { return Config; }
   std::function<void(const std::string &Job, const std::string &Task)> OnStart;
+  bool IsQuiet = false; // Starts and ends are not recorded.
   /// Ends `failed` that were listed, by job.
   static std::map<std::string, int> FailedEnds;
 
@@ -462,8 +464,9 @@
     Ends.push_back({++LastEnd, Task, Ended.Attempt, How, ""});
     if (std::string(How) == "failed")
       ++FailedEnds[Task.substr(0, Task.find('.'))];
-    record("worker " + Config.Id + ": " + Task + " attempt " +
-           std::to_string(Ended.Attempt) + " ended " + How);
+    if (!IsQuiet)
+      record("worker " + Config.Id + ": " + Task + " attempt " +
+             std::to_string(Ended.Attempt) + " ended " + How);
     Changed.notify_all();
   }
 
@@ -538,8 +541,9 @@
     if (Used + New.Cpu > Config.Cpu)
       return respond(409, {{"reason", "room"}});
     Runs[Task] = New;
-    record("worker " + Config.Id + " starts " + Task + " attempt " +
-           std::to_string(Attempt));
+    if (!IsQuiet)
+      record("worker " + Config.Id + " starts " + Task + " attempt " +
+             std::to_string(Attempt));
     if (OnStart)
       OnStart(Task.substr(0, Task.find('.')), Task);
     return respond(200, Json::object());
@@ -742,10 +746,12 @@
 
 // Callers and the operator.
 
-static const char *const Key = "k7m2vq9r4t8w1x3z5b6d";
+static std::string keyOf(int Tenant) {
+  return "k7m2vq9r4t8w1x3z5b6d" + std::to_string(Tenant);
+}
 
 /// A manifest of one service `yard` with the queue /yard/.
-static Json manifest(uint64_t Version) {
+static Json manifest(uint64_t Version, int Tenants = 1) {
   Json Route = {
       {"name", "r-yard"}, {"host", "yard.example"}, {"path-prefix", "/yard/"},
       {"type", "unsafe"}, {"timeout-ms", 3000},     {"target-latency-ms", 600},
@@ -755,11 +761,13 @@
                   {"max-connections", 64}, {"protocol", "h1"},
                   {"tls", false},          {"rejects-overload", true},
                   {"standby", false}};
-  Json Tenant = {{"name", "grooms"},
-                 {"api-keys", {Key}},
-                 {"priority", 1},
-                 {"weight", 40},
-                 {"maximum", {{"cpu", 0}, {"mem-mb", 0}, {"gpu", 0}}}};
+  Json List = Json::array();
+  for (int I = 0; I < Tenants; ++I)
+    List.push_back({{"name", "grooms" + std::to_string(I)},
+                    {"api-keys", {keyOf(I)}},
+                    {"priority", 1},
+                    {"weight", 40},
+                    {"maximum", {{"cpu", 0}, {"mem-mb", 0}, {"gpu", 0}}}});
   return {{"version", Version},
           {"routes", {Route}},
           {"services", {Service}},
@@ -768,7 +776,7 @@
             {"max-body-bytes", 262144},
             {"header-timeout-ms", 3000},
             {"idle-timeout-ms", 15000}}},
-          {"tenants", {Tenant}}};
+          {"tenants", List}};
 }
 
 /// An operator's call; goes to the next daemon after a failure.
@@ -793,7 +801,7 @@
   Response Answer =
       call(Setup.Entries[Entry], Method, Path, Body, TimeoutMs,
            {{"host", "yard.example"},
-            {"authorization", std::string("Bearer ") + Key},
+            {"authorization", "Bearer " + keyOf(0)},
             {"mimosashunt-deadline-ms", std::to_string(TimeoutMs)}});
   record(Method + " " + Path + " at entry " + std::to_string(Entry + 1) +
          " -> " +
@@ -802,6 +810,15 @@
   return Answer;
 }
 
+static Response quietRequest(int Tenant, int Number, const std::string &Method,
+                             const std::string &Path, const std::string &Body) {
+  return call(Setup.Entries[static_cast<size_t>(Number) % Setup.Entries.size()],
+              Method, Path, Body, 3000,
+              {{"host", "yard.example"},
+               {"authorization", "Bearer " + keyOf(Tenant)},
+               {"mimosashunt-deadline-ms", "3000"}});
+}
+
 static Json step(int Count, int64_t Cpu, int64_t EstimateMs) {
   return {{"count", Count},
           {"cpu", Cpu},
@@ -923,6 +940,7 @@
   for (const std::string &Pid : Split(Given["entry_pids"]))
     Setup.EntryPids.push_back(std::stoi(Pid));
   Setup.Net = Given["net"];
+  Setup.PidFolder = Given["pid_folder"];
   Setup.Trouble = Given["trouble"] != "0";
   RecordFile.open(Given["record"]);
   record("scenario " + Given["scenario"] +
