Fleet: the leader's intake of callers' requests is a class of its own

SchedulerDaemon handled submissions, cancellations and questions for a job's state itself, so that no test without sockets and disks could play their order. JobIntake does so now, with the store, the scheduler, the consensus group and the clock as dependencies; it exists exactly while the scheduler does. No change of behaviour: the code is the same, but that a proposal which outlives the leadership no longer looks at the next leadership's scheduler.

--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -474,6 +474,9 @@
     Scheduler = std::make_unique<Dispatcher>(State.leaderships(), State,
                                              Configuration, CarriedWorkers,
                                              Loop.timers(), Options, Hooks);
+    Intake = std::make_unique<JobIntake>(State, Configuration, *Scheduler,
+                                         Settings.RecordPlacements,
+                                         makeIntakeHooks());
     WaveMaintenance = std::make_unique<Maintenance>(
         State, *Scheduler, Ports.Vms, Loop.timers(), WaveOptions, Hooks);
     PoolMoverOptions MoveOptions;
@@ -493,11 +496,26 @@
   });
 }
 
+JobIntakeHooks SchedulerDaemon::makeIntakeHooks() {
+  JobIntakeHooks Hooks;
+  Hooks.Propose = [this](const JobCommand &Command,
+                         Replica::ProposalCallback Done) {
+    propose(Command, std::move(Done));
+  };
+  Hooks.PendingProposals = [this] { return Group->pendingProposals(); };
+  Hooks.WallNow = wallNow;
+  Hooks.LogEvent = [this](const char *Kind, Json Fields) {
+    Events.log(Kind, std::move(Fields));
+  };
+  return Hooks;
+}
+
 void SchedulerDaemon::endLeadership(const char *Reason) {
   if (!Scheduler)
     return;
   Mover.reset();
   WaveMaintenance.reset();
+  Intake.reset();
   Scheduler.reset();
   updateCarriers();
   Events.log("leads_no_more", {{"why", Reason}});
@@ -732,6 +750,18 @@
   Exchange->respond({NotFound, {}, {}});
 }
 
+void SchedulerDaemon::handleJobRequest(
+    const JobRequest &Request, const JobIntake::ResponseHandler &Respond) {
+  // A call that a gateway checked against a newer configuration must not be
+  // handled under an older one.
+  if (isLeader() && Request.Version <= State.configurationVersion())
+    return Intake->handle(Request, Respond);
+  JobResponse Result;
+  Result.Outcome = JobRequestOutcome::NotLeader;
+  Result.Leader = isLeader() ? std::string() : Group->leaderAddress();
+  Respond(Result);
+}
+
 void SchedulerDaemon::handleJoinRequest(const ExchangePtr &Exchange) {
   std::vector<Member> New;
   if (decodeMembers(Exchange->request().Body, New) && New.size() == 1)
--- a/Source/Fleet/SchedulerDaemon.h
+++ b/Source/Fleet/SchedulerDaemon.h
@@ -14,6 +14,7 @@
 #include "Fleet/FleetSettings.h"
 #include "Fleet/HttpRaftTransport.h"
 #include "Fleet/InternalMessages.h"
+#include "Fleet/JobIntake.h"
 #include "Fleet/OrderCarrier.h"
 #include "Fleet/RejectedInput.h"
 #include "Fleet/SettingsWatcher.h"
@@ -62,7 +63,6 @@
 
 private:
   using ExchangePtr = std::shared_ptr<HttpExchange>;
-  using ResponseHandler = std::function<void(const JobResponse &)>;
 
   void apply(LogIndex Index, const std::string &Command) override;
   std::string snapshot() const override;
@@ -110,12 +110,8 @@
   SyncReply makeSyncReply();
   ConfigurationReply compressedConfiguration();
   void handleJobRequest(const JobRequest &Request,
-                        const ResponseHandler &Respond);
-  void submitJob(const JobRequest &Request, const ResponseHandler &Respond);
-  /// Reserves memory for the job. Refuses it and returns false if there is not
-  /// enough.
-  bool admitJob(const AcceptJob &Job, const ResponseHandler &Respond);
-  void cancelJob(const JobRequest &Request, const ResponseHandler &Respond);
+                        const JobIntake::ResponseHandler &Respond);
+  JobIntakeHooks makeIntakeHooks();
   void propose(const JobCommand &Command, Replica::ProposalCallback Done);
   std::vector<std::string> memberAddresses() const;
   /// Parses the replicated configuration if its version has changed.
@@ -161,6 +157,7 @@
       CompressedConfiguration; // Cached for the version last requested.
   // Set exactly while this VM is the leader and its leadership is committed.
   std::unique_ptr<Dispatcher> Scheduler;
+  std::unique_ptr<JobIntake> Intake;
   std::unique_ptr<Maintenance> WaveMaintenance;
   std::unique_ptr<PoolMover> Mover;
   bool LeadershipProposed = false; // In the current term.
