Fleet: an acknowledged cancellation keeps later submissions from being accepted

Cause: 'no such job' was answered from what the leader had applied at that moment, and nothing of the answer was kept, so that whatever was read later was new.

Change: the cancellation of an id without a job is a command of the log now (RecordTombstones), acknowledged once it is committed. JobIntake accepts no id that has a tombstone of its owner (410: neither accepted nor to be repeated), and knows its own proposals that are not applied yet: behind a tombstone in flight a submission is refused (503), and a cancellation behind an acceptance in flight cancels the job. A new leader begins with all committed tombstones, so the order of the log decides in every case.

Tombstones are keyed by queue and organisation (by queue alone where it is public), hold for statusSeconds (120) after the last acknowledgement, and end at a time that the commands carry, by the leaders' steady clocks, so on each replica at the same index. 2% of the memory bounds their number; an organisation has at most as many as it leaves to the others; beyond that a cancellation is refused with 503 and a Retry-After until the next one ends, and none ends early.

During an upgrade: the command changes no job, and earlier versions skip it as an unknown kind. Acceptances and cancellations of jobs are as they were, so that all members have the same jobs whoever leads.

--- a/Source/Fleet/FleetSettings.cpp
+++ b/Source/Fleet/FleetSettings.cpp
@@ -125,6 +125,9 @@
                   "their weights")},
       {"localityWait", flagSchema("true to let tasks wait for capacity near "
                                   "their data while that pays")},
+      {"statusSeconds",
+       nonNegativeNumberSchema("seconds for which callers may ask for the "
+                               "state of a job that has ended")},
       {"memoryMb",
        numberSchema(MinMemoryMb, "memory that this daemon may use, in MB")},
       {"maxDescriptors",
@@ -189,6 +192,8 @@
       In.value("organisationShares", Result.OrganisationShares);
   Result.LocalityWait = In.value("localityWait", Result.LocalityWait);
   Result.RemoteFactor = In.value("remoteFactor", Result.RemoteFactor);
+  Result.StatusRetention =
+      secondsAt(In, "statusSeconds", Result.StatusRetention);
   Result.MemoryMb = static_cast<int64_t>(
       In.value("memoryMb", static_cast<double>(Result.MemoryMb)));
   auto Descriptors = static_cast<size_t>(
--- a/Source/Fleet/FleetSettings.h
+++ b/Source/Fleet/FleetSettings.h
@@ -65,6 +65,8 @@
   bool LocalityWait = false;
   /// How many times as long a task runs far from its data.
   double RemoteFactor = 1;
+  /// For how long callers may ask for the state of a job that has ended.
+  Duration StatusRetention = seconds(120);
   /// Memory that this daemon may use, in MB.
   int64_t MemoryMb = 128;
   /// Descriptors that this daemon may have open.
--- a/Source/Fleet/JobIntake.cpp
+++ b/Source/Fleet/JobIntake.cpp
@@ -3,6 +3,8 @@
 #include "Fleet/InternalMessages.h"
 #include "Jobs/Limits.h"
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace mimosashunt {
@@ -11,17 +13,39 @@
 
 /// Jobs are refused as not run while more proposals than this await commitment.
 constexpr size_t MaxPendingProposals = 4000;
+/// A tombstone that is repeated within this time is not written again.
+constexpr Duration TombstoneRenewalInterval = seconds(30);
+constexpr Duration TombstoneEndInterval = seconds(1);
+
+JobResponse notRun(int64_t RetryAfterMs) {
+  return {JobRequestOutcome::NotRun, JobState::Queued, RetryAfterMs, {}};
+}
+
+JobResponse noSuchJob() {
+  return {JobRequestOutcome::NoSuchJob, JobState::Queued, 0, {}};
+}
+
+JobResponse uncertain() {
+  return {JobRequestOutcome::Uncertain, JobState::Queued, 0, {}};
+}
 
 } // namespace
 
 JobIntake::JobIntake(const JobStore &Store,
                      const ServiceConfiguration &Configuration,
-                     Dispatcher &Scheduler, bool RecordsPlacements,
-                     JobIntakeHooks Hooks)
+                     Dispatcher &Scheduler, TimerService &Timers,
+                     JobIntakeOptions Options, JobIntakeHooks Hooks)
     : Store(Store), Configuration(Configuration), Scheduler(Scheduler),
-      RecordsPlacements(RecordsPlacements), Hooks(std::move(Hooks)) {}
+      Timers(Timers), Options(Options), Hooks(std::move(Hooks)),
+      StartedAt(Timers.now()), StartTime(Store.tombstones().now()) {
+  EndTimer =
+      Timers.scheduleEvery(TombstoneEndInterval, [this] { endTombstones(); });
+}
 
-JobIntake::~JobIntake() { *AliveFlag = false; }
+JobIntake::~JobIntake() {
+  *AliveFlag = false;
+  Timers.cancel(EndTimer);
+}
 
 void JobIntake::handle(const JobRequest &Request,
                        const ResponseHandler &Respond) {
@@ -40,14 +64,24 @@
                                  const ResponseHandler &Respond) const {
   const JobRecord *Record = Store.findJob(Request.Job);
   if (Record == nullptr)
-    return Respond({JobRequestOutcome::NoSuchJob, JobState::Queued, 0, {}});
+    return Respond(noSuchJob());
   Respond({JobRequestOutcome::Done, Scheduler.jobState(*Record), 0, {}});
 }
 
+// Submissions.
+
 void JobIntake::submit(const JobRequest &Request,
                        const ResponseHandler &Respond) {
   if (Store.findJob(Request.Job) != nullptr)
     return Respond({JobRequestOutcome::Done, JobState::Queued, 0, {}});
+  if (Store.tombstones().covers(Request.Job, Request.Queue,
+                                Request.Organisation)) {
+    Hooks.LogEvent("submission_of_cancelled_id",
+                   {{"job", Request.Job}, {"queue", Request.Queue}});
+    return Respond(noSuchJob());
+  }
+  if (isBeingCancelled(Request))
+    return Respond(notRun(LeaderChangeRetryMs));
   const QueueConfiguration *Queue = Configuration.findQueue(Request.Queue);
   bool IsOverloaded = Scheduler.isOverloaded() && !Request.Spec.isLongRunning();
   // During an upgrade a gateway may not check the limits.
@@ -56,9 +90,9 @@
   if (Refused) {
     Hooks.LogEvent("job_refused",
                    {{"job", Request.Job}, {"queue", Request.Queue}});
-    int64_t RetryMs = IsOverloaded ? toMillis(Scheduler.retryTime(Request.Job))
-                                   : LeaderChangeRetryMs;
-    return Respond({JobRequestOutcome::NotRun, JobState::Queued, RetryMs, {}});
+    return Respond(notRun(IsOverloaded
+                              ? toMillis(Scheduler.retryTime(Request.Job))
+                              : LeaderChangeRetryMs));
   }
   AcceptJob Command;
   Command.Job = Request.Job;
@@ -67,26 +101,11 @@
   Command.MaxAttempts = Queue->MaxAttempts;
   Command.AcceptedAt = Hooks.WallNow();
   Command.Spec = Request.Spec;
-  Command.RecordsPlacements = RecordsPlacements;
+  Command.RecordsPlacements = Options.RecordsPlacements;
   if (!reserveMemory(Command, Respond))
     return;
   Command.IsBeyondRate = !Scheduler.takeRateToken(Command);
-  Hooks.Propose(Command, [this, IsAlive = AliveFlag, Respond,
-                          LogEvent = Hooks.LogEvent, Job = Request.Job,
-                          Queue = Request.Queue](ProposalOutcome Outcome) {
-    JobResponse Result;
-    if (Outcome == ProposalOutcome::Committed)
-      Result.Outcome = JobRequestOutcome::Done;
-    if (Outcome == ProposalOutcome::NotLeader) {
-      Result.Outcome = JobRequestOutcome::NotRun;
-      Result.RetryAfterMs = LeaderChangeRetryMs;
-    }
-    if (Outcome != ProposalOutcome::Committed && *IsAlive)
-      Scheduler.onJobNotAccepted(Job);
-    LogEvent("job_submitted",
-             {{"job", Job}, {"queue", Queue}, {"outcome", nameOf(Outcome)}});
-    Respond(Result);
-  });
+  proposeAcceptance(Command, Respond);
 }
 
 bool JobIntake::reserveMemory(const AcceptJob &Job,
@@ -114,33 +133,144 @@
                     {"needed_bytes", Refusal->NeededBytes},
                     {"free_bytes", Refusal->FreeBytes},
                     {"used_bytes", Scheduler.workBudget().usedBytes()}});
-    Respond({JobRequestOutcome::NotRun,
-             JobState::Queued,
-             toMillis(Scheduler.retryTime(Job.Job)),
-             {},
-             {}});
+    Respond(notRun(toMillis(Scheduler.retryTime(Job.Job))));
     return false;
   }
   return true;
 }
 
+void JobIntake::proposeAcceptance(const AcceptJob &Command,
+                                  const ResponseHandler &Respond) {
+  auto Pending = PendingSubmissions.emplace(
+      Command.Job, Submitter{Command.Queue, Command.Organisation});
+  Hooks.Propose(Command, [this, IsAlive = AliveFlag, Pending, Respond,
+                          &Jobs = Store, LogEvent = Hooks.LogEvent,
+                          Job = Command.Job,
+                          Queue = Command.Queue](ProposalOutcome Outcome) {
+    bool IsAccepted =
+        Outcome == ProposalOutcome::Committed && Jobs.findJob(Job) != nullptr;
+    if (*IsAlive) {
+      PendingSubmissions.erase(Pending);
+      if (!IsAccepted)
+        Scheduler.onJobNotAccepted(Job);
+    }
+    LogEvent("job_submitted",
+             {{"job", Job}, {"queue", Queue}, {"outcome", nameOf(Outcome)}});
+    if (IsAccepted)
+      return Respond({JobRequestOutcome::Done, JobState::Queued, 0, {}});
+    Respond(Outcome == ProposalOutcome::Unknown ? uncertain()
+                                                : notRun(LeaderChangeRetryMs));
+  });
+}
+
+// Cancellations.
+
 void JobIntake::cancel(const JobRequest &Request,
                        const ResponseHandler &Respond) {
   const JobRecord *Record = Store.findJob(Request.Job);
-  if (Record == nullptr)
-    return Respond({JobRequestOutcome::NoSuchJob, JobState::Queued, 0, {}});
-  if (Record->hasEnded())
+  if (Record != nullptr && Record->hasEnded())
     return Respond({JobRequestOutcome::Done, Record->State, 0, {}});
-  Hooks.Propose(
-      CancelJob{Request.Job}, [Respond, LogEvent = Hooks.LogEvent,
-                               Job = Request.Job](ProposalOutcome Outcome) {
-        JobResponse Result;
-        Result.State = JobState::Cancelled;
-        if (Outcome == ProposalOutcome::Committed)
-          Result.Outcome = JobRequestOutcome::Done;
-        LogEvent("job_cancelled", {{"job", Job}, {"outcome", nameOf(Outcome)}});
-        Respond(Result);
-      });
+  if (Record != nullptr || PendingSubmissions.count(Request.Job) > 0)
+    return proposeCancellation(Request.Job, Respond);
+  cancelId(Request, Respond);
+}
+
+void JobIntake::proposeCancellation(const JobId &Job,
+                                    const ResponseHandler &Respond) {
+  Hooks.Propose(CancelJob{Job}, [Respond, &Jobs = Store,
+                                 LogEvent = Hooks.LogEvent,
+                                 Job](ProposalOutcome Outcome) {
+    LogEvent("job_cancelled", {{"job", Job}, {"outcome", nameOf(Outcome)}});
+    const JobRecord *Record = Jobs.findJob(Job);
+    bool HasEnded = Outcome == ProposalOutcome::Committed &&
+                    Record != nullptr && Record->hasEnded();
+    if (!HasEnded)
+      return Respond(uncertain());
+    Respond({JobRequestOutcome::Done, Record->State, 0, {}});
+  });
+}
+
+void JobIntake::cancelId(const JobRequest &Request,
+                         const ResponseHandler &Respond) {
+  const TombstoneMillis Now = tombstoneNow();
+  const TombstoneMillis Needed = Now + toMillis(Options.CancelledIdRetention);
+  Tombstone Added{ownerOf(Request), Request.Job,
+                  Needed + toMillis(TombstoneRenewalInterval)};
+  const Tombstones &Known = Store.tombstones();
+  std::optional<TombstoneMillis> End = Known.endOf(Added.Owner, Added.Job);
+  if (End && *End >= Needed)
+    return Respond(noSuchJob());
+  if (Hooks.PendingProposals() > MaxPendingProposals)
+    return Respond(notRun(LeaderChangeRetryMs));
+  if (!End && !hasRoomFor(Added)) {
+    ++RefusedCancellations;
+    TombstoneMillis NextEnd = Known.nextEnd().value_or(Now);
+    return Respond(
+        notRun(std::max<int64_t>(LeaderChangeRetryMs, NextEnd - Now)));
+  }
+  proposeTombstone(Added, Respond);
+}
+
+void JobIntake::proposeTombstone(const Tombstone &Added,
+                                 const ResponseHandler &Respond) {
+  auto Pending = PendingTombstones.emplace(Added.Job, Added.Owner);
+  Hooks.Propose(RecordTombstones{tombstoneNow(), {Added}},
+                [this, IsAlive = AliveFlag, Pending, Respond, &Jobs = Store,
+                 LogEvent = Hooks.LogEvent, Added](ProposalOutcome Outcome) {
+                  if (*IsAlive)
+                    PendingTombstones.erase(Pending);
+                  LogEvent("id_cancelled", {{"job", Added.Job},
+                                            {"queue", Added.Owner.Queue},
+                                            {"outcome", nameOf(Outcome)}});
+                  bool IsKept = Outcome == ProposalOutcome::Committed &&
+                                Jobs.tombstones().endOf(Added.Owner, Added.Job);
+                  if (IsKept)
+                    return Respond(noSuchJob());
+                  Respond(Outcome == ProposalOutcome::NotLeader
+                              ? notRun(LeaderChangeRetryMs)
+                              : uncertain());
+                });
+}
+
+bool JobIntake::hasRoomFor(const Tombstone &Added) const {
+  // What is not applied yet counts for each organisation.
+  size_t Pending = PendingTombstones.size();
+  size_t Kept = Store.tombstones().size() + Pending;
+  size_t Own = Store.tombstones().countOf(Added.Owner.Organisation) + Pending;
+  return Kept < Options.MaxCancelledIds && Own < Options.MaxCancelledIds - Kept;
+}
+
+bool JobIntake::isBeingCancelled(const JobRequest &Submission) const {
+  auto [First, Last] = PendingTombstones.equal_range(Submission.Job);
+  return std::any_of(First, Last, [&Submission](const auto &Item) {
+    return Item.second.covers(Submission.Queue, Submission.Organisation);
+  });
+}
+
+JobOwner JobIntake::ownerOf(const JobRequest &Request) const {
+  const QueueConfiguration *Queue = Configuration.findQueue(Request.Queue);
+  bool IsPublic = Queue != nullptr && Queue->IsPublic;
+  return {Request.Queue, IsPublic ? std::string() : Request.Organisation};
+}
+
+TombstoneMillis JobIntake::tombstoneNow() const {
+  return StartTime + toMillis(Timers.now() - StartedAt);
+}
+
+void JobIntake::endTombstones() {
+  std::optional<TombstoneMillis> NextEnd = Store.tombstones().nextEnd();
+  const TombstoneMillis Now = tombstoneNow();
+  bool IsDue =
+      NextEnd && (*NextEnd <= Now || Now - Store.tombstones().now() >=
+                                         toMillis(TombstoneRenewalInterval));
+  if (!IsDue || EndInFlight)
+    return;
+  EndInFlight = true;
+  Hooks.Propose(RecordTombstones{Now, {}},
+                [this, IsAlive = AliveFlag](ProposalOutcome) {
+                  if (*IsAlive)
+                    EndInFlight = false;
+                });
 }
 
 } // namespace mimosashunt
--- a/Source/Fleet/JobIntake.h
+++ b/Source/Fleet/JobIntake.h
@@ -1,15 +1,25 @@
 // Handles the requests of callers about jobs on the leader: decides what a
 // submission or a cancellation does, proposes it and responds once it is
 // committed. It exists exactly while this VM's scheduler does.
+//
+// Once a cancellation is acknowledged, no submission of the id is accepted,
+// however late it is read. The order of the log decides: the state that a
+// leader begins with holds all that earlier leaders have acknowledged, and what
+// this leader has proposed since then is known here until it is applied.
 
 #ifndef MIMOSASHUNT_FLEET_JOBINTAKE_H
 #define MIMOSASHUNT_FLEET_JOBINTAKE_H
 
 #include "Agreement/Replica.h"
+#include "Core/TimerService.h"
 #include "Scheduling/Dispatcher.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <string>
 
 namespace mimosashunt {
 
@@ -23,14 +33,24 @@
   std::function<void(const char *Kind, Json Fields)> LogEvent;
 };
 
+struct JobIntakeOptions {
+  /// Accepted jobs have placement records.
+  bool RecordsPlacements = false;
+  /// For how long at least, after its cancellation was acknowledged, an id
+  /// without a job is not accepted.
+  Duration CancelledIdRetention = seconds(120);
+  /// Cancelled ids that are kept at once. An organisation keeps at most as many
+  /// as it leaves to the others.
+  size_t MaxCancelledIds = 10000;
+};
+
 class JobIntake {
 public:
   using ResponseHandler = std::function<void(const JobResponse &)>;
 
-  /// \p RecordsPlacements tells whether accepted jobs have placement records.
   JobIntake(const JobStore &Store, const ServiceConfiguration &Configuration,
-            Dispatcher &Scheduler, bool RecordsPlacements,
-            JobIntakeHooks Hooks);
+            Dispatcher &Scheduler, TimerService &Timers,
+            JobIntakeOptions Options, JobIntakeHooks Hooks);
   ~JobIntake();
   JobIntake(const JobIntake &) = delete;
   JobIntake &operator=(const JobIntake &) = delete;
@@ -39,20 +59,55 @@
   /// \p Respond runs once, possibly after this object is gone.
   void handle(const JobRequest &Request, const ResponseHandler &Respond);
 
+  /// Cancellations that were refused since too many ids are kept.
+  uint64_t refusedCancellations() const { return RefusedCancellations; }
+
 private:
+  /// Who submitted a job, and where.
+  struct Submitter {
+    std::string Queue;
+    std::string Organisation;
+  };
+  /// Proposals that are not applied yet. Those for one id keep their order.
+  using Submissions = std::multimap<JobId, Submitter>;
+  using Cancellations = std::multimap<JobId, JobOwner>;
+
   void submit(const JobRequest &Request, const ResponseHandler &Respond);
   /// Reserves memory for the job. Refuses it and returns false if there is not
   /// enough.
   bool reserveMemory(const AcceptJob &Job, const ResponseHandler &Respond);
+  void proposeAcceptance(const AcceptJob &Command,
+                         const ResponseHandler &Respond);
   void cancel(const JobRequest &Request, const ResponseHandler &Respond);
+  /// Cancels a job that is accepted, or will be before this is applied.
+  void proposeCancellation(const JobId &Job, const ResponseHandler &Respond);
+  /// Keeps an id without a job from being accepted.
+  void cancelId(const JobRequest &Request, const ResponseHandler &Respond);
+  void proposeTombstone(const Tombstone &Added, const ResponseHandler &Respond);
+  bool hasRoomFor(const Tombstone &Added) const;
+  /// Returns true if a cancellation of the id by its owner is not applied yet.
+  bool isBeingCancelled(const JobRequest &Submission) const;
+  JobOwner ownerOf(const JobRequest &Request) const;
+  TombstoneMillis tombstoneNow() const;
+  /// Ends tombstones, and records the time so that it goes on under the next
+  /// leader.
+  void endTombstones();
   void respondWithState(const JobRequest &Request,
                         const ResponseHandler &Respond) const;
 
   const JobStore &Store;
   const ServiceConfiguration &Configuration;
   Dispatcher &Scheduler;
-  const bool RecordsPlacements;
+  TimerService &Timers;
+  const JobIntakeOptions Options;
   const JobIntakeHooks Hooks;
+  const Instant StartedAt;
+  const TombstoneMillis StartTime; // At StartedAt.
+  TimerId EndTimer = 0;
+  bool EndInFlight = false;
+  Submissions PendingSubmissions;
+  Cancellations PendingTombstones;
+  uint64_t RefusedCancellations = 0;
   /// False once this object is gone; proposals outlive it.
   std::shared_ptr<bool> AliveFlag = std::make_shared<bool>(true);
 };
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -46,6 +46,16 @@
 constexpr size_t MaxInternalBytes = 64 << 20;
 constexpr Duration InternalIdleTimeout = seconds(30);
 
+/// Returns how many ids are kept that were cancelled before they were
+/// submitted.
+size_t maxCancelledIds(int64_t MemoryMb) {
+  constexpr int64_t CancelledIdPercent = 2;
+  constexpr int64_t BytesEach = 200;
+  constexpr int64_t Percent = 100;
+  return static_cast<size_t>((MemoryMb << 20) * CancelledIdPercent / Percent /
+                             BytesEach);
+}
+
 HttpServerOptions serverOptions(const FleetSettings &Settings,
                                 ConnectionPart Part) {
   HttpServerOptions Options;
@@ -474,8 +484,12 @@
     Scheduler = std::make_unique<Dispatcher>(State.leaderships(), State,
                                              Configuration, CarriedWorkers,
                                              Loop.timers(), Options, Hooks);
+    JobIntakeOptions IntakeOptions;
+    IntakeOptions.RecordsPlacements = Settings.RecordPlacements;
+    IntakeOptions.CancelledIdRetention = Settings.StatusRetention;
+    IntakeOptions.MaxCancelledIds = maxCancelledIds(Settings.MemoryMb);
     Intake = std::make_unique<JobIntake>(State, Configuration, *Scheduler,
-                                         Settings.RecordPlacements,
+                                         Loop.timers(), IntakeOptions,
                                          makeIntakeHooks());
     WaveMaintenance = std::make_unique<Maintenance>(
         State, *Scheduler, Ports.Vms, Loop.timers(), WaveOptions, Hooks);
--- a/Source/Jobs/JobCommands.h
+++ b/Source/Jobs/JobCommands.h
@@ -6,6 +6,7 @@
 #include "Codec/CborFields.h"
 #include "Jobs/JobTypes.h"
 #include "Jobs/RunLoss.h"
+#include "Jobs/Tombstones.h"
 
 #include <algorithm>
 #include <map>
@@ -91,6 +92,22 @@
   static void describe(auto &Self, auto Field) { Field("job", Self.Job); }
 };
 
+/// Keeps ids without a job from being accepted, and ends earlier tombstones.
+/// Changes no job: the leader proposes no acceptance of an id that it knows to
+/// have a tombstone, and members of versions without tombstones skip this
+/// command, so that all members have the same jobs.
+struct RecordTombstones {
+  static constexpr const char *Kind = "tombstones";
+  TombstoneMillis Now = 0;
+  std::vector<Tombstone> Added; // None if only earlier ones are to end.
+  bool operator==(const RecordTombstones &) const = default;
+
+  static void describe(auto &Self, auto Field) {
+    Field("now", Self.Now);
+    Field("added", Self.Added);
+  }
+};
+
 /// The end of one run that counts towards the job: success, or failure through
 /// the fault of the task or the worker.
 struct RunResult {
@@ -291,7 +308,7 @@
     std::variant<AcceptJob, CancelJob, RecordRunResults, PutConfiguration,
                  UpdateWorkers, StartWave, FinishMaintenance, BeginLeadership,
                  RecordLosses, RecordPlacements, SetEvacuation, RecordUsage,
-                 RecordRunTimes>;
+                 RecordRunTimes, RecordTombstones>;
 
 std::string encodeJobCommand(const JobCommand &Command);
 /// Returns false if \p Bytes is not an encoded command.
--- a/Source/Jobs/JobRecords.h
+++ b/Source/Jobs/JobRecords.h
@@ -61,6 +61,7 @@
   std::map<std::string, SetEvacuation> Evacuations;
   RecordUsage Usage;
   RecordRunTimes RunTimes;
+  Tombstones CancelledIds;
   uint64_t Leaderships = 0;
 };
 
--- a/Source/Jobs/JobSnapshot.cpp
+++ b/Source/Jobs/JobSnapshot.cpp
@@ -21,6 +21,17 @@
   }
 };
 
+/// The tombstones of one owner as written.
+struct StoredTombstones {
+  JobOwner Owner;
+  Tombstones::EndsByJob Ends;
+
+  static void describe(auto &Self, auto Field) {
+    Field("owner", Self.Owner);
+    Field("ends", Self.Ends);
+  }
+};
+
 namespace {
 
 /// Most tasks of recurring jobs that a snapshot holds one by one. Earlier
@@ -116,6 +127,14 @@
     cbor_fields::writeValue(Out, Item);
 }
 
+void writeTombstones(CborWriter &Out, const Tombstones &Ids) {
+  writePair(Out, "tombstoneTime", Ids.now());
+  Out.text("tombstones");
+  Out.array(Ids.byOwner().size());
+  for (const auto &[Owner, Ends] : Ids.byOwner())
+    cbor_fields::writeValue(Out, StoredTombstones{Owner, Ends});
+}
+
 /// Reads one encoded value whose fields may be in any order. Throws an
 /// exception derived from std::exception if it cannot be read.
 template <class T> T readEncoded(std::string_view Bytes) {
@@ -256,6 +275,17 @@
   return Record;
 }
 
+void readTombstones(const EncodedMap &In, Tombstones &Ids) {
+  TombstoneMillis Now = 0;
+  std::vector<StoredTombstones> Owners;
+  In.readIfPresent("tombstoneTime", Now);
+  In.readIfPresent("tombstones", Owners);
+  Ids.advance(Now);
+  for (const StoredTombstones &Stored : Owners)
+    for (const auto &[Job, EndsAt] : Stored.Ends)
+      Ids.add({Stored.Owner, Job, EndsAt});
+}
+
 void readState(const EncodedMap &In, JobStoreState &State) {
   forEachElement(In.at("jobs"), [&State](std::string_view Bytes) {
     JobRecord Record = readJob(Bytes);
@@ -278,6 +308,7 @@
     State.Evacuations.emplace(Order.DataCentre, Order);
   In.readIfPresent("usage", State.Usage);
   In.readIfPresent("runTimes", State.RunTimes);
+  readTombstones(In, State.CancelledIds);
 }
 
 } // namespace
@@ -285,7 +316,7 @@
 std::string encodeSnapshot(const JobStoreState &State) {
   std::string Bytes;
   CborWriter Out(Bytes);
-  constexpr size_t Pairs = 9;
+  constexpr size_t Pairs = 11;
   Out.map(Pairs);
   writeJobs(Out, State.Jobs);
   writePair(Out, "version", State.ConfigurationVersion);
@@ -296,6 +327,7 @@
   writeValues(Out, "evacuations", State.Evacuations);
   writePair(Out, "usage", State.Usage);
   writePair(Out, "runTimes", State.RunTimes);
+  writeTombstones(Out, State.CancelledIds);
   // It is kept for long.
   Bytes.shrink_to_fit();
   return Bytes;
--- a/Source/Jobs/JobStore.cpp
+++ b/Source/Jobs/JobStore.cpp
@@ -224,6 +224,13 @@
   return true;
 }
 
+bool JobStore::applyCommand(const RecordTombstones &Command) {
+  State.CancelledIds.advance(Command.Now);
+  for (const Tombstone &Added : Command.Added)
+    State.CancelledIds.add(Added);
+  return true;
+}
+
 bool JobStore::isEvacuated(const std::string &DataCentre) const {
   auto It = State.Evacuations.find(DataCentre);
   return It != State.Evacuations.end() && It->second.Active;
--- a/Source/Jobs/JobStore.h
+++ b/Source/Jobs/JobStore.h
@@ -41,6 +41,7 @@
   bool isEvacuated(const std::string &DataCentre) const;
   const RecordUsage &usage() const { return State.Usage; }
   const RecordRunTimes &runTimes() const { return State.RunTimes; }
+  const Tombstones &tombstones() const { return State.CancelledIds; }
   /// Number of leaderships so far; each leader uses the count at its start as
   /// its fencing token.
   uint64_t leaderships() const { return State.Leaderships; }
@@ -62,6 +63,7 @@
   bool applyCommand(const SetEvacuation &Command);
   bool applyCommand(const RecordUsage &Command);
   bool applyCommand(const RecordRunTimes &Command);
+  bool applyCommand(const RecordTombstones &Command);
   bool recordRunResult(const RunResult &Result);
   static void endJob(JobRecord &Record, JobState EndState);
   static bool isDone(const JobRecord &Record, const TaskId &Task);
--- a/Tests/Jobs/CommandCodecTest.cpp
+++ b/Tests/Jobs/CommandCodecTest.cpp
@@ -99,7 +99,11 @@
       RecordUsage{anything<int64_t>(),
                   {{anything<std::string>(), anything<double>()}}},
       RecordRunTimes{{{anything<std::string>(), anything<std::string>(),
-                       anything<double>(), anything<std::vector<double>>()}}}};
+                       anything<double>(), anything<std::vector<double>>()}}},
+      RecordTombstones{anything<int64_t>(),
+                       {{{anything<std::string>(), anything<std::string>()},
+                         anything<std::string>(),
+                         anything<int64_t>()}}}};
 }
 
 RC_GTEST_PROP(CommandCodec, BothCodecsGiveTheSameCommands, ()) {
--- a/Tests/Support/SchedulerHarness.h
+++ b/Tests/Support/SchedulerHarness.h
@@ -62,9 +62,10 @@
 
   UnixMillis wallNow() const;
 
-private:
+  /// Applies a command and tells the leader of it.
   void commitCommand(const JobCommand &Command);
 
+private:
   const DispatcherOptions Options;
   std::map<JobId, Instant> AcceptedAt;
   std::map<JobId, Instant> CompletedAt;
