Fleet: a job is cancelled by its owner alone

Cause: the leader looked a job up by its id and at nothing else. Change: the caller must be of the job's queue and organisation; on a public queue, which asks for no key, whoever knows the id may still cancel. Others are answered 410, which is what a job that is not theirs is to them, or 503 while it is not known yet whose job an id will be. The jobs of a queue that was removed are left to their organisation, on any of its queues.

--- a/Source/Fleet/JobIntake.cpp
+++ b/Source/Fleet/JobIntake.cpp
@@ -167,12 +167,30 @@
 
 void JobIntake::cancel(const JobRequest &Request,
                        const ResponseHandler &Respond) {
-  const JobRecord *Record = Store.findJob(Request.Job);
-  if (Record != nullptr && Record->hasEnded())
-    return Respond({JobRequestOutcome::Done, Record->State, 0, {}});
-  if (Record != nullptr || PendingSubmissions.count(Request.Job) > 0)
+  if (const JobRecord *Record = Store.findJob(Request.Job)) {
+    if (!mayCancel(Request, {Record->Job.Queue, Record->Job.Organisation}))
+      return Respond(noSuchJob());
+    if (Record->hasEnded())
+      return Respond({JobRequestOutcome::Done, Record->State, 0, {}});
     return proposeCancellation(Request.Job, Respond);
-  cancelId(Request, Respond);
+  }
+  // The first one is accepted, if any is.
+  auto Pending = PendingSubmissions.lower_bound(Request.Job);
+  bool IsPending =
+      Pending != PendingSubmissions.end() && Pending->first == Request.Job;
+  if (!IsPending)
+    return cancelId(Request, Respond);
+  if (!mayCancel(Request, Pending->second))
+    return Respond(notRun(LeaderChangeRetryMs));
+  proposeCancellation(Request.Job, Respond);
+}
+
+bool JobIntake::mayCancel(const JobRequest &Request,
+                          const Submitter &Of) const {
+  // The jobs of a queue that was removed are left to their organisation.
+  if (Configuration.findQueue(Of.Queue) == nullptr)
+    return Request.Organisation == Of.Organisation;
+  return ownerOf(Request).covers(Of.Queue, Of.Organisation);
 }
 
 void JobIntake::proposeCancellation(const JobId &Job,
--- a/Source/Fleet/JobIntake.h
+++ b/Source/Fleet/JobIntake.h
@@ -79,6 +79,8 @@
   void proposeAcceptance(const AcceptJob &Command,
                          const ResponseHandler &Respond);
   void cancel(const JobRequest &Request, const ResponseHandler &Respond);
+  /// Returns true if the caller may cancel the jobs of the submitter.
+  bool mayCancel(const JobRequest &Request, const Submitter &Of) const;
   /// Cancels a job that is accepted, or will be before this is applied.
   void proposeCancellation(const JobId &Job, const ResponseHandler &Respond);
   /// Keeps an id without a job from being accepted.
--- a/Tests/Fleet/JobIntakeTest.cpp
+++ b/Tests/Fleet/JobIntakeTest.cpp
@@ -253,6 +253,47 @@
   EXPECT_EQ(Calls.submitted("e"), JobRequestOutcome::NoSuchJob);
 }
 
+// Guards against a caller that ends the job of another organisation, or that of
+// another queue, accepted or about to be.
+TEST(JobIntake, AJobIsCancelledByItsOwnerAlone) {
+  Group Calls;
+  Calls.submit("a");
+  Calls.submit("b", "org", Public);
+  Calls.run(100);
+  Calls.submit("c");
+  Calls.cancel("c", "other"); // Whose the id will be is not known yet.
+  Calls.cancel("a", "other");
+  Calls.cancel("a", "org", Public);
+  Calls.run(100);
+  EXPECT_EQ(Calls.cancelled("a", "other"), JobRequestOutcome::NoSuchJob);
+  EXPECT_EQ(Calls.cancelled("a"), JobRequestOutcome::NoSuchJob);
+  EXPECT_EQ(Calls.cancelled("c", "other"), JobRequestOutcome::NotRun);
+  EXPECT_TRUE(Calls.lives("a"));
+  EXPECT_TRUE(Calls.lives("c"));
+  Calls.cancel("a");
+  Calls.cancel("b", "", Public);
+  Calls.run(100);
+  EXPECT_EQ(Calls.cancelled("a"), JobRequestOutcome::Done);
+  EXPECT_FALSE(Calls.lives("a"));
+  EXPECT_FALSE(Calls.lives("b"));
+}
+
+// Guards against a job that nobody can cancel since its queue is gone.
+TEST(JobIntake, TheJobsOfARemovedQueueAreCancelledByTheirOrganisation) {
+  Group Calls;
+  Calls.submit("a");
+  Calls.run(100);
+  Calls.Harness.Configuration.Queues.erase(
+      Calls.Harness.Configuration.Queues.begin());
+  Calls.cancel("a", "other", Public);
+  Calls.run(100);
+  EXPECT_TRUE(Calls.lives("a"));
+  Calls.cancel("a", "org", Public);
+  Calls.run(100);
+  EXPECT_EQ(Calls.cancelled("a"), JobRequestOutcome::Done);
+  EXPECT_FALSE(Calls.lives("a"));
+}
+
 // Guards against state that grows with the cancellations of strangers, and
 // against a tombstone that is dropped early for want of room.
 TEST(JobIntake, CancelledIdsAreBoundedForEachOrganisationAndEnd) {
@@ -329,6 +370,17 @@
     }
   }
 
+  void expectOthersChangedNothing(uint32_t Seed) {
+    for (const auto &[Job, Record] : Calls.Harness.Store.jobs()) {
+      bool IsCancelled = Record.State == JobState::Cancelled;
+      EXPECT_TRUE(!IsCancelled || OwnersCancelled.contains(Job))
+          << "seed " << Seed << ": " << Job;
+    }
+    for (const JobId &Job : Refused)
+      EXPECT_TRUE(OwnersCancelled.contains(Job))
+          << "seed " << Seed << ": " << Job;
+  }
+
   Group Calls;
   size_t acknowledgedIds() const { return StartsAtAcknowledgement.size(); }
 
@@ -373,6 +425,8 @@
   void noteAcknowledged() {
     for (int I = 0; I < 40; ++I) {
       JobId Job = "j" + std::to_string(I);
+      if (Calls.submitted(Job) == JobRequestOutcome::NoSuchJob)
+        Refused.insert(Job);
       if (!OwnersCancelled.contains(Job) || !Calls.isAcknowledged(Job, "org"))
         continue;
       EXPECT_FALSE(Calls.lives(Job)) << Job;
@@ -385,6 +439,7 @@
 
   std::mt19937 Random;
   std::set<JobId> OwnersCancelled; // Or tried to.
+  std::set<JobId> Refused;
   std::map<JobId, Instant> AcknowledgedAt;
   std::map<JobId, int> StartsAtAcknowledgement;
 };
@@ -402,6 +457,7 @@
     DrawnCalls Day(Seed);
     Day.play();
     Day.expectCancelledJobsStay(Seed);
+    Day.expectOthersChangedNothing(Seed);
     const auto &Jobs = Day.Calls.Harness.Store.jobs();
     const auto &JobsOfEarlier = Day.Calls.Earlier.jobs();
     ASSERT_EQ(Jobs.size(), JobsOfEarlier.size()) << "seed " << Seed;
