--- a/Source/Fleet/SchedulerMetrics.cpp
+++ b/Source/Fleet/SchedulerMetrics.cpp
@@ -209,6 +209,12 @@
            CarriedWorkers.carriedOrders());
   SetGauge("mimosashunt_jobs_live", "Jobs that have not ended",
            Scheduler->activeJobCount());
+  SetGauge("mimosashunt_cancelled_ids",
+           "Ids that were cancelled before they were submitted",
+           State.tombstones().size());
+  SetGauge("mimosashunt_cancellations_refused",
+           "Cancellations refused since too many such ids are kept",
+           Intake->refusedCancellations());
   SetGauge("mimosashunt_vms_down", "VMs under maintenance",
            WaveMaintenance->downVmCount());
   SetGauge("mimosashunt_vms_moving", "VMs on their way to another pool",
