Scheduling: a job has started once a worker has begun a task of it

A new leader said that no job waits until its first tick. Cause: HasStarted was set by the booking and never taken back; the count was made by the tick alone. Change: HasStarted is set when a worker acknowledges a start, lists a run or lists an end; a leader counts as it begins. JobRank::HasStarted, which nothing read, is gone.

--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -26,6 +26,8 @@
       Advice(Options.Advice), Budget(Options.WorkBytes),
       AliveFlag(std::make_shared<bool>(true)) {
   loadStore();
+  // Entry VMs may ask before the first tick.
+  countPendingJobs();
   TickTimer = Timers.scheduleEvery(TickPeriod, [this] { onTick(); });
 }
 
@@ -259,7 +261,6 @@
   drainEvacuatedDataCentres();
   // Due times, objectives and advice depend on the time, so each pool with
   // unfinished jobs is scheduled again.
-  PendingJobs.clear();
   WaitingStarts = 0;
   Shares.resetJobCounts();
   UnixMillis WallNow = Hooks.WallNow();
@@ -270,10 +271,10 @@
     if (usesShares() && !Job->isLongRunning())
       countShareOfJob(*Job, WallNow);
     markPoolDirty(Job->Pool);
-    PendingJobs[Job->job().Queue] += Job->HasStarted ? 0 : 1;
     if (!Job->isLongRunning())
       WaitingStarts += Job->countWaitingTasks();
   }
+  countPendingJobs();
   reportUnlocatedJobs();
   updateShares();
   removeStaleLocalityWaits();
@@ -283,6 +284,12 @@
   probeCanaries();
 }
 
+void Dispatcher::countPendingJobs() {
+  PendingJobs.clear();
+  for (const auto &[Id, Job] : Jobs)
+    PendingJobs[Job->job().Queue] += Job->HasEnded || Job->HasStarted ? 0 : 1;
+}
+
 // Queries, draining and capacity demand.
 
 JobState Dispatcher::jobState(const JobRecord &Record) const {
--- a/Source/Scheduling/Dispatcher.h
+++ b/Source/Scheduling/Dispatcher.h
@@ -119,10 +119,12 @@
   void processDueWork();
 
   /// Returns the state that callers see, for a job that the store holds. A
-  /// queued job counts as running as soon as a task has been ordered to start.
+  /// queued job counts as running as soon as a worker is known to have begun a
+  /// task.
   JobState jobState(const JobRecord &Record) const;
-  /// Returns the number of the queue's jobs that had not started at the last
-  /// tick.
+  /// Returns the number of the queue's jobs of which no worker was known to
+  /// have begun a task at the last tick. Jobs of earlier leaders count until
+  /// their workers have been read.
   size_t pendingJobCount(const std::string &Queue) const;
   /// Returns these numbers for all queues. Queues without such jobs may be
   /// missing.
@@ -229,6 +231,7 @@
     return Hooks.MayIssueOrders() && !HasBeenDeposed;
   }
   void onTick();
+  void countPendingJobs();
 
   /// Returns true if, by a recent response, the task does its full work.
   bool isServing(const StepProgress &Step, const TaskId &Task) const;
@@ -265,6 +268,8 @@
   void markSynced(TrackedWorker &Worker);
   void updateRun(TrackedWorker &Worker, const RunningTask &Reported);
   void adoptRun(TrackedWorker &Worker, const RunningTask &Reported);
+  /// Notes that a worker has begun the task.
+  void markStarted(const TaskId &Task);
   /// Returns true if a run of a task that matters may be on a worker without
   /// being listed in \p Response.
   bool mayHideRuns(const PollResponse &Response);
--- a/Source/Scheduling/DispatcherEnds.cpp
+++ b/Source/Scheduling/DispatcherEnds.cpp
@@ -48,6 +48,7 @@
   TaskProgress *TaskState = Job == nullptr ? nullptr : Job->findTask(End.Task);
   if (TaskState == nullptr)
     return;
+  Job->HasStarted = true;
   TaskState->LastAttempt = std::max(TaskState->LastAttempt, End.Attempt);
   if (!End.Checkpoint.empty())
     TaskState->Checkpoint = End.Checkpoint;
--- a/Source/Scheduling/DispatcherPasses.cpp
+++ b/Source/Scheduling/DispatcherPasses.cpp
@@ -48,7 +48,6 @@
     List.push_back(Job.get());
     Rank.Priority = Job->Priority;
     Rank.LongRunning = Job->isLongRunning();
-    Rank.HasStarted = Job->HasStarted;
     Rank.AcceptedAt = Job->AcceptedAt;
     Rank.Objective = Job->Objective;
     double Factor = estimateFactor(*Job);
--- a/Source/Scheduling/DispatcherRuns.cpp
+++ b/Source/Scheduling/DispatcherRuns.cpp
@@ -229,6 +229,7 @@
       CurrentRun.State == RunState::Starting || IsNeedlesslyStopped) {
     CurrentRun.State = RunState::Running;
     CurrentRun.StartAckedAt = Timers.now();
+    markStarted(Reported.Task);
   }
   if (Reported.ProgressPercent != CurrentRun.ProgressPercent) {
     CurrentRun.ProgressPercent = Reported.ProgressPercent;
@@ -303,6 +304,7 @@
   Hooks.LogEvent("run_found", std::move(Fields));
   if (TaskState != nullptr) {
     Job->second->addPlacement(Reported.Task, Worker.key(), Reported.Attempt);
+    Job->second->HasStarted = true;
     if (!Reported.Checkpoint.empty())
       TaskState->Checkpoint = Reported.Checkpoint;
   }
@@ -310,6 +312,12 @@
     stopRun(Worker, Reported.Task);
 }
 
+void Dispatcher::markStarted(const TaskId &Task) {
+  auto Job = Jobs.find(Task.Job);
+  if (Job != Jobs.end())
+    Job->second->HasStarted = true;
+}
+
 bool Dispatcher::mayHideRuns(const PollResponse &Response) {
   auto IsWanted = [this](const TaskId &Task) {
     return findWantedTask(Task) != nullptr;
@@ -441,7 +449,7 @@
     CurrentRun.StartAckedAt = Timers.now();
     if (CurrentRun.State == RunState::Starting)
       CurrentRun.State = RunState::Running;
-    return;
+    return markStarted(Task);
   }
   Json Fields = taskFields(Task, Attempt);
   Fields["worker"] = Key.Id;
--- a/Source/Scheduling/JobOrder.h
+++ b/Source/Scheduling/JobOrder.h
@@ -20,7 +20,6 @@
   size_t Index = 0; // Position in the caller's list.
   int64_t Priority = 0;
   bool LongRunning = false;
-  bool HasStarted = false;
   Instant AcceptedAt;
   Instant Objective;
   double CriticalPathMs = 0;  // Remaining duration of the critical path.
--- a/Source/Scheduling/JobProgress.cpp
+++ b/Source/Scheduling/JobProgress.cpp
@@ -177,7 +177,6 @@
   TaskState.LastAttempt = std::max(TaskState.LastAttempt, Attempt);
   Step.GangAttempt = std::max(Step.GangAttempt, Attempt);
   ++Step.RunsPerWorker[At];
-  HasStarted = true;
 }
 
 void JobProgress::removePlacement(const TaskId &Task, const WorkerKey &At) {
--- a/Source/Scheduling/JobProgress.h
+++ b/Source/Scheduling/JobProgress.h
@@ -173,7 +173,7 @@
   std::set<WorkerKey> InheritedWorkers;
   /// That it waits for some of them has been logged.
   bool IsUnlocatedReported = false;
-  bool HasStarted = false; // Some task was booked on a worker.
+  bool HasStarted = false; // Some worker has begun a task.
   /// The job is done, failed or cancelled, possibly not committed yet.
   bool HasEnded = false;
 
--- a/Tests/Jobs/DispatcherTest.cpp
+++ b/Tests/Jobs/DispatcherTest.cpp
@@ -235,6 +235,48 @@
   EXPECT_EQ(Harness.Scheduler->pendingJobCount("other"), 0U);
 }
 
+// Guards against a job that counts as started because a start was booked,
+// though no worker has begun a task of it (review/5, review/16x).
+TEST(Dispatcher, AJobIsPendingUntilAWorkerHasBegunATask) {
+  SchedulerHarness Harness;
+  Harness.addPool("p", 1, 4);
+  Harness.beginLeadership();
+  Harness.advanceTime(milliseconds(200));
+  WorkerFaults &Faults = Harness.Workers.at("p-0").Faults;
+  Faults.OrderDelay = milliseconds(500);
+  Faults.DelayedOrderCount = 1;
+  Harness.submitJob("late", "p", makeChainSpec(1, 1, 1000, 3000));
+  Harness.advanceTime(milliseconds(300));
+  EXPECT_EQ(Harness.Scheduler->pendingJobCount("p"), 1U);
+  const JobRecord *Late = Harness.Store.findJob("late");
+  EXPECT_EQ(Harness.Scheduler->jobState(*Late), JobState::Queued);
+  Harness.advanceTime(milliseconds(1700));
+  EXPECT_EQ(Harness.Scheduler->pendingJobCount("p"), 0U);
+  EXPECT_EQ(Harness.Scheduler->jobState(*Late), JobState::Running);
+  Faults.IsUnreachable = true;
+  Harness.submitJob("lost", "p", makeChainSpec(1, 1, 1000, 3000));
+  for (int I = 0; I < 20; ++I) {
+    Harness.advanceTime(milliseconds(300));
+    EXPECT_EQ(Harness.Scheduler->pendingJobCount("p"), 1U);
+  }
+}
+
+// Guards against a new leader that reports that no job waits before it has
+// counted them.
+TEST(Dispatcher, ANewLeaderCountsPendingJobsAtOnce) {
+  SchedulerHarness Harness;
+  Harness.addPool("p", 1, 1);
+  Harness.beginLeadership();
+  for (int I = 0; I < 5; ++I)
+    Harness.submitJob("j" + std::to_string(I), "p",
+                      makeChainSpec(1, 1, 1000, 3000));
+  Harness.advanceTime(milliseconds(200));
+  Harness.beginLeadership();
+  EXPECT_GE(Harness.Scheduler->pendingJobCount("p"), 4U);
+  Harness.advanceTime(milliseconds(1000));
+  EXPECT_EQ(Harness.Scheduler->pendingJobCount("p"), 4U);
+}
+
 TEST(Dispatcher, OverdueJobsStillCountInDemand) {
   // In a burst beyond the pool's capacity, waiting jobs become overdue. They
   // must still count in the demand, or the pool would shrink.
