Pools: a VM whose entry cannot be read is not gone

Cause: an entry of the platform's list that could not be read was left out, and each VM of a wave that one list did not name counted as gone for good, which was committed. Change: a list tells which VMs its unreadable entries name; the state of those is unknown, and their waves wait. A VM is gone once three lists on end lack it; beside an entry that names no VM, thirty, and no worker of it is in touch.

A command by which an operator ends a wave that waits for such a VM is not built.

--- a/Source/Pools/Maintenance.cpp
+++ b/Source/Pools/Maintenance.cpp
@@ -80,7 +80,7 @@
   ListInFlight = true;
   ListRequestedAt = Timers.now();
   std::shared_ptr<bool> StillAlive = Alive;
-  Port.listVms([this, StillAlive](std::optional<std::vector<VmEntry>> List) {
+  Port.listVms([this, StillAlive](std::optional<VmList> List) {
     if (!*StillAlive)
       return;
     ListInFlight = false;
@@ -91,33 +91,67 @@
   });
 }
 
-void Maintenance::handleVmList(const std::vector<VmEntry> &List) {
+void Maintenance::handleVmList(const VmList &List) {
   Vms.clear();
-  for (const VmEntry &Entry : List)
+  for (const VmEntry &Entry : List.Vms)
     Vms[Entry.Vm] = Entry;
   HasVmList = true;
+  finishReturnedVms();
+  finishGoneVms(List);
+  for (const std::string &Vm : List.UnreadableVms)
+    if (!UnreadableVms.count(Vm))
+      Hooks.LogEvent("vm_state_unknown", {{"pool_vm", Vm}});
+  UnreadableVms = List.UnreadableVms;
+}
+
+void Maintenance::finishReturnedVms() {
   // Only a list requested after the order was accepted shows that the VM is
   // back.
-  std::vector<std::pair<uint64_t, std::string>> Ended;
-  for (auto &[Vm, Entry] : InProgress) {
+  std::vector<std::pair<uint64_t, std::string>> Returned;
+  for (const auto &[Vm, Entry] : InProgress) {
     auto Found = Vms.find(Vm);
-    bool HasReturned = Entry.CurrentStage == Stage::Ordered &&
-                       Entry.Since < ListRequestedAt && Found != Vms.end() &&
-                       Found->second.Phase == VmPhase::Up;
-    bool IsGone = Found == Vms.end();
-    if (HasReturned || IsGone)
-      Ended.emplace_back(Entry.Wave, Vm);
+    if (Entry.CurrentStage == Stage::Ordered && Entry.Since < ListRequestedAt &&
+        Found != Vms.end() && Found->second.Phase == VmPhase::Up)
+      Returned.emplace_back(Entry.Wave, Vm);
   }
-  for (const auto &[Wave, Vm] : Ended)
+  for (const auto &[Wave, Vm] : Returned)
     finishVm(Wave, Vm);
+}
+
+void Maintenance::finishGoneVms(const VmList &List) {
+  std::map<std::string, int> Missing;
+  for (const auto &[Number, Wave] : Store.waves())
+    for (const std::string &Vm : Wave.Plan.Vms) {
+      if (Wave.FinishedVms.count(Vm) || Vms.count(Vm) ||
+          List.UnreadableVms.count(Vm))
+        continue;
+      Missing[Vm] = MissingLists[Vm] + 1;
+    }
+  MissingLists = std::move(Missing);
   // VMs that have left for good need no maintenance.
   for (const auto &[Number, Wave] : Store.waves())
     for (const std::string &Vm : Wave.Plan.Vms)
-      if (!Vms.count(Vm) && !Wave.FinishedVms.count(Vm) &&
-          !InProgress.count(Vm))
+      if (!Wave.FinishedVms.count(Vm) && isGone(Vm, List))
         finishVm(Number, Vm);
 }
 
+bool Maintenance::isGone(const std::string &Vm, const VmList &List) const {
+  auto Missing = MissingLists.find(Vm);
+  if (Missing == MissingLists.end())
+    return false;
+  if (!List.HasNamelessEntry)
+    return Missing->second >= Options.ListsUntilGone;
+  return Missing->second >= Options.ListsUntilGoneInDoubt &&
+         !hasReachableWorker(Vm);
+}
+
+bool Maintenance::hasReachableWorker(const std::string &Vm) const {
+  const auto &Workers = Scheduler.workers().all();
+  return std::any_of(Workers.begin(), Workers.end(), [&Vm](const auto &Item) {
+    return Item.second.Entry.Vm == Vm && Item.second.IsReachable;
+  });
+}
+
 size_t Maintenance::unavailableVms(uint64_t Wave) const {
   size_t Count = 0;
   for (const auto &[Vm, Entry] : InProgress)
@@ -128,7 +162,11 @@
     auto Listed = Vms.find(Vm);
     bool IsDown =
         Listed != Vms.end() && Listed->second.Phase == VmPhase::Maintenance;
-    Count += IsDown && !InProgress.count(Vm) ? 1 : 0;
+    // What cannot be read may be down.
+    bool MayBeDown = UnreadableVms.count(Vm) > 0 &&
+                     !Found->second.FinishedVms.count(Vm) &&
+                     !hasReachableWorker(Vm);
+    Count += (IsDown || MayBeDown) && !InProgress.count(Vm) ? 1 : 0;
   }
   return Count;
 }
--- a/Source/Pools/Maintenance.h
+++ b/Source/Pools/Maintenance.h
@@ -33,6 +33,11 @@
   /// A pool is busy if batch tasks take more than this percentage of its
   /// processor capacity.
   int64_t BusyPercent = 50;
+  /// A VM of a wave counts as gone for good once it is missing from this many
+  /// lists on end.
+  int ListsUntilGone = 3;
+  /// The same while some entry of the list does not tell which VM it is of.
+  int ListsUntilGoneInDoubt = 30;
 };
 
 /// Runs on the leader only and is rebuilt with each leadership.
@@ -71,7 +76,14 @@
 
   void onTick();
   void requestVmList();
-  void handleVmList(const std::vector<VmEntry> &List);
+  void handleVmList(const VmList &List);
+  /// Finishes the VMs that have returned from their maintenance.
+  void finishReturnedVms();
+  /// Finishes the VMs of waves that have left for good.
+  void finishGoneVms(const VmList &List);
+  /// Returns true once the VM, which the list does not name, counts as gone.
+  bool isGone(const std::string &Vm, const VmList &List) const;
+  bool hasReachableWorker(const std::string &Vm) const;
   void planWave(const WaveRecord &Wave);
   void advanceVm(const std::string &Vm, VmMaintenance &Entry);
   /// Returns false while an order of the previous leader for the VM may be
@@ -102,6 +114,10 @@
   const TakeoverPause Takeover;
 
   std::map<std::string, VmEntry> Vms; // As of the last list.
+  /// VMs that the last list names in entries that cannot be read.
+  std::set<std::string> UnreadableVms;
+  /// On how many lists on end VMs of unfinished waves were missing.
+  std::map<std::string, int> MissingLists;
   bool HasVmList = false;
   bool ListInFlight = false;
   Instant ListRequestedAt;
--- a/Source/Pools/PoolMover.cpp
+++ b/Source/Pools/PoolMover.cpp
@@ -38,7 +38,7 @@
   ListInFlight = true;
   ListRequestedAt = Timers.now();
   std::shared_ptr<bool> StillAlive = Alive;
-  Port.listVms([this, StillAlive](std::optional<std::vector<VmEntry>> List) {
+  Port.listVms([this, StillAlive](std::optional<VmList> List) {
     if (!*StillAlive)
       return;
     ListInFlight = false;
@@ -46,7 +46,7 @@
       return;
     HasVmList = true;
     Vms.clear();
-    for (const VmEntry &Entry : *List)
+    for (const VmEntry &Entry : List->Vms)
       Vms[Entry.Vm] = Entry;
     // Only a list requested after the order was accepted shows that the move is
     // over.
--- a/Source/Pools/VmTypes.h
+++ b/Source/Pools/VmTypes.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,16 @@
   std::string WorkerId; // Empty while no worker runs on the VM.
 };
 
+/// The VMs as the platform lists them. Entries of other writers that cannot be
+/// read leave the others usable, and say nothing of the VM that they may be of.
+struct VmList {
+  std::vector<VmEntry> Vms;
+  /// VMs that an unreadable entry names. Their state is not known.
+  std::set<std::string> UnreadableVms;
+  /// Some entry does not even tell which VM it is of.
+  bool HasNamelessEntry = false;
+};
+
 /// The result of a VM order.
 enum class VmOrderOutcome : uint8_t {
   Accepted,
@@ -53,7 +64,7 @@
 class VmPort {
 public:
   /// The list; nothing if it could not be read completely.
-  using ListCallback = std::function<void(std::optional<std::vector<VmEntry>>)>;
+  using ListCallback = std::function<void(std::optional<VmList>)>;
   using OrderCallback = std::function<void(VmOrderOutcome)>;
   virtual ~VmPort() = default;
 
--- a/Tests/Jobs/PoolsTest.cpp
+++ b/Tests/Jobs/PoolsTest.cpp
@@ -108,15 +108,18 @@
   VirtualPlatform(SchedulerHarness &Fleet) : Fleet(Fleet) {}
 
   void listVms(ListCallback Done) override {
-    std::vector<VmEntry> List;
+    VmList List;
+    List.UnreadableVms = UnreadableVms;
+    List.HasNamelessEntry = HasNamelessEntry;
     for (const auto &[Id, Worker] : Fleet.Workers.all()) {
       VmPhase Phase = DownUntil.count(Worker.Entry.Vm) &&
                               Fleet.Timers.now() < DownUntil[Worker.Entry.Vm]
                           ? VmPhase::Maintenance
                           : VmPhase::Up;
-      if (!RemovedVms.count(Worker.Entry.Vm))
-        List.push_back({Worker.Entry.Vm, Worker.Entry.Pool, Phase, "dc",
-                        Worker.Entry.Labels, Worker.Entry.Capacity, Id});
+      if (!RemovedVms.count(Worker.Entry.Vm) &&
+          !UnreadableVms.count(Worker.Entry.Vm))
+        List.Vms.push_back({Worker.Entry.Vm, Worker.Entry.Pool, Phase, "dc",
+                            Worker.Entry.Labels, Worker.Entry.Capacity, Id});
     }
     Fleet.Timers.scheduleAt(Fleet.Timers.now() + milliseconds(2),
                             [Done, List] { Done(List); });
@@ -180,6 +183,8 @@
   SchedulerHarness &Fleet;
   std::map<std::string, Instant> DownUntil;
   std::set<std::string> RemovedVms;
+  std::set<std::string> UnreadableVms;
+  bool HasNamelessEntry = false;
   std::vector<std::pair<Instant, std::string>> Orders;
   size_t MaxVmsDown = 0;
   size_t RunsAtOrder = 0;
@@ -442,6 +447,67 @@
   EXPECT_EQ(Harness.Platform.Orders.size(), 2U);
 }
 
+// Guards against a wave that is completed without a VM that stays, since its
+// entry could not be read (review/4, review/14).
+TEST(Maintenance, AWaveWaitsForAVmWhoseEntryCannotBeRead) {
+  MaintenanceHarness Harness(3, 1);
+  Harness.Platform.UnreadableVms.insert("vm-p-1");
+  Harness.Fleet.advanceTime(seconds(25));
+  EXPECT_FALSE(Harness.Fleet.Store.waves().at(1).isCompleted());
+  EXPECT_EQ(Harness.Platform.Orders.size(), 2U);
+  Harness.Platform.UnreadableVms.clear();
+  Harness.Fleet.advanceTime(seconds(10));
+  EXPECT_TRUE(Harness.Fleet.Store.waves().at(1).isCompleted());
+  EXPECT_EQ(Harness.Platform.Orders.size(), 3U);
+  EXPECT_EQ(Harness.Platform.MaxVmsDown, 1U);
+}
+
+// The same for an entry that does not tell which VM it is of.
+TEST(Maintenance, ANamelessEntryMakesNoWorkingVmGone) {
+  MaintenanceHarness Harness(3, 1);
+  Harness.Platform.RemovedVms.insert("vm-p-1");
+  Harness.Platform.HasNamelessEntry = true;
+  Harness.Fleet.advanceTime(seconds(25));
+  EXPECT_FALSE(Harness.Fleet.Store.waves().at(1).isCompleted());
+  Harness.Platform.RemovedVms.clear();
+  Harness.Fleet.advanceTime(seconds(10));
+  EXPECT_TRUE(Harness.Fleet.Store.waves().at(1).isCompleted());
+  EXPECT_EQ(Harness.Platform.Orders.size(), 3U);
+}
+
+// Guards against a wave that never ends since some entry, perhaps another VM's,
+// stays unreadable.
+TEST(Maintenance, AVmThatIsGoneEndsItsWaveBesideANamelessEntry) {
+  MaintenanceHarness Harness(3, 1);
+  Harness.Platform.RemovedVms.insert("vm-p-1");
+  Harness.Platform.HasNamelessEntry = true;
+  Harness.Fleet.Workers.at("p-1").Faults.IsDown = true;
+  Harness.Fleet.advanceTime(seconds(30));
+  EXPECT_TRUE(Harness.Fleet.Store.waves().at(1).isCompleted());
+  EXPECT_EQ(Harness.Platform.Orders.size(), 2U);
+}
+
+// Guards against a VM that counts as gone for good by one list.
+TEST(Maintenance, AVmThatIsMissingFromOneListIsNotGone) {
+  MaintenanceHarness Harness(3, 1);
+  Harness.Platform.RemovedVms.insert("vm-p-1");
+  Harness.Fleet.advanceTime(milliseconds(1000));
+  Harness.Platform.RemovedVms.clear();
+  Harness.Fleet.advanceTime(seconds(25));
+  EXPECT_TRUE(Harness.Fleet.Store.waves().at(1).isCompleted());
+  EXPECT_EQ(Harness.Platform.Orders.size(), 3U);
+}
+
+// Guards against another VM that is ordered down while one that cannot be read
+// may be down, by an order of an earlier leader.
+TEST(Maintenance, AVmThatMayBeDownCountsAsDown) {
+  MaintenanceHarness Harness(3, 1);
+  Harness.Platform.UnreadableVms.insert("vm-p-1");
+  Harness.Fleet.Workers.at("p-1").Faults.IsDown = true;
+  Harness.Fleet.advanceTime(seconds(25));
+  EXPECT_TRUE(Harness.Platform.Orders.empty());
+}
+
 /// A pool whose burst asks for the VMs of another one, on a platform that does
 /// not check fencing tokens.
 struct TakeoverHarness : MaintenanceHarness {
--- a/Tests/Platform/ListTest.cpp
+++ b/Tests/Platform/ListTest.cpp
@@ -37,11 +37,11 @@
     return *Result;
   }
 
-  std::optional<std::vector<VmEntry>> listVms() {
+  std::optional<VmList> listVms() {
     VmClient Client(Loop, "vm", Address, Rejected);
     bool Done = false;
-    std::optional<std::vector<VmEntry>> Result;
-    Client.listVms([&](std::optional<std::vector<VmEntry>> List) {
+    std::optional<VmList> Result;
+    Client.listVms([&](std::optional<VmList> List) {
       Result = std::move(List);
       Done = true;
     });
@@ -123,8 +123,11 @@
                 Odd));
     auto List = Env.listVms();
     ASSERT_TRUE(List.has_value()) << Odd.substr(0, 30);
-    ASSERT_EQ(List->size(), 2U) << Odd.substr(0, 30);
-    EXPECT_EQ((*List)[1].Vm, "m-3");
+    ASSERT_EQ(List->Vms.size(), 2U) << Odd.substr(0, 30);
+    EXPECT_EQ(List->Vms[1].Vm, "m-3");
+    // The one that names its VM hides that VM alone.
+    EXPECT_EQ(List->UnreadableVms, std::set<std::string>{"m-2"});
+    EXPECT_TRUE(List->HasNamelessEntry);
     EXPECT_EQ(Env.rejected(InputSource::VmList), 2U);
   }
 }
