Jobs: a job that has ended loses its payload and is forgotten in time

Cause: nothing removed a job that had ended. Change: its payload goes as it ends; ForgetEnded, which tells the time in the log, forgets it statusSeconds to twice as long after the first such time that followed its end, on each replica at the same index; beside more ended jobs than a quarter of the memory holds, a new one is refused. Cancelled ids end by the same command, so RecordTombstone holds one id alone now.

JobStore.AJobThatHasEndedLosesItsPayloadAndIsForgottenInTime and JobIntake.EndedJobsAreKeptForTheirTimeAndBounded.

--- a/Source/Fleet/JobIntake.cpp
+++ b/Source/Fleet/JobIntake.cpp
@@ -15,7 +15,7 @@
 constexpr size_t MaxPendingProposals = 4000;
 /// A tombstone that is repeated within this time is not written again.
 constexpr Duration TombstoneRenewalInterval = seconds(30);
-constexpr Duration TombstoneEndInterval = seconds(1);
+constexpr Duration ForgetInterval = seconds(5);
 
 JobResponse notRun(int64_t RetryAfterMs) {
   return {JobRequestOutcome::NotRun, JobState::Queued, RetryAfterMs, {}};
@@ -37,14 +37,13 @@
                      JobIntakeOptions Options, JobIntakeHooks Hooks)
     : Store(Store), Configuration(Configuration), Scheduler(Scheduler),
       Timers(Timers), Options(Options), Hooks(std::move(Hooks)),
-      StartedAt(Timers.now()), StartTime(Store.tombstones().now()) {
-  EndTimer =
-      Timers.scheduleEvery(TombstoneEndInterval, [this] { endTombstones(); });
+      StartedAt(Timers.now()), StartTime(Store.logTime()) {
+  ForgetTimer = Timers.scheduleEvery(ForgetInterval, [this] { forgetEnded(); });
 }
 
 JobIntake::~JobIntake() {
   *AliveFlag = false;
-  Timers.cancel(EndTimer);
+  Timers.cancel(ForgetTimer);
 }
 
 void JobIntake::handle(const JobRequest &Request,
@@ -86,7 +85,8 @@
   bool IsOverloaded = Scheduler.isOverloaded() && !Request.Spec.isLongRunning();
   // During an upgrade a gateway may not check the limits.
   bool Refused = Queue == nullptr || !limitError(Request.Spec).empty() ||
-                 Hooks.PendingProposals() > MaxPendingProposals || IsOverloaded;
+                 Hooks.PendingProposals() > MaxPendingProposals ||
+                 endedJobs() > Options.MaxEndedJobs || IsOverloaded;
   if (Refused) {
     Hooks.LogEvent("job_refused",
                    {{"job", Request.Job}, {"queue", Request.Queue}});
@@ -210,19 +210,19 @@
 
 void JobIntake::cancelId(const JobRequest &Request,
                          const ResponseHandler &Respond) {
-  const TombstoneMillis Now = tombstoneNow();
-  const TombstoneMillis Needed = Now + toMillis(Options.CancelledIdRetention);
+  const LogMillis Now = logNow();
+  const LogMillis Needed = Now + toMillis(Options.Retention);
   Tombstone Added{ownerOf(Request), Request.Job,
                   Needed + toMillis(TombstoneRenewalInterval)};
   const Tombstones &Known = Store.tombstones();
-  std::optional<TombstoneMillis> End = Known.endOf(Added.Owner, Added.Job);
+  std::optional<LogMillis> End = Known.endOf(Added.Owner, Added.Job);
   if (End && *End >= Needed)
     return Respond(noSuchJob());
   if (Hooks.PendingProposals() > MaxPendingProposals)
     return Respond(notRun(LeaderChangeRetryMs));
   if (!End && !hasRoomFor(Added)) {
     ++RefusedCancellations;
-    TombstoneMillis NextEnd = Known.nextEnd().value_or(Now);
+    LogMillis NextEnd = Known.nextEnd().value_or(Now);
     return Respond(
         notRun(std::max<int64_t>(LeaderChangeRetryMs, NextEnd - Now)));
   }
@@ -232,7 +232,7 @@
 void JobIntake::proposeTombstone(const Tombstone &Added,
                                  const ResponseHandler &Respond) {
   auto Pending = PendingTombstones.emplace(Added.Job, Added.Owner);
-  Hooks.Propose(RecordTombstones{tombstoneNow(), {Added}},
+  Hooks.Propose(RecordTombstone{logNow(), Added},
                 [this, IsAlive = AliveFlag, Pending, Respond, &Jobs = Store,
                  LogEvent = Hooks.LogEvent, Added](ProposalOutcome Outcome) {
                   if (*IsAlive)
@@ -271,23 +271,28 @@
   return {Request.Queue, IsPublic ? std::string() : Request.Organisation};
 }
 
-TombstoneMillis JobIntake::tombstoneNow() const {
+LogMillis JobIntake::logNow() const {
   return StartTime + toMillis(Timers.now() - StartedAt);
 }
 
-void JobIntake::endTombstones() {
-  std::optional<TombstoneMillis> NextEnd = Store.tombstones().nextEnd();
-  const TombstoneMillis Now = tombstoneNow();
-  bool IsDue =
-      NextEnd && (*NextEnd <= Now || Now - Store.tombstones().now() >=
-                                         toMillis(TombstoneRenewalInterval));
-  if (!IsDue || EndInFlight)
+size_t JobIntake::endedJobs() const {
+  size_t Active = std::min(Scheduler.activeJobCount(), Store.jobs().size());
+  return Store.jobs().size() - Active;
+}
+
+void JobIntake::forgetEnded() {
+  bool HasAny = endedJobs() > 0 || Store.tombstones().size() > 0;
+  if (!HasAny || ForgetInFlight)
     return;
-  EndInFlight = true;
-  Hooks.Propose(RecordTombstones{Now, {}},
+  Duration Kept = Options.Retention;
+  if (endedJobs() < Options.MaxEndedJobs / 2)
+    Kept *= 2;
+  const LogMillis Now = logNow();
+  ForgetInFlight = true;
+  Hooks.Propose(ForgetEnded{Now, Now - toMillis(Kept)},
                 [this, IsAlive = AliveFlag](ProposalOutcome) {
                   if (*IsAlive)
-                    EndInFlight = false;
+                    ForgetInFlight = false;
                 });
 }
 
--- a/Source/Fleet/JobIntake.h
+++ b/Source/Fleet/JobIntake.h
@@ -36,9 +36,12 @@
 struct JobIntakeOptions {
   /// Accepted jobs have placement records.
   bool RecordsPlacements = false;
-  /// For how long at least, after its cancellation was acknowledged, an id
-  /// without a job is not accepted.
-  Duration CancelledIdRetention = seconds(120);
+  /// For how long at least the state of a job that has ended is kept, and an id
+  /// without a job is not accepted after its cancellation was acknowledged.
+  Duration Retention = seconds(120);
+  /// Ended jobs are kept twice as long while there are less than half as many.
+  /// No job is accepted beside more.
+  size_t MaxEndedJobs = 10000;
   /// Cancelled ids that are kept at once. An organisation keeps at most as many
   /// as it leaves to the others.
   size_t MaxCancelledIds = 10000;
@@ -62,6 +65,9 @@
   /// Cancellations that were refused since too many ids are kept.
   uint64_t refusedCancellations() const { return RefusedCancellations; }
 
+  /// Returns how many jobs are kept that have ended.
+  size_t endedJobs() const;
+
 private:
   /// Who submitted a job, and where.
   struct Submitter {
@@ -90,10 +96,10 @@
   /// Returns true if a cancellation of the id by its owner is not applied yet.
   bool isBeingCancelled(const JobRequest &Submission) const;
   JobOwner ownerOf(const JobRequest &Request) const;
-  TombstoneMillis tombstoneNow() const;
-  /// Ends tombstones, and records the time so that it goes on under the next
-  /// leader.
-  void endTombstones();
+  LogMillis logNow() const;
+  /// Proposes that what is kept for some time only is forgotten, which records
+  /// the time, too, so that it goes on under the next leader.
+  void forgetEnded();
   void respondWithState(const JobRequest &Request,
                         const ResponseHandler &Respond) const;
 
@@ -104,9 +110,9 @@
   const JobIntakeOptions Options;
   const JobIntakeHooks Hooks;
   const Instant StartedAt;
-  const TombstoneMillis StartTime; // At StartedAt.
-  TimerId EndTimer = 0;
-  bool EndInFlight = false;
+  const LogMillis StartTime; // At StartedAt.
+  TimerId ForgetTimer = 0;
+  bool ForgetInFlight = false;
   Submissions PendingSubmissions;
   Cancellations PendingTombstones;
   uint64_t RefusedCancellations = 0;
--- a/Source/Fleet/SchedulerDaemon.cpp
+++ b/Source/Fleet/SchedulerDaemon.cpp
@@ -46,14 +46,27 @@
 constexpr size_t MaxInternalBytes = 64 << 20;
 constexpr Duration InternalIdleTimeout = seconds(30);
 
+/// Returns how many items of \p BytesEach fit into a part of the memory.
+size_t itemsIn(int64_t MemoryMb, int64_t PercentOfMemory, int64_t BytesEach) {
+  constexpr int64_t Percent = 100;
+  return static_cast<size_t>((MemoryMb << 20) * PercentOfMemory / Percent /
+                             BytesEach);
+}
+
 /// Returns how many ids are kept that were cancelled before they were
 /// submitted.
 size_t maxCancelledIds(int64_t MemoryMb) {
   constexpr int64_t CancelledIdPercent = 2;
   constexpr int64_t BytesEach = 200;
-  constexpr int64_t Percent = 100;
-  return static_cast<size_t>((MemoryMb << 20) * CancelledIdPercent / Percent /
-                             BytesEach);
+  return itemsIn(MemoryMb, CancelledIdPercent, BytesEach);
+}
+
+/// Returns how many jobs that have ended are kept.
+size_t maxEndedJobs(int64_t MemoryMb) {
+  constexpr int64_t EndedJobPercent = 25;
+  // In the state, and three times in a snapshot while one is written.
+  constexpr int64_t BytesEach = 2000;
+  return itemsIn(MemoryMb, EndedJobPercent, BytesEach);
 }
 
 HttpServerOptions serverOptions(const FleetSettings &Settings,
@@ -486,7 +499,8 @@
                                              Loop.timers(), Options, Hooks);
     JobIntakeOptions IntakeOptions;
     IntakeOptions.RecordsPlacements = Settings.RecordPlacements;
-    IntakeOptions.CancelledIdRetention = Settings.StatusRetention;
+    IntakeOptions.Retention = Settings.StatusRetention;
+    IntakeOptions.MaxEndedJobs = maxEndedJobs(Settings.MemoryMb);
     IntakeOptions.MaxCancelledIds = maxCancelledIds(Settings.MemoryMb);
     Intake = std::make_unique<JobIntake>(State, Configuration, *Scheduler,
                                          Loop.timers(), IntakeOptions,
--- a/Source/Fleet/SchedulerMetrics.cpp
+++ b/Source/Fleet/SchedulerMetrics.cpp
@@ -209,6 +209,8 @@
            CarriedWorkers.carriedOrders());
   SetGauge("mimosashunt_jobs_live", "Jobs that have not ended",
            Scheduler->activeJobCount());
+  SetGauge("mimosashunt_jobs_ended",
+           "Jobs that are kept though they have ended", Intake->endedJobs());
   SetGauge("mimosashunt_cancelled_ids",
            "Ids that were cancelled before they were submitted",
            State.tombstones().size());
--- a/Source/Jobs/JobCommands.h
+++ b/Source/Jobs/JobCommands.h
@@ -92,15 +92,15 @@
   static void describe(auto &Self, auto Field) { Field("job", Self.Job); }
 };
 
-/// Keeps ids without a job from being accepted, and ends earlier tombstones.
-/// Changes no job: the leader proposes no acceptance of an id that it knows to
-/// have a tombstone, and members of versions without tombstones skip this
-/// command, so that all members have the same jobs.
-struct RecordTombstones {
-  static constexpr const char *Kind = "tombstones";
-  TombstoneMillis Now = 0;
-  std::vector<Tombstone> Added; // None if only earlier ones are to end.
-  bool operator==(const RecordTombstones &) const = default;
+/// Keeps an id without a job from being accepted. Changes no job: the leader
+/// proposes no acceptance of an id that it knows to have a tombstone, and
+/// members of versions without tombstones skip this command, so that all
+/// members have the same jobs.
+struct RecordTombstone {
+  static constexpr const char *Kind = "tombstone";
+  LogMillis Now = 0;
+  Tombstone Added;
+  bool operator==(const RecordTombstone &) const = default;
 
   static void describe(auto &Self, auto Field) {
     Field("now", Self.Now);
@@ -108,6 +108,21 @@
   }
 };
 
+/// Ends the tombstones whose time has come and forgets jobs that have ended
+/// long ago. Members of versions without this command keep them; that differs
+/// for callers only if one of those leads and an id is used again.
+struct ForgetEnded {
+  static constexpr const char *Kind = "forget";
+  LogMillis Now = 0;
+  LogMillis EndedUntil = 0; // Jobs that ended by then are forgotten.
+  bool operator==(const ForgetEnded &) const = default;
+
+  static void describe(auto &Self, auto Field) {
+    Field("now", Self.Now);
+    Field("until", Self.EndedUntil);
+  }
+};
+
 /// The end of one run that counts towards the job: success, or failure through
 /// the fault of the task or the worker.
 struct RunResult {
@@ -325,7 +340,8 @@
     std::variant<AcceptJob, CancelJob, RecordRunResults, PutConfiguration,
                  UpdateWorkers, StartWave, FinishMaintenance, BeginLeadership,
                  RecordLosses, RecordPlacements, SetEvacuation, RecordUsage,
-                 RecordRunTimes, RecordTombstones, NoteMaintenanceOrder>;
+                 RecordRunTimes, RecordTombstone, ForgetEnded,
+                 NoteMaintenanceOrder>;
 
 std::string encodeJobCommand(const JobCommand &Command);
 /// Returns false if \p Bytes is not an encoded command.
--- a/Source/Jobs/JobRecords.h
+++ b/Source/Jobs/JobRecords.h
@@ -15,7 +15,7 @@
 
 /// Replicated state of one job.
 struct JobRecord {
-  AcceptJob Job;
+  AcceptJob Job; // Without its payload once it has ended.
   JobState State = JobState::Queued;
   /// Cleared when the job has ended.
   TaskRecords Tasks;
@@ -28,6 +28,9 @@
   /// The version that was in force when the job was accepted; zero in snapshots
   /// of earlier versions.
   uint64_t ConfigurationVersion = 0;
+  /// The first time in the log after the job had ended; zero until there is
+  /// one.
+  LogMillis EndedAt = 0;
   bool operator==(const JobRecord &) const = default;
 
   bool hasEnded() const {
--- a/Source/Jobs/JobSnapshot.cpp
+++ b/Source/Jobs/JobSnapshot.cpp
@@ -79,8 +79,8 @@
 }
 
 void writeJob(CborWriter &Out, const JobRecord &Record, bool IsInFull) {
-  constexpr size_t PairsInFull = 7;
-  constexpr size_t PairsOfOpen = 8;
+  constexpr size_t PairsInFull = 8;
+  constexpr size_t PairsOfOpen = 9;
   Out.map(IsInFull ? PairsInFull : PairsOfOpen);
   writePair(Out, "job", Record.Job);
   writePair(Out, "state", Record.State);
@@ -88,6 +88,7 @@
   writePair(Out, "losses", Record.Losses);
   writePair(Out, "placements", Record.Placements);
   writePair(Out, "version", Record.ConfigurationVersion);
+  writePair(Out, "endedAt", Record.EndedAt);
   if (IsInFull)
     writeAllOccurrences(Out, Record);
   else
@@ -128,7 +129,7 @@
 }
 
 void writeTombstones(CborWriter &Out, const Tombstones &Ids) {
-  writePair(Out, "tombstoneTime", Ids.now());
+  writePair(Out, "logTime", Ids.now());
   Out.text("tombstones");
   Out.array(Ids.byOwner().size());
   for (const auto &[Owner, Ends] : Ids.byOwner())
@@ -264,6 +265,7 @@
   In.readIfPresent("losses", Record.Losses);
   In.readIfPresent("placements", Record.Placements);
   In.readIfPresent("version", Record.ConfigurationVersion);
+  In.readIfPresent("endedAt", Record.EndedAt);
   const JobSpec &Spec = Record.Job.Spec;
   require(Record.State <= JobState::Cancelled && isConsistent(Spec));
   if (!Record.hasEnded())
@@ -276,9 +278,9 @@
 }
 
 void readTombstones(const EncodedMap &In, Tombstones &Ids) {
-  TombstoneMillis Now = 0;
+  LogMillis Now = 0;
   std::vector<StoredTombstones> Owners;
-  In.readIfPresent("tombstoneTime", Now);
+  In.readIfPresent("logTime", Now);
   In.readIfPresent("tombstones", Owners);
   Ids.advance(Now);
   for (const StoredTombstones &Stored : Owners)
--- a/Source/Jobs/JobStore.cpp
+++ b/Source/Jobs/JobStore.cpp
@@ -4,6 +4,7 @@
 #include "Jobs/Limits.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -102,6 +103,9 @@
 
 void JobStore::endJob(JobRecord &Record, JobState EndState) {
   Record.State = EndState;
+  // No task of it starts any more. The steps tell what its last runs reserve.
+  Record.Job.Spec.Payload.clear();
+  Record.Job.Spec.Payload.shrink_to_fit();
   Record.Tasks = {};
   Record.Losses.clear();
   Record.Placements.clear();
@@ -239,10 +243,22 @@
   return true;
 }
 
-bool JobStore::applyCommand(const RecordTombstones &Command) {
+bool JobStore::applyCommand(const RecordTombstone &Command) {
   State.CancelledIds.advance(Command.Now);
-  for (const Tombstone &Added : Command.Added)
-    State.CancelledIds.add(Added);
+  State.CancelledIds.add(Command.Added);
+  return true;
+}
+
+bool JobStore::applyCommand(const ForgetEnded &Command) {
+  State.CancelledIds.advance(Command.Now);
+  for (auto It = State.Jobs.begin(); It != State.Jobs.end();) {
+    JobRecord &Record = It->second;
+    bool IsForgotten = Record.hasEnded() && Record.EndedAt > 0 &&
+                       Record.EndedAt <= Command.EndedUntil;
+    if (Record.hasEnded() && Record.EndedAt == 0)
+      Record.EndedAt = logTime();
+    It = IsForgotten ? State.Jobs.erase(It) : std::next(It);
+  }
   return true;
 }
 
--- a/Source/Jobs/JobStore.h
+++ b/Source/Jobs/JobStore.h
@@ -42,6 +42,8 @@
   const RecordUsage &usage() const { return State.Usage; }
   const RecordRunTimes &runTimes() const { return State.RunTimes; }
   const Tombstones &tombstones() const { return State.CancelledIds; }
+  /// The latest time that a command has told.
+  LogMillis logTime() const { return State.CancelledIds.now(); }
   /// Number of leaderships so far; each leader uses the count at its start as
   /// its fencing token.
   uint64_t leaderships() const { return State.Leaderships; }
@@ -64,7 +66,8 @@
   bool applyCommand(const SetEvacuation &Command);
   bool applyCommand(const RecordUsage &Command);
   bool applyCommand(const RecordRunTimes &Command);
-  bool applyCommand(const RecordTombstones &Command);
+  bool applyCommand(const RecordTombstone &Command);
+  bool applyCommand(const ForgetEnded &Command);
   bool recordRunResult(const RunResult &Result);
   static void endJob(JobRecord &Record, JobState EndState);
   static bool isDone(const JobRecord &Record, const TaskId &Task);
--- a/Source/Jobs/Tombstones.cpp
+++ b/Source/Jobs/Tombstones.cpp
@@ -8,7 +8,7 @@
 
 void Tombstones::add(const Tombstone &Added) {
   // What is read from a log may be any number.
-  TombstoneMillis EndsAt = std::min(Added.EndsAt, MaxExactInteger);
+  LogMillis EndsAt = std::min(Added.EndsAt, MaxExactInteger);
   if (EndsAt <= Now)
     return;
   auto Owner = Owners.try_emplace(Added.Owner).first;
@@ -23,7 +23,7 @@
   ++Count;
 }
 
-void Tombstones::advance(TombstoneMillis To) {
+void Tombstones::advance(LogMillis To) {
   Now = std::max(Now, std::min(To, MaxExactInteger));
   while (!Ends.empty() && Ends.begin()->first <= Now) {
     auto [Owner, Job] = Ends.begin()->second;
@@ -46,8 +46,8 @@
   return endOf({Queue, Organisation}, Job) || endOf({Queue, {}}, Job);
 }
 
-std::optional<TombstoneMillis> Tombstones::endOf(const JobOwner &Owner,
-                                                 const JobId &Job) const {
+std::optional<LogMillis> Tombstones::endOf(const JobOwner &Owner,
+                                           const JobId &Job) const {
   auto Found = Owners.find(Owner);
   if (Found == Owners.end())
     return std::nullopt;
@@ -57,7 +57,7 @@
   return Held->second;
 }
 
-std::optional<TombstoneMillis> Tombstones::nextEnd() const {
+std::optional<LogMillis> Tombstones::nextEnd() const {
   if (Ends.empty())
     return std::nullopt;
   return Ends.begin()->first;
--- a/Source/Jobs/Tombstones.h
+++ b/Source/Jobs/Tombstones.h
@@ -19,10 +19,11 @@
 
 namespace mimosashunt {
 
-/// Milliseconds for which groups of control VMs have recorded tombstones: the
-/// time that leaders spent, by their steady clocks. It never decreases, and
-/// stands still while nobody leads.
-using TombstoneMillis = int64_t;
+/// The time in the log: milliseconds that leaders have spent, by their steady
+/// clocks, as commands carry it. It never decreases and is the same on all
+/// replicas that have applied the same commands. It stands still while nobody
+/// leads, so what ends by it never ends early.
+using LogMillis = int64_t;
 
 /// Whose job of an id a tombstone is for.
 struct JobOwner {
@@ -47,7 +48,7 @@
 struct Tombstone {
   JobOwner Owner;
   JobId Job;
-  TombstoneMillis EndsAt = 0;
+  LogMillis EndsAt = 0;
   bool operator==(const Tombstone &) const = default;
 
   static void describe(auto &Self, auto Field) {
@@ -59,7 +60,7 @@
 
 class Tombstones {
 public:
-  using EndsByJob = std::map<JobId, TombstoneMillis>;
+  using EndsByJob = std::map<JobId, LogMillis>;
 
   Tombstones() = default;
   Tombstones(const Tombstones &) = delete;
@@ -72,17 +73,16 @@
   /// nothing if it has ended already.
   void add(const Tombstone &Added);
   /// Ends all tombstones whose time has come. Earlier times change nothing.
-  void advance(TombstoneMillis To);
+  void advance(LogMillis To);
 
   /// Returns true if a submission of \p Job must not be accepted.
   bool covers(const JobId &Job, const std::string &Queue,
               const std::string &Organisation) const;
   /// Returns when the tombstone ends, or nothing if there is none.
-  std::optional<TombstoneMillis> endOf(const JobOwner &Owner,
-                                       const JobId &Job) const;
+  std::optional<LogMillis> endOf(const JobOwner &Owner, const JobId &Job) const;
   /// Returns when the next tombstone may end, or nothing if there is none.
-  std::optional<TombstoneMillis> nextEnd() const;
-  TombstoneMillis now() const { return Now; }
+  std::optional<LogMillis> nextEnd() const;
+  LogMillis now() const { return Now; }
   size_t size() const { return Count; }
   size_t countOf(const std::string &Organisation) const;
 
@@ -98,10 +98,10 @@
   std::map<JobOwner, EndsByJob> Owners;
   /// By the time at which they were to end when they were added or prolonged. A
   /// prolonged tombstone has several entries; the last one ends it.
-  std::multimap<TombstoneMillis, Place> Ends;
+  std::multimap<LogMillis, Place> Ends;
   std::map<std::string, size_t> CountByOrganisation;
   size_t Count = 0;
-  TombstoneMillis Now = 0;
+  LogMillis Now = 0;
 };
 
 } // namespace mimosashunt
--- a/Source/Scheduling/Dispatcher.cpp
+++ b/Source/Scheduling/Dispatcher.cpp
@@ -225,8 +225,9 @@
   auto It = Jobs.find(Job);
   if (It == Jobs.end() || !It->second->HasEnded)
     return;
+  // Without a record it has ended and was forgotten.
   const JobRecord *Record = Store.findJob(Job);
-  if (Record == nullptr || !Record->hasEnded())
+  if (Record != nullptr && !Record->hasEnded())
     return;
   for (const auto &[Number, Occurrence] : It->second->Occurrences)
     if (Occurrence.hasRuns())
--- a/Tests/Fleet/JobIntakeTest.cpp
+++ b/Tests/Fleet/JobIntakeTest.cpp
@@ -154,7 +154,9 @@
     JobCommand Command;
     ASSERT_TRUE(decodeJobCommand(Next.Bytes, Command));
     Harness.commitCommand(Command);
-    if (!std::holds_alternative<RecordTombstones>(Command))
+    bool IsKnown = !std::holds_alternative<RecordTombstone>(Command) &&
+                   !std::holds_alternative<ForgetEnded>(Command);
+    if (IsKnown)
       Earlier.apply(Command);
   }
   void commitNext() {
@@ -299,7 +301,7 @@
 TEST(JobIntake, CancelledIdsAreBoundedForEachOrganisationAndEnd) {
   JobIntakeOptions Options;
   Options.MaxCancelledIds = 20;
-  Options.CancelledIdRetention = seconds(5);
+  Options.Retention = seconds(5);
   Group Calls(Options);
   for (int I = 0; I < 40; ++I) {
     Calls.cancel("s" + std::to_string(I), "stranger");
@@ -329,13 +331,13 @@
 // time than the first one's, and against one entry of the log for each.
 TEST(JobIntake, ARepeatedCancellationHoldsAsLongAsTheFirst) {
   JobIntakeOptions Options;
-  Options.CancelledIdRetention = seconds(60);
+  Options.Retention = seconds(60);
   Group Calls(Options);
   for (int I = 0; I < 20; ++I) {
     Calls.cancel("a");
     Calls.run(30);
   }
-  EXPECT_EQ(Calls.Harness.CommandCounts["tombstones"], 1);
+  EXPECT_EQ(Calls.Harness.CommandCounts["tombstone"], 1);
   Calls.run(50000);
   Calls.cancel("a");
   Calls.run(59000);
@@ -344,6 +346,36 @@
   EXPECT_EQ(Calls.submitted("a"), JobRequestOutcome::NoSuchJob);
 }
 
+// Guards against ended jobs that fill the memory, against one that is forgotten
+// before its state may be asked for for the last time, and against a record
+// that the scheduler keeps.
+TEST(JobIntake, EndedJobsAreKeptForTheirTimeAndBounded) {
+  JobIntakeOptions Options;
+  Options.Retention = seconds(20);
+  Options.MaxEndedJobs = 10;
+  Group Calls(Options);
+  for (int I = 0; I < 12; ++I) {
+    Calls.submit("j" + std::to_string(I));
+    Calls.run(100);
+    Calls.cancel("j" + std::to_string(I));
+    Calls.run(1000);
+  }
+  // One more is refused until some are forgotten.
+  EXPECT_EQ(Calls.submitted("j11"), JobRequestOutcome::NotRun);
+  EXPECT_EQ(Calls.Harness.Store.jobs().size(), 11U);
+  Calls.submit("j0"); // Its state is still known.
+  EXPECT_EQ(Calls.submitted("j0"), JobRequestOutcome::Done);
+  Calls.run(20000);
+  EXPECT_LT(Calls.Harness.Store.jobs().size(), 11U);
+  Calls.submit("late");
+  Calls.run(1000);
+  EXPECT_EQ(Calls.submitted("late"), JobRequestOutcome::Done);
+  Calls.cancel("late");
+  Calls.run(120000);
+  EXPECT_EQ(Calls.Harness.Store.jobs().size(), 0U);
+  EXPECT_EQ(Calls.Harness.Scheduler->activeJobCount(), 0U);
+}
+
 /// Submits, cancels and repeats a few ids from several organisations, through
 /// leaders that change at drawn moments.
 class DrawnCalls {
--- a/Tests/Jobs/CommandCodecTest.cpp
+++ b/Tests/Jobs/CommandCodecTest.cpp
@@ -100,10 +100,11 @@
                   {{anything<std::string>(), anything<double>()}}},
       RecordRunTimes{{{anything<std::string>(), anything<std::string>(),
                        anything<double>(), anything<std::vector<double>>()}}},
-      RecordTombstones{anything<int64_t>(),
-                       {{{anything<std::string>(), anything<std::string>()},
-                         anything<std::string>(),
-                         anything<int64_t>()}}},
+      RecordTombstone{anything<int64_t>(),
+                      {{anything<std::string>(), anything<std::string>()},
+                       anything<std::string>(),
+                       anything<int64_t>()}},
+      ForgetEnded{anything<int64_t>(), anything<int64_t>()},
       NoteMaintenanceOrder{anything<uint64_t>(), anything<std::string>(),
                            anything<bool>()}};
 }
--- a/Tests/Jobs/JobStoreTest.cpp
+++ b/Tests/Jobs/JobStoreTest.cpp
@@ -151,6 +151,35 @@
   EXPECT_EQ(Restored.jobs(), Store.jobs());
 }
 
+// Guards against state that grows with all jobs that ever ended (review/11).
+TEST(JobStore, AJobThatHasEndedLosesItsPayloadAndIsForgottenInTime) {
+  JobStore Store;
+  JobSpec Spec = makeChainSpec(1, 1, 1, 1);
+  Spec.Payload = std::string(4000, 'x');
+  Store.apply(makeJob("a", Spec));
+  Store.apply(makeJob("b", Spec));
+  // A group that has told the time before, long ago.
+  Store.apply(ForgetEnded{5000, 0});
+  Store.apply(RecordRunResults{{{{"a", 0, 0, 0}, 1, true}}});
+  EXPECT_EQ(Store.findJob("a")->Job.Spec.Payload, "");
+  EXPECT_LT(Store.findJob("a")->Job.Spec.Payload.capacity(), 100U);
+  EXPECT_EQ(Store.findJob("b")->Job.Spec.Payload, Spec.Payload);
+  EXPECT_FALSE(Store.apply(makeJob("a", Spec)));
+  Store.apply(ForgetEnded{90000, 85000});
+  ASSERT_NE(Store.findJob("a"), nullptr);
+  EXPECT_EQ(Store.findJob("a")->EndedAt, 90000);
+  JobStore Copy;
+  ASSERT_TRUE(Copy.restore(Store.snapshot()));
+  EXPECT_EQ(Copy.jobs(), Store.jobs());
+  for (JobStore *Replica : {&Store, &Copy}) {
+    Replica->apply(ForgetEnded{95000, 89999});
+    EXPECT_NE(Replica->findJob("a"), nullptr);
+    Replica->apply(ForgetEnded{100000, 90000});
+    EXPECT_EQ(Replica->findJob("a"), nullptr);
+    EXPECT_NE(Replica->findJob("b"), nullptr);
+  }
+}
+
 TEST(JobStore, RunResultsOfUnknownTasksAreIgnored) {
   JobStore Store;
   Store.apply(makeJob("a", makeChainSpec(1, 1, 1, 1)));
--- a/Tests/Jobs/TombstonesTest.cpp
+++ b/Tests/Jobs/TombstonesTest.cpp
@@ -10,10 +10,9 @@
 
 namespace {
 
-RecordTombstones record(TombstoneMillis Now, const JobId &Job,
-                        TombstoneMillis EndsAt,
-                        const JobOwner &Owner = {"q", "org"}) {
-  return {Now, {{Owner, Job, EndsAt}}};
+RecordTombstone record(LogMillis Now, const JobId &Job, LogMillis EndsAt,
+                       const JobOwner &Owner = {"q", "org"}) {
+  return {Now, {Owner, Job, EndsAt}};
 }
 
 TEST(Tombstones, EndAtTheTimeInTheLog) {
@@ -22,7 +21,7 @@
   Store.apply(record(50, "b", 200));
   EXPECT_TRUE(Store.tombstones().covers("a", "q", "org"));
   EXPECT_EQ(Store.tombstones().nextEnd(), 100);
-  Store.apply(RecordTombstones{100, {}});
+  Store.apply(ForgetEnded{100, 0});
   EXPECT_FALSE(Store.tombstones().covers("a", "q", "org"));
   EXPECT_TRUE(Store.tombstones().covers("b", "q", "org"));
   // A leader that knows an earlier time brings nothing back.
@@ -81,7 +80,7 @@
   Store.apply(PutConfiguration{3, "text"});
   Json Tree = Json::from_cbor(Store.snapshot());
   Tree.erase("tombstones");
-  Tree.erase("tombstoneTime");
+  Tree.erase("logTime");
   std::vector<uint8_t> Bytes = Json::to_cbor(Tree);
   JobStore Read;
   ASSERT_TRUE(Read.restore({Bytes.begin(), Bytes.end()}));
@@ -94,10 +93,10 @@
 RC_GTEST_PROP(Tombstones, AReplicaOfASnapshotEndsTheSameOnes, ()) {
   JobStore Store;
   JobStore Other;
-  TombstoneMillis Now = 0;
+  LogMillis Now = 0;
   for (int Left = *rc::gen::inRange(0, 60); Left > 0; --Left) {
     Now += *rc::gen::inRange(0, 40);
-    RecordTombstones Command{Now, {}};
+    JobCommand Command = ForgetEnded{Now, 0};
     if (*rc::gen::inRange(0, 4) > 0)
       Command = record(Now, std::string(1, *rc::gen::inRange('a', 'h')),
                        Now + *rc::gen::inRange(-10, 200),
