Fleet: a cancellation outlives the record of an ended job

What callers would have seen: a job has ended, its cancellation is acknowledged a moment before the job is forgotten, and a late copy of its submission is accepted after that. Cause: the acknowledgement relied on a record that ForgetEnded is about to remove. Change: such a cancellation records a tombstone as for an id without a job, unless the record is kept for statusSeconds from then on; ended jobs are kept 30 s longer, so that the usual cancellation costs nothing. A refusal for too many ended jobs names the time of the next forgetting.

Evidence: JobIntake.ACancellationOutlivesTheRecordOfAnEndedJob.

--- a/Source/Fleet/JobIntake.cpp
+++ b/Source/Fleet/JobIntake.cpp
@@ -13,8 +13,9 @@
 
 /// Jobs are refused as not run while more proposals than this await commitment.
 constexpr size_t MaxPendingProposals = 4000;
-/// A tombstone that is repeated within this time is not written again.
-constexpr Duration TombstoneRenewalInterval = seconds(30);
+/// How much longer than necessary ids are kept, so that a cancellation that is
+/// repeated within this time need not be written again.
+constexpr Duration RenewalInterval = seconds(30);
 constexpr Duration ForgetInterval = seconds(5);
 
 JobResponse notRun(int64_t RetryAfterMs) {
@@ -83,16 +84,22 @@
     return Respond(notRun(LeaderChangeRetryMs));
   const QueueConfiguration *Queue = Configuration.findQueue(Request.Queue);
   bool IsOverloaded = Scheduler.isOverloaded() && !Request.Spec.isLongRunning();
+  bool IsFull = endedJobs() > Options.MaxEndedJobs;
   // During an upgrade a gateway may not check the limits.
   bool Refused = Queue == nullptr || !limitError(Request.Spec).empty() ||
-                 Hooks.PendingProposals() > MaxPendingProposals ||
-                 endedJobs() > Options.MaxEndedJobs || IsOverloaded;
+                 Hooks.PendingProposals() > MaxPendingProposals || IsFull ||
+                 IsOverloaded;
   if (Refused) {
-    Hooks.LogEvent("job_refused",
-                   {{"job", Request.Job}, {"queue", Request.Queue}});
-    return Respond(notRun(IsOverloaded
-                              ? toMillis(Scheduler.retryTime(Request.Job))
-                              : LeaderChangeRetryMs));
+    Hooks.LogEvent("job_refused", {{"job", Request.Job},
+                                   {"queue", Request.Queue},
+                                   {"overloaded", IsOverloaded},
+                                   {"full", IsFull}});
+    int64_t RetryMs = LeaderChangeRetryMs;
+    if (IsOverloaded)
+      RetryMs = toMillis(Scheduler.retryTime(Request.Job));
+    if (IsFull)
+      RetryMs = toMillis(ForgetInterval);
+    return Respond(notRun(RetryMs));
   }
   AcceptJob Command;
   Command.Job = Request.Job;
@@ -170,9 +177,14 @@
   if (const JobRecord *Record = Store.findJob(Request.Job)) {
     if (!mayCancel(Request, {Record->Job.Queue, Record->Job.Organisation}))
       return Respond(noSuchJob());
-    if (Record->hasEnded())
-      return Respond({JobRequestOutcome::Done, Record->State, 0, {}});
-    return proposeCancellation(Request.Job, Respond);
+    if (!Record->hasEnded())
+      return proposeCancellation(Request.Job, Respond);
+    // A job that is forgotten soon leaves its id to a late submission.
+    bool IsKept = Record->EndedAt == 0 ||
+                  logNow() - Record->EndedAt <= toMillis(RenewalInterval);
+    if (!IsKept)
+      return cancelId(Request, Respond);
+    return Respond({JobRequestOutcome::Done, Record->State, 0, {}});
   }
   // The first one is accepted, if any is.
   auto Pending = PendingSubmissions.lower_bound(Request.Job);
@@ -213,7 +225,7 @@
   const LogMillis Now = logNow();
   const LogMillis Needed = Now + toMillis(Options.Retention);
   Tombstone Added{ownerOf(Request), Request.Job,
-                  Needed + toMillis(TombstoneRenewalInterval)};
+                  Needed + toMillis(RenewalInterval)};
   const Tombstones &Known = Store.tombstones();
   std::optional<LogMillis> End = Known.endOf(Added.Owner, Added.Job);
   if (End && *End >= Needed)
@@ -284,7 +296,7 @@
   bool HasAny = endedJobs() > 0 || Store.tombstones().size() > 0;
   if (!HasAny || ForgetInFlight)
     return;
-  Duration Kept = Options.Retention;
+  Duration Kept = Options.Retention + RenewalInterval;
   if (endedJobs() < Options.MaxEndedJobs / 2)
     Kept *= 2;
   const LogMillis Now = logNow();
--- a/Source/Fleet/JobIntake.h
+++ b/Source/Fleet/JobIntake.h
@@ -64,7 +64,6 @@
 
   /// Cancellations that were refused since too many ids are kept.
   uint64_t refusedCancellations() const { return RefusedCancellations; }
-
   /// Returns how many jobs are kept that have ended.
   size_t endedJobs() const;
 
@@ -89,7 +88,8 @@
   bool mayCancel(const JobRequest &Request, const Submitter &Of) const;
   /// Cancels a job that is accepted, or will be before this is applied.
   void proposeCancellation(const JobId &Job, const ResponseHandler &Respond);
-  /// Keeps an id without a job from being accepted.
+  /// Keeps an id from being accepted that has no job, or one that is forgotten
+  /// soon.
   void cancelId(const JobRequest &Request, const ResponseHandler &Respond);
   void proposeTombstone(const Tombstone &Added, const ResponseHandler &Respond);
   bool hasRoomFor(const Tombstone &Added) const;
--- a/Tests/Fleet/JobIntakeTest.cpp
+++ b/Tests/Fleet/JobIntakeTest.cpp
@@ -365,7 +365,7 @@
   EXPECT_EQ(Calls.Harness.Store.jobs().size(), 11U);
   Calls.submit("j0"); // Its state is still known.
   EXPECT_EQ(Calls.submitted("j0"), JobRequestOutcome::Done);
-  Calls.run(20000);
+  Calls.run(50000);
   EXPECT_LT(Calls.Harness.Store.jobs().size(), 11U);
   Calls.submit("late");
   Calls.run(1000);
@@ -376,6 +376,26 @@
   EXPECT_EQ(Calls.Harness.Scheduler->activeJobCount(), 0U);
 }
 
+// Guards against a cancellation of an ended job whose acknowledgement holds
+// only until the job is forgotten.
+TEST(JobIntake, ACancellationOutlivesTheRecordOfAnEndedJob) {
+  JobIntakeOptions Options;
+  Options.Retention = seconds(20);
+  Options.MaxEndedJobs = 0; // Kept for as short as may be.
+  Group Calls(Options);
+  Calls.submit("a");
+  Calls.run(100);
+  Calls.cancel("a");
+  Calls.run(45000);
+  ASSERT_NE(Calls.Harness.Store.findJob("a"), nullptr);
+  Calls.cancel("a");
+  Calls.run(19000);
+  ASSERT_EQ(Calls.Harness.Store.findJob("a"), nullptr);
+  Calls.submit("a");
+  Calls.run(100);
+  EXPECT_EQ(Calls.submitted("a"), JobRequestOutcome::NoSuchJob);
+}
+
 /// Submits, cancels and repeats a few ids from several organisations, through
 /// leaders that change at drawn moments.
 class DrawnCalls {
